Lay out the workspace and agree the shared types

Cause: no code yet; several developers are about to work side by side. Conclusion: the types are the contract for the work that follows.

--- /dev/null
+++ b/packages/foxspring-config/foxspring_config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration as values, and its INI text; settings of the daemon."""
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state and scheduling."""
--- /dev/null
+++ b/packages/foxspring-daemon/foxspring_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The two binaries of foxspring."""
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Request path and target ownership."""
--- /dev/null
+++ b/packages/foxspring-link/foxspring_link/__init__.py
@@ -0,0 +1,15 @@
+"""Links between foxspring's processes, their message codec, and the clocks."""
+
+from foxspring_link._clock import PausedClock, SystemClock
+from foxspring_link._codec import Codec, MalformedMessageError
+from foxspring_link._link import Link, LinkSettings, SendResult
+
+__all__ = [
+    "Codec",
+    "Link",
+    "LinkSettings",
+    "MalformedMessageError",
+    "PausedClock",
+    "SendResult",
+    "SystemClock",
+]
--- /dev/null
+++ b/packages/foxspring-link/foxspring_link/_link.py
@@ -0,0 +1,206 @@
+"""One-way message links between processes over pynng push and pull sockets.
+
+Every process listens on one pull socket and dials one push socket a peer.
+A peer that answers no ping within the silence limit is dialled anew, because
+something between the two ends may have lost track of the old connection.
+"""
+
+import logging
+import threading
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import pynng
+from foxspring_model import Clock, LinkPing, LinkPong
+
+from foxspring_link._codec import Codec, MalformedMessageError
+
+_LOG = logging.getLogger(__name__)
+
+Handler = Callable[[str, Any], None]
+
+
+class SendResult(StrEnum):
+    """Whether a message may reach its peer."""
+
+    QUEUED = "queued"
+    NOT_SENT = "not_sent"
+
+
+class LinkSettings(NamedTuple):
+    """Times in milliseconds, sizes in bytes, queues in messages."""
+
+    ping_interval_ms: int = 500
+    silence_limit_ms: int = 2_000
+    send_queue: int = 256
+    receive_queue: int = 1_024
+    max_message_bytes: int = 32 * 1024 * 1024
+
+
+DEFAULT_LINK_SETTINGS = LinkSettings()
+
+
+class _Peer:
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.socket: Any = None
+        self.heard_ms = 0
+        self.ping_id = 0
+
+
+class Link:
+    """Sends messages to peers by address and hands received ones to a handler.
+
+    ``handler(sender, message)`` runs on the link's one receiving thread and
+    must not block. Every message names its sender's listening address as the
+    sender, so a reply goes to ``sender``.
+    """
+
+    def __init__(
+        self,
+        listen_address: str,
+        codec: Codec,
+        handler: Handler,
+        clock: Clock,
+        settings: LinkSettings = DEFAULT_LINK_SETTINGS,
+        advertised_address: str = "",
+    ) -> None:
+        self._codec = codec
+        self._handler = handler
+        self._clock = clock
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._peers: dict[str, _Peer] = {}
+        self._closing = threading.Event()
+        self._socket = pynng.Pull0(
+            recv_timeout=settings.ping_interval_ms,
+            recv_buffer_size=settings.receive_queue,
+            recv_max_size=settings.max_message_bytes,
+        )
+        self._socket.listen(f"tcp://{listen_address}")
+        bound = str(self._socket.listeners[0].local_address)
+        self.address = advertised_address or bound
+        self.redials = 0
+        self.dropped = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._threads = [
+            threading.Thread(target=self._receive, name="link-receive", daemon=True),
+            threading.Thread(target=self._watch, name="link-watch", daemon=True),
+        ]
+
+    def start(self) -> None:
+        """Begin to receive messages and to watch peers for silence."""
+        for thread in self._threads:
+            thread.start()
+
+    def send(self, address: str, message: Any) -> SendResult:
+        """Queue ``message`` for the peer at ``address``; never blocks.
+
+        ``NOT_SENT`` means that the message surely does not reach the peer.
+        """
+        frame = self._codec.encode(self.address, message)
+        with self._lock:
+            if self._closing.is_set():
+                return SendResult.NOT_SENT
+            peer = self._peers.get(address) or self._dial(address)
+            try:
+                peer.socket.send(frame, block=False)
+            except (pynng.TryAgain, pynng.Timeout, pynng.Closed):
+                self.dropped += 1
+                return SendResult.NOT_SENT
+            self.bytes_sent += len(frame)
+        return SendResult.QUEUED
+
+    def forget(self, address: str) -> None:
+        """Close the connection to a peer that is gone for good."""
+        with self._lock:
+            peer = self._peers.pop(address, None)
+        if peer is not None:
+            peer.socket.close()
+
+    def close(self) -> None:
+        """Stop receiving and close every connection."""
+        self._closing.set()
+        for thread in self._threads:
+            if thread.is_alive() and thread is not threading.current_thread():
+                thread.join()
+        with self._lock:
+            for peer in self._peers.values():
+                peer.socket.close()
+            self._peers.clear()
+        self._socket.close()
+
+    def _dial(self, address: str) -> _Peer:
+        peer = self._peers.get(address) or _Peer(address)
+        peer.socket = pynng.Push0(
+            send_buffer_size=self._settings.send_queue,
+            reconnect_time_min=50,
+            reconnect_time_max=1_000,
+        )
+        peer.socket.dial(f"tcp://{address}", block=False)
+        peer.heard_ms = self._clock.monotonic_ms()
+        self._peers[address] = peer
+        return peer
+
+    def _receive(self) -> None:
+        while not self._closing.is_set():
+            try:
+                frame = self._socket.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            self.bytes_received += len(frame)
+            self._open(frame)
+
+    def _open(self, frame: bytes) -> None:
+        try:
+            sender, message = self._codec.decode(frame)
+        except MalformedMessageError as error:
+            _LOG.warning("event=message_refused reason=%r", str(error))
+            return
+        self._note_heard(sender)
+        if isinstance(message, LinkPing):
+            self.send(sender, LinkPong(message.ping_id))
+            return
+        if isinstance(message, LinkPong):
+            return
+        try:
+            self._handler(sender, message)
+        except Exception:
+            _LOG.exception(
+                "event=handler_failed kind=%s sender=%s",
+                type(message).__name__,
+                sender,
+            )
+
+    def _note_heard(self, sender: str) -> None:
+        with self._lock:
+            peer = self._peers.get(sender)
+            if peer is not None:
+                peer.heard_ms = self._clock.monotonic_ms()
+
+    def _watch(self) -> None:
+        while not self._closing.wait(self._settings.ping_interval_ms / 1_000):
+            with self._lock:
+                peers = list(self._peers.values())
+            for peer in peers:
+                self._probe(peer)
+
+    def _probe(self, peer: _Peer) -> None:
+        now = self._clock.monotonic_ms()
+        if now - peer.heard_ms > self._settings.silence_limit_ms:
+            self._redial(peer)
+        peer.ping_id += 1
+        self.send(peer.address, LinkPing(peer.ping_id))
+
+    def _redial(self, peer: _Peer) -> None:
+        with self._lock:
+            if self._peers.get(peer.address) is not peer or self._closing.is_set():
+                return
+            peer.socket.close()
+            self._dial(peer.address)
+            self.redials += 1
+        _LOG.info("event=link_redialled peer=%s", peer.address)
--- /dev/null
+++ b/packages/foxspring-model/foxspring_model/_invariant.py
@@ -0,0 +1,50 @@
+"""The promises the program checks of itself while it runs."""
+
+import logging
+import threading
+from collections import Counter
+from enum import StrEnum
+
+_LOG = logging.getLogger(__name__)
+
+
+class Invariant(StrEnum):
+    """A promise that must always hold."""
+
+    CAPACITY = "capacity"
+    ONE_PLACE = "one_place"
+    RESUME_ONCE = "resume_once"
+    WHOLE_ANSWER = "whole_answer"
+    NOT_RUN_IS_TRUE = "not_run_is_true"
+    AT_MOST_ONCE = "at_most_once"
+    LEAVING_GETS_NOTHING = "leaving_gets_nothing"
+    STOP_CUTS_NOTHING = "stop_cuts_nothing"
+    REVISION_NEVER_FALLS = "revision_never_falls"
+
+
+class InvariantChecks:
+    """Counts checks and violations by invariant; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.checked: Counter[Invariant] = Counter()
+        self.violated: Counter[Invariant] = Counter()
+
+    def check(self, invariant: Invariant, holds: bool, detail: str = "") -> bool:
+        """Count one check of ``invariant`` and return ``holds``.
+
+        A violation is logged with ``detail``. The caller must not go on with
+        the action that would break the promise when this returns false.
+        """
+        with self._lock:
+            self.checked[invariant] += 1
+            if not holds:
+                self.violated[invariant] += 1
+        if not holds:
+            _LOG.critical(
+                "event=invariant_violated invariant=%s detail=%r", invariant, detail
+            )
+        return holds
+
+
+CHECKS = InvariantChecks()
--- /dev/null
+++ b/packages/foxspring-model/foxspring_model/_platform.py
@@ -0,0 +1,142 @@
+"""JSON bodies of the platform contract between the system and targets.
+
+docs/PLATFORM.md describes the surface. ``target_ms`` readings are of the
+target's monotonic clock; task leases are expressed in it, so a delayed renewal
+can never extend a lease beyond the reading that it was computed from.
+"""
+
+from typing import NotRequired, TypedDict
+
+
+class ResourcesBody(TypedDict):
+    """Amounts as in :class:`foxspring_model.Resources`."""
+
+    slots: int
+    connections: int
+    cores_milli: int
+    memory_mb: int
+    accelerators: int
+
+
+class AnnounceBody(TypedDict):
+    """``POST /v1/targets/announce`` on any entry, every second."""
+
+    target_id: str
+    incarnation: int
+    address: str
+    failure_domain: str
+    rack: str
+    capacity: ResourcesBody
+    leaving: bool
+
+
+class TaskStatusBody(TypedDict):
+    """A task as its target sees it.
+
+    ``state`` is ``running``, ``finished``, ``failed``, ``stopped`` or
+    ``expired`` (its lease ended). An ended task is reported until acked.
+    """
+
+    task_id: str
+    epoch: int
+    state: str
+    checkpoint: str
+    result: str
+    detail: str
+    cores_milli: int
+    memory_mb: int
+
+
+class ServiceLatencyBody(TypedDict):
+    """Latency of one service on a target since its last report."""
+
+    service: str
+    count: int
+    p50_us: int
+    p99_us: int
+
+
+class ReportBody(TypedDict):
+    """``POST /v1/targets/{target_id}/report`` on any entry.
+
+    ``measured_ms`` is when the usage was read, ``target_ms`` when the report
+    was sent. ``requests`` lists the request ids being run at ``target_ms``.
+    """
+
+    target_id: str
+    incarnation: int
+    sequence: int
+    measured_ms: int
+    target_ms: int
+    cores_milli: int
+    memory_mb: int
+    latencies: list[ServiceLatencyBody]
+    tasks: list[TaskStatusBody]
+    requests: list[str]
+
+
+class ReportAnswerBody(TypedDict):
+    """The answer to a report: ended tasks the target may forget."""
+
+    acked: list[list[str | int]]
+
+
+class StartTaskBody(TypedDict):
+    """``POST /v1/tasks`` on a target: run a task under a lease."""
+
+    task_id: str
+    epoch: int
+    lease_until_ms: int
+    service: str
+    resources: ResourcesBody
+    payload: str
+    checkpoint: str
+
+
+class RenewBody(TypedDict):
+    """``POST /v1/leases`` on a target: one renewal for all its tasks."""
+
+    lease_until_ms: int
+    tasks: list[list[str | int]]
+
+
+class RenewAnswerBody(TypedDict):
+    """Tasks of the renewal that the target does not run, and its clock."""
+
+    unknown: list[list[str | int]]
+    target_ms: int
+
+
+class StopTaskBody(TypedDict):
+    """``POST /v1/tasks/stop`` on a target; answered when the task has stopped.
+
+    The answer is the task's last :class:`TaskStatusBody`.
+    """
+
+    task_id: str
+    epoch: int
+    checkpoint: bool
+
+
+class ThrottleBody(TypedDict):
+    """``POST /v1/tasks/throttle`` on a target."""
+
+    task_id: str
+    epoch: int
+    percent: int
+
+
+class ErrorBody(TypedDict):
+    """The body of every refusal; ``verdict`` as in Verdict."""
+
+    verdict: str
+    reason: str
+    detail: str
+    retry_after_ms: NotRequired[int]
+
+
+HEADER_REQUEST_ID = "Foxspring-Request-Id"
+HEADER_VERDICT = "Foxspring-Verdict"
+HEADER_KEY = "Idempotency-Key"
+HEADER_DEADLINE_MS = "Foxspring-Deadline-Ms"
+HEADER_TARGET = "Foxspring-Target"
--- /dev/null
+++ b/packages/foxspring-model/foxspring_model/_resources.py
@@ -0,0 +1,35 @@
+"""Amounts of what a target has and a piece of work needs."""
+
+from typing import NamedTuple
+
+
+class Resources(NamedTuple):
+    """An amount of each resource of a target.
+
+    ``cores_milli`` counts thousandths of a core and ``memory_mb`` mebibytes.
+    """
+
+    slots: int = 0
+    connections: int = 0
+    cores_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: "Resources") -> "Resources":
+        """Return the sum, resource by resource."""
+        return Resources(*(a + b for a, b in zip(self, other, strict=True)))
+
+    def minus(self, other: "Resources") -> "Resources":
+        """Return the difference, resource by resource; it may be negative."""
+        return Resources(*(a - b for a, b in zip(self, other, strict=True)))
+
+    def fits_in(self, free: "Resources") -> bool:
+        """Tell whether no resource of this amount exceeds that of ``free``."""
+        return all(a <= b for a, b in zip(self, free, strict=True))
+
+    def is_negative(self) -> bool:
+        """Tell whether any resource is below zero."""
+        return any(amount < 0 for amount in self)
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, harness, demo and bench."""
