--- a/packages/foxspring-control/foxspring_control/_replication.py
+++ b/packages/foxspring-control/foxspring_control/_replication.py
@@ -14,7 +14,7 @@
     ``log.`` and are not given to the state machine.
     """
 
-    index: int
+    log_index: int
     term: int
     kind: str
     body: bytes
