--- /dev/null
+++ b/packages/foxspring-model/foxspring_model/scheduling/_records.py
@@ -0,0 +1,112 @@
+"""What the scheduler remembers of each task, and of tasks of the same shape."""
+
+from collections import deque
+from enum import IntEnum
+from typing import NamedTuple
+
+from foxspring_model._job import Priority, Task, TaskKind, TaskState
+from foxspring_model._resources import NOTHING, Resources
+
+
+class Lane(IntEnum):
+    """Order in which queued tasks are considered; the lowest goes first."""
+
+    SERVICE = 0
+    URGENT = 1
+    BATCH = 2
+
+
+class Shape(NamedTuple):
+    """What tasks of one job have in common."""
+
+    job_id: str
+    kind: TaskKind
+    team: str
+    resources: Resources
+    priority: Priority
+    work_class: str
+
+
+def job_key(task: Task) -> str:
+    """Return the job of ``task``; replicas share ``service/NAME``."""
+    return task.job_id or task.task_id.rpartition("/")[0]
+
+
+def shape_of(task: Task) -> Shape:
+    """Return what ``task`` shares with the others of its job."""
+    return Shape(
+        job_key(task),
+        task.kind,
+        task.team,
+        task.resources,
+        task.priority,
+        task.work_class,
+    )
+
+
+class TaskGroup:
+    """The tasks of one shape, those waiting in order of arrival."""
+
+    __slots__ = ("lane", "members", "service", "shape", "waiting")
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape = shape
+        self.members = 0
+        self.waiting: deque[str] = deque()
+        self.service = ""
+        self.lane = Lane.BATCH
+        if shape.kind is TaskKind.SERVICE:
+            self.service = shape.job_id.rpartition("/")[2]
+            self.lane = Lane.SERVICE
+        elif shape.priority is Priority.URGENT:
+            self.lane = Lane.URGENT
+
+
+class TaskRecord:
+    """One task as last seen in the replicated state.
+
+    ``target_id`` is where it holds ``held``: where it is placed or, between a
+    decision and its commit, where it is about to be. ``since_ms`` is when it
+    last changed state and ``saved_ms`` when work was last known to be saved.
+    """
+
+    __slots__ = (
+        "attempts",
+        "blamed",
+        "epoch",
+        "evictions",
+        "failed_targets",
+        "group",
+        "held",
+        "in_queue",
+        "not_before_ms",
+        "pending_until_ms",
+        "resumed",
+        "saved_ms",
+        "since_ms",
+        "starting",
+        "state",
+        "target_id",
+        "task_id",
+        "throttle",
+    )
+
+    def __init__(self, task_id: str, group: TaskGroup) -> None:
+        self.task_id = task_id
+        self.group = group
+        self.state = TaskState.QUEUED
+        self.epoch = -1
+        self.target_id = ""
+        self.held: Resources = NOTHING
+        self.attempts = 0
+        self.evictions = 0
+        self.resumed = 0
+        self.starting = False
+        self.failed_targets: tuple[str, ...] = ()
+        self.blamed = 0
+        self.since_ms = 0
+        self.saved_ms = 0
+        self.not_before_ms = 0
+        self.pending_until_ms = 0
+        self.throttle = 100
+        self.in_queue = False
