Find the tests of subpackages too

Cause: discovery began in a package's own tests/, so scheduling/tests never ran. Change: discovery begins at the package.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -32,7 +32,7 @@
             suite.addTests(loader.loadTestsFromName(name))
             continue
         top = ROOT / "packages" / f"foxspring-{name}"
-        start = top / f"foxspring_{name}" / "tests"
+        start = top / f"foxspring_{name}"
         suite.addTests(loader.discover(str(start), top_level_dir=str(top)))
     return suite
 
