--- /dev/null
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/consistency.py
@@ -0,0 +1,46 @@
+"""Recounts what the scheduler counts step by step."""
+
+from collections import Counter
+
+from foxspring_model import Resources
+from foxspring_model.scheduling import Scheduler
+from foxspring_model.scheduling._records import Lane
+
+
+def _sum(amounts: list[Resources]) -> Resources:
+    total = Resources()
+    for amount in amounts:
+        total = total.plus(amount)
+    return total
+
+
+def miscounts(scheduler: Scheduler) -> list[str]:
+    """Return where running totals differ from a recount; empty if nowhere."""
+    site = scheduler.site
+    found = []
+    records = list(site.book.records.values())
+    for room in site.rooms.by_id.values():
+        here = [record for record in records if record.target_id == room.target_id]
+        if {record.task_id for record in here} != room.tasks:
+            found.append(f"tasks of {room.target_id}")
+        if _sum([record.held for record in here]) != room.held:
+            found.append(f"held of {room.target_id}")
+        if sum(record.starting for record in here) != room.starting:
+            found.append(f"starting on {room.target_id}")
+        cores: Counter[str] = Counter()
+        for record in here:
+            if not record.group.service:
+                cores[record.group.shape.work_class] += record.held.cores_milli
+        if cores != room.class_cores:
+            found.append(f"class cores of {room.target_id}")
+    placed = [record for record in records if record.target_id]
+    urgent = [r.held for r in placed if r.group.lane is Lane.URGENT]
+    if _sum(urgent) != site.book.urgent_held:
+        found.append("urgent room")
+    for team in {record.group.shape.team for record in records}:
+        mine = [r for r in placed if r.group.shape.team == team]
+        use = site.book.quotas.use_of(team)
+        sizes = [record.group.shape.resources for record in mine]
+        if (len(mine), _sum(sizes)) != (use.tasks, use.resources):
+            found.append(f"use of {team}")
+    return found
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/fake_interference.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/fake_interference.py
@@ -51,10 +51,14 @@
         """Return by how much the neighbours multiply a service's latency."""
         shares: dict[str, float] = {}
         for task in tasks:
-            if task.kind is TaskKind.BATCH:
-                part = task.resources.cores_milli / info.capacity.cores_milli
-                part *= percents[task.task_id] / 100
-                shares[task.work_class] = shares.get(task.work_class, 0.0) + part
+            name = task.work_class
+            if task.kind is TaskKind.SERVICE:
+                name = task.task_id.split("/")[1]
+            if name == service:
+                continue
+            part = task.resources.cores_milli / info.capacity.cores_milli
+            part *= percents[task.task_id] / 100
+            shares[name] = shares.get(name, 0.0) + part
         load = self.load(service, now_ms)
         total = 1.0
         for name, share in shares.items():
@@ -73,9 +77,9 @@
     ) -> tuple[tuple[str, int, int, int], ...]:
         """Return service, p50, p99 and requests of each service on a target."""
         found = []
-        services = {t.job_id for t in tasks if t.kind is TaskKind.SERVICE}
-        for job_id in sorted(services):
-            service = job_id.rpartition("/")[2]
+        replicas = (t for t in tasks if t.kind is TaskKind.SERVICE)
+        services = {t.task_id.split("/")[1] for t in replicas}
+        for service in sorted(services):
             load = self.load(service, now_ms)
             base_us = self._objective_us * (0.25 + 0.2 * load)
             slowdown = self.slowdown(service, tasks, percents, info, now_ms)
--- /dev/null
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_random_site.py
@@ -0,0 +1,198 @@
+"""Randomised runs: whatever fails, the promises hold and no job is lost."""
+
+import random
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from foxspring_model import (
+    ENDED_STATES,
+    InvariantChecks,
+    Priority,
+    TaskKind,
+    TaskState,
+    Team,
+)
+from foxspring_model.scheduling import Scheduler, SchedulerSettings
+from foxspring_model.scheduling.tests.builders import (
+    a_configuration,
+    a_replica,
+    a_target,
+    a_task,
+)
+from foxspring_model.scheduling.tests.consistency import miscounts
+from foxspring_model.scheduling.tests.fake_site import FakeSite, Faults
+
+TARGETS = 10
+STEPS = 40
+JOBS = 8
+STEP_MS = 5_000
+DRAIN_MS = 60_000
+DRAINS = 60
+TEAMS = (Team("a", 30), Team("b", 15), Team("c", 1_000, weight=3))
+
+Trouble = Callable[[FakeSite, int], None]
+
+
+def no_trouble(site: FakeSite, step: int) -> None:
+    """Change nothing."""
+
+
+def targets_die(site: FakeSite, step: int) -> None:
+    """Lose a target every fourth step and bring it back two steps later."""
+    number = step // 4 % TARGETS
+    if step % 4 == 0:
+        site.lose_target(f"t{number}")
+    if step % 4 == 2:
+        site.add_target(a_target(number)._replace(incarnation=step))
+
+
+def domain_dies(site: FakeSite, step: int) -> None:
+    """Lose every target of one failure domain for a while."""
+    lost = [number for number in range(TARGETS) if number % 4 == 1]
+    for number in lost:
+        if step == 10:
+            site.lose_target(f"t{number}")
+        if step == 25:
+            site.add_target(a_target(number)._replace(incarnation=2))
+
+
+def cancellations(site: FakeSite, step: int) -> None:
+    """Cancel a third of what is there, in whatever state it is."""
+    if step % 5 == 0:
+        for task in list(site.tasks.values()):
+            if task.kind is TaskKind.BATCH and site.rng.random() < 0.33:
+                site.cancel(task.task_id)
+
+
+def third_of_targets_fail_all(site: FakeSite, step: int) -> None:
+    """Let 3 of 10 targets fail each task that they start."""
+    site.bad_targets = {"t1", "t4", "t7"} if step < STEPS - 1 else set()
+
+
+def jobs_that_never_run(site: FakeSite, step: int) -> None:
+    """Let every fifth job fail wherever it runs."""
+    site.bad_jobs.add(f"j{step * JOBS}")
+
+
+def sizes_wrong(site: FakeSite, step: int) -> None:
+    """Let half of the jobs use four times or a quarter of what they declare."""
+    for number in range(step * JOBS, step * JOBS + JOBS):
+        site.size_error[f"j{number}"] = (1.0, 4.0, 1.0, 0.25)[number % 4]
+
+
+def noisy_waves(site: FakeSite, step: int) -> None:
+    """Add a wave of one class and one team every eighth step."""
+    if step % 8 == 0:
+        for number in range(60):
+            site.submit(a_task(number, f"w{step}", "a", work_class="loud"), 20_000)
+
+
+def leave_in_turn(site: FakeSite, step: int) -> None:
+    """Let one target at a time be drained."""
+    for number in range(TARGETS):
+        site.scheduler.upsert_target(a_target(number), number == step % TARGETS)
+
+
+SCENARIOS: tuple[tuple[str, Faults, Trouble], ...] = (
+    ("nothing fails", Faults(), no_trouble),
+    ("commands are lost", Faults(lost_command=0.3), no_trouble),
+    ("owners refuse", Faults(refused=0.3), no_trouble),
+    (
+        "reports lost, doubled, an hour late",
+        Faults(lost_report=0.4, doubled_report=0.4, hour_late_report=0.1),
+        no_trouble,
+    ),
+    ("targets die", Faults(lost_command=0.1), targets_die),
+    ("a failure domain dies", Faults(), domain_dies),
+    ("cancellations", Faults(lost_command=0.1), cancellations),
+    ("30% of targets fail all", Faults(), third_of_targets_fail_all),
+    ("jobs that never run", Faults(), jobs_that_never_run),
+    ("sizes wrong by 4", Faults(), sizes_wrong),
+    ("noisy waves", Faults(), noisy_waves),
+    ("targets are drained", Faults(lost_command=0.1), leave_in_turn),
+)
+
+
+def a_random_site(seed: int, faults: Faults) -> FakeSite:
+    scheduler = Scheduler(SchedulerSettings(seed=seed, quarantine_ms=5_000))
+    scheduler.set_configuration(a_configuration(*TEAMS))
+    site = FakeSite(scheduler, seed, faults)
+    site.teams = {team.name: team for team in TEAMS}
+    for number in range(TARGETS):
+        site.add_target(a_target(number))
+    for number in range(6):
+        site.submit(a_replica(number), 1 << 40)
+    return site
+
+
+def submit_some(site: FakeSite, rng: random.Random, step: int) -> None:
+    for number in range(step * JOBS, step * JOBS + JOBS):
+        task = a_task(
+            0,
+            f"j{number}",
+            rng.choice("abc"),
+            work_class=f"class{rng.randrange(4)}",
+            priority=rng.choice(list(Priority)),
+        )
+        site.submit(task, rng.choice((2_000, 40_000, 120_000)))
+
+
+def run_scenario(site: FakeSite, trouble: Trouble, seed: int) -> None:
+    rng = random.Random(seed)
+    for step in range(STEPS):
+        submit_some(site, rng, step)
+        trouble(site, step)
+        site.run(STEP_MS)
+        site.problems += miscounts(site.scheduler)
+    for _ in range(DRAINS):
+        if not unfinished(site):
+            break
+        site.run(DRAIN_MS, 1_000)
+
+
+def unfinished(site: FakeSite) -> list[str]:
+    return [
+        task.task_id
+        for task in site.tasks.values()
+        if task.kind is TaskKind.BATCH and task.state not in ENDED_STATES
+    ]
+
+
+class RandomSiteTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.checks = InvariantChecks()
+        for module in ("_book", "_dispatch"):
+            name = f"foxspring_model.scheduling.{module}.CHECKS"
+            patch = mock.patch(name, self.checks)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def test_promises_hold_and_every_job_ends(self) -> None:
+        for name, faults, trouble in SCENARIOS:
+            for seed in (1, 2):
+                with self.subTest(name, seed=seed):
+                    site = a_random_site(seed, faults)
+                    run_scenario(site, trouble, seed)
+                    self.assertEqual([], site.problems[:3])
+                    self.assertEqual({}, dict(self.checks.violated))
+                    waits = {
+                        task_id: site.scheduler.explain(task_id, site.now_ms)
+                        for task_id in unfinished(site)[:3]
+                    }
+                    self.assertEqual({}, waits)
+                    self.check_outcomes(site)
+
+    def check_outcomes(self, site: FakeSite) -> None:
+        failed = {
+            task.job_id
+            for task in site.tasks.values()
+            if task.state is TaskState.FAILED
+        }
+        self.assertLessEqual(failed, site.bad_jobs)
+        for task in site.tasks.values():
+            self.assertLessEqual(task.resumed, task.evictions, task.task_id)
+
+
+if __name__ == "__main__":
+    unittest.main()
