--- a/packages/foxspring-model/foxspring_model/_resources.py
+++ b/packages/foxspring-model/foxspring_model/_resources.py
@@ -17,11 +17,23 @@
 
     def plus(self, other: "Resources") -> "Resources":
         """Return the sum, resource by resource."""
-        return Resources(*(a + b for a, b in zip(self, other, strict=True)))
+        return Resources(
+            self[0] + other[0],
+            self[1] + other[1],
+            self[2] + other[2],
+            self[3] + other[3],
+            self[4] + other[4],
+        )
 
     def minus(self, other: "Resources") -> "Resources":
         """Return the difference, resource by resource; it may be negative."""
-        return Resources(*(a - b for a, b in zip(self, other, strict=True)))
+        return Resources(
+            self[0] - other[0],
+            self[1] - other[1],
+            self[2] - other[2],
+            self[3] - other[3],
+            self[4] - other[4],
+        )
 
     def fits_in(self, free: "Resources") -> bool:
         """Tell whether no resource of this amount exceeds that of ``free``."""
--- a/packages/foxspring-model/foxspring_model/scheduling/_book.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_book.py
@@ -76,7 +76,7 @@
         record.target_id = room.target_id
         record.held = size
         room.held = room.held.plus(size)
-        room.tasks.add(record.task_id)
+        room.tasks.append(record)
         group = record.group
         group.placed += 1
         if group.service:
@@ -106,7 +106,7 @@
         group.placed -= 1
         if group.lane is Lane.URGENT:
             self.urgent_held = self.urgent_held.minus(size)
-        room.tasks.discard(record.task_id)
+        room.tasks.remove(record)
         self._uncount(room, group, size)
         self.quotas.subtract(group.shape.team, group.shape.resources)
         self._rooms.refresh(room)
--- a/packages/foxspring-model/foxspring_model/scheduling/_claims.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_claims.py
@@ -89,14 +89,13 @@
         fresh = [room for room in rooms if room.target_id not in record.failed_targets]
         return [room for room in fresh or rooms if room.is_open]
 
+    @staticmethod
     def _victims_on(
-        self, room: Room, size: Resources, now_ms: int
+        room: Room, size: Resources, now_ms: int
     ) -> list[TaskRecord] | None:
-        book = self._site.book
         free = room.free
         records = []
-        for task_id in room.tasks:
-            record = book.records[task_id]
+        for record in room.tasks:
             if is_leaving(record, now_ms):
                 free = free.plus(record.held)
             else:
--- a/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
@@ -153,7 +153,7 @@
 
     @staticmethod
     def _take(record: TaskRecord, group: TaskGroup) -> None:
-        group.waiting.popleft()
+        group.pop()
         record.in_queue = False
 
     def _first_waiting(self, group: TaskGroup) -> TaskRecord | None:
@@ -162,7 +162,7 @@
             record = records.get(group.waiting[0])
             if record is not None and self._is_ready(record):
                 return record
-            group.waiting.popleft()
+            group.pop()
             if record is not None:
                 record.in_queue = False
         return None
--- a/packages/foxspring-model/foxspring_model/scheduling/_interference.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_interference.py
@@ -40,6 +40,8 @@
     def __init__(self) -> None:
         self._bases: dict[tuple[str, int], Estimate] = {}
         self._pairs: dict[tuple[str, str, int], Estimate] = {}
+        self._guesses: dict[tuple[str, str], float] = {}
+        self._known: set[tuple[str, str]] = set()
         self._busiest: dict[str, float] = {}
 
     def level_of(self, service: str, requests: int) -> int:
@@ -72,6 +74,8 @@
             gain = estimate.variance * x / total
             estimate.value = max(0.0, estimate.value + gain * (pressure - expected))
             estimate.variance += _DRIFT * x - gain * x * estimate.variance
+        for name in shares:
+            self._note_pair(service, name, level)
 
     def predict(self, service: str, level: int, shares: Mapping[str, float]) -> float:
         """Return the pressure expected with ``shares`` on the target."""
@@ -92,19 +96,16 @@
 
     def known(self, service: str, work_class: str) -> bool:
         """Tell whether the pair is known at any load level."""
-        return any(
-            (found := self._pairs.get((service, work_class, level))) is not None
-            and found.variance < _KNOWN_VARIANCE
-            for level in range(LOAD_LEVELS)
-        )
+        return (service, work_class) in self._known
+
+    def _note_pair(self, service: str, work_class: str, level: int) -> None:
+        found = self._pairs[service, work_class, level]
+        self._guesses[service, work_class] = found.value
+        if found.variance < _KNOWN_VARIANCE:
+            self._known.add((service, work_class))
 
     def _guess(self, service: str, work_class: str) -> float:
-        levels = (
-            self._pairs.get((service, work_class, level))
-            for level in range(LOAD_LEVELS)
-        )
-        values = [found.value for found in levels if found is not None]
-        return sum(values) / len(values) if values else _FIRST_PAIR
+        return self._guesses.get((service, work_class), _FIRST_PAIR)
 
     def _base(self, service: str, level: int) -> Estimate:
         key = (service, level)
--- a/packages/foxspring-model/foxspring_model/scheduling/_queues.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_queues.py
@@ -43,7 +43,7 @@
             return
         record.in_queue = True
         group = record.group
-        group.waiting.append(record.task_id)
+        group.push(record.task_id)
         teams = self.lanes[group.lane]
         queue = teams.get(group.shape.team)
         if queue is None:
--- a/packages/foxspring-model/foxspring_model/scheduling/_records.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_records.py
@@ -67,7 +67,7 @@
         self.members = 0
         self.placed = 0
         self.used: UsedSize | None = None
-        self.waiting: deque[str] = deque()
+        self.waiting: deque[str] | None = None
         self.service = ""
         self.lane = Lane.BATCH
         if shape.kind is TaskKind.SERVICE:
@@ -76,6 +76,20 @@
         elif shape.priority is Priority.URGENT:
             self.lane = Lane.URGENT
 
+    def push(self, task_id: str) -> None:
+        """Add a task to the end of those waiting."""
+        if self.waiting is None:
+            self.waiting = deque()
+        self.waiting.append(task_id)
+
+    def pop(self) -> None:
+        """Take the first of those waiting; there must be one."""
+        if self.waiting is None:
+            return
+        self.waiting.popleft()
+        if not self.waiting:
+            self.waiting = None
+
 
 class TaskRecord:
     """One task as last seen in the replicated state.
--- a/packages/foxspring-model/foxspring_model/scheduling/_relief.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_relief.py
@@ -183,10 +183,9 @@
         return worst
 
     def _batch_on(self, room: Room) -> list[TaskRecord]:
-        records = [self._site.book.records[task_id] for task_id in sorted(room.tasks)]
         return [
             record
-            for record in records
+            for record in room.tasks
             if record.group.lane is Lane.BATCH and record.state is TaskState.RUNNING
         ]
 
@@ -229,8 +228,7 @@
         room = self._site.rooms.by_id.get(target_id)
         if room is None:
             return
-        records = [self._site.book.records[task_id] for task_id in sorted(room.tasks)]
-        for record in memory_victims(records, amount, now_ms):
+        for record in memory_victims(room.tasks, amount, now_ms):
             reason = (
                 f"memory of {target_id} is {amount} MB over its limit and the task"
                 f" holds {record.held.memory_mb} MB of"
--- a/packages/foxspring-model/foxspring_model/scheduling/_rooms.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_rooms.py
@@ -8,6 +8,7 @@
 from foxspring_model._resources import NOTHING, Resources
 from foxspring_model._target import TargetInfo
 from foxspring_model.scheduling._fit_tree import FitTree
+from foxspring_model.scheduling._records import TaskRecord
 
 _Key = TypeVar("_Key", bound=Hashable)
 
@@ -42,7 +43,7 @@
         self.quarantine = ""
         self.counted: Resources = NOTHING
         self.held: Resources = NOTHING
-        self.tasks: set[str] = set()
+        self.tasks: list[TaskRecord] = []
         self.starting = 0
         self.replicas: Counter[str] = Counter()
         self.class_cores: Counter[str] = Counter()
--- a/packages/foxspring-model/foxspring_model/scheduling/_samples.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_samples.py
@@ -1,6 +1,6 @@
 """Late, doubled and out-of-order measurements, laid against what ran then."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from typing import NamedTuple
 
 from foxspring_model._job import TaskKind
@@ -14,12 +14,13 @@
     one may still be learnt from, unless it may have been seen before.
     """
 
-    __slots__ = ("incarnation", "newest_ms", "seen")
+    __slots__ = ("incarnation", "newest_ms", "remembered", "seen")
 
     def __init__(self, remembered: int) -> None:
         self.incarnation = 0
         self.newest_ms = -1
-        self.seen: deque[int] = deque(maxlen=remembered)
+        self.remembered = remembered
+        self.seen: list[int] = []
 
     def admit(self, sample: UsageSample) -> tuple[bool, bool]:
         """Return whether the sample is unseen and whether it is the newest."""
@@ -30,9 +31,11 @@
             self.newest_ms = -1
             self.seen.clear()
         taken_ms = sample.measured_ms
-        full = len(self.seen) == self.seen.maxlen
+        full = len(self.seen) >= self.remembered
         if taken_ms in self.seen or (full and taken_ms < min(self.seen)):
             return False, False
+        if full:
+            del self.seen[0]
         self.seen.append(taken_ms)
         newest = taken_ms > self.newest_ms
         if newest:
--- a/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
@@ -62,9 +62,9 @@
         wait_ms = 0
         if failed and task.state is TaskState.QUEUED:
             wait_ms = self._retry_delay(task.attempts)
-        record = self.site.book.upsert(task, wait_ms, now_ms)
-        if record is not None and before is None:
-            self._remember_shape(record)
+        if before is not None and task.state in ENDED_STATES:
+            self._remember_shape(before)
+        self.site.book.upsert(task, wait_ms, now_ms)
         if was_at in self.site.failures.isolated:
             self.site.sync_quarantine(was_at)
         self._forget_idle_job(task)
--- a/packages/foxspring-model/foxspring_model/scheduling/_settings.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_settings.py
@@ -74,4 +74,4 @@
     claim_candidates: int = 8
     reserve_decay_ms: int = 60_000
     seen_samples: int = 32
-    remembered_shapes: int = 4_096
+    remembered_shapes: int = 1_024
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/consistency.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/consistency.py
@@ -21,7 +21,7 @@
     records = list(site.book.records.values())
     for room in site.rooms.by_id.values():
         here = [record for record in records if record.target_id == room.target_id]
-        if {record.task_id for record in here} != room.tasks:
+        if {r.task_id for r in here} != {r.task_id for r in room.tasks}:
             found.append(f"tasks of {room.target_id}")
         if _sum([record.held for record in here]) != room.held:
             found.append(f"held of {room.target_id}")
