Add configuration, settings and job texts with one check

Cause: daemons and operators need the same check of what they read. Change: sections are typed shapes with their range and unit; the operators' library, the daemon's settings and the settings page read the same shapes.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 soak: $(VENV)/.installed
 	$(RUN) -m foxspring_testing.soak --seconds $(or $(SECONDS),600) --seed $(or $(SEED),1)
+
+settings-page: $(VENV)/.installed
+	$(RUN) -c "from foxspring_config import settings_page; print(settings_page(), end='')" > docs/SETTINGS.md
--- /dev/null
+++ b/packages/foxspring-config/foxspring_config/_settings.py
@@ -0,0 +1,315 @@
+"""The daemon's settings file."""
+
+import pathlib
+from enum import StrEnum
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+
+from foxspring_config._section import (
+    ADDRESS_PATTERN,
+    ConfigurationError,
+    Name,
+    read_ini,
+    read_section,
+)
+
+_PORT_LIMIT = 65_535
+_MAX_MEMBERS = 9
+_MIN_TOKEN_CHARACTERS = 16
+_RELOADABLE = {"reloadable": True}
+
+
+class DaemonRole(StrEnum):
+    """What a daemon does; a VM with a disk runs one process of each."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+class LogLevel(StrEnum):
+    """The least level that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+Address = Annotated[
+    str,
+    Meta(
+        pattern=ADDRESS_PATTERN, description="an IP number and port, as 10.0.0.1:7000"
+    ),
+]
+OptionalAddress = Annotated[
+    str,
+    Meta(
+        pattern=f"^$|{ADDRESS_PATTERN}",
+        description="an IP number and port, as 10.0.0.1:7000, or nothing",
+    ),
+]
+Secret = Annotated[
+    str,
+    Meta(
+        pattern=rf"^\S{{{_MIN_TOKEN_CHARACTERS},256}}$",
+        description=f"{_MIN_TOKEN_CHARACTERS} to 256 characters without spaces",
+    ),
+]
+
+
+def _ms(low: int, high: int) -> Meta:
+    return Meta(ge=low, le=high, extra={"unit": "ms"})
+
+
+class DaemonSection(NamedTuple):
+    """Who this process is; it learns this from nowhere else."""
+
+    role: DaemonRole
+    id: Name
+    failure_domain: Name
+    data_folder: str = ""
+    log_level: Annotated[LogLevel, Meta(extra=_RELOADABLE)] = LogLevel.INFO
+    metrics_listen: OptionalAddress = ""
+
+
+class LinkSection(NamedTuple):
+    """Links between foxspring's processes."""
+
+    listen: Address
+    secret: Secret
+    advertise: OptionalAddress = ""
+    ping_interval_ms: Annotated[int, _ms(50, 60_000)] = 500
+    silence_limit_ms: Annotated[int, _ms(100, 120_000)] = 2_000
+
+
+class ControlSection(NamedTuple):
+    """The control group: who is in it, and a control member's timings.
+
+    ``members`` is a list of ``id=address`` or ``id=address/failure_domain``
+    with commas between. A control member started to join a group that runs
+    already sets ``join``.
+    """
+
+    members: str
+    join: bool = False
+    election_timeout_ms: Annotated[int, _ms(100, 30_000)] = 600
+    heartbeat_ms: Annotated[int, _ms(10, 5_000)] = 100
+    snapshot_every_entries: Annotated[
+        int, Meta(ge=100, le=1_000_000, extra={"unit": "entries"})
+    ] = 5_000
+    entry_lease_ms: Annotated[int, _ms(500, 30_000)] = 2_000
+    task_lease_ms: Annotated[int, _ms(1_000, 300_000)] = 5_000
+
+
+class EntrySection(NamedTuple):
+    """An entry's HTTP surface and limits."""
+
+    http_listen: Address
+    worker_threads: Annotated[int, Meta(ge=4, le=512, extra={"unit": "threads"})] = 64
+    max_body_bytes: Annotated[
+        int, Meta(ge=1_024, le=64 * 1024 * 1024, extra={"unit": "bytes"})
+    ] = 8 * 1024 * 1024
+    max_header_bytes: Annotated[
+        int, Meta(ge=1_024, le=1024 * 1024, extra={"unit": "bytes"})
+    ] = 32 * 1024
+    queue_limit: Annotated[int, Meta(ge=0, le=100_000, extra={"unit": "requests"})] = (
+        256
+    )
+    drain_grace_ms: Annotated[int, _ms(0, 600_000)] = 3_000
+
+
+class TokenEntry(NamedTuple):
+    """A named token of a caller, an operator or a target."""
+
+    name: str
+    token: str
+
+
+class MemberEntry(NamedTuple):
+    """One member of the control group as the settings name it."""
+
+    member_id: str
+    address: str
+    failure_domain: str
+
+
+class Settings(NamedTuple):
+    """A whole settings file."""
+
+    daemon: DaemonSection
+    link: LinkSection
+    control: ControlSection
+    entry: EntrySection | None
+    members: tuple[MemberEntry, ...]
+    callers: tuple[TokenEntry, ...] = ()
+    operators: tuple[TokenEntry, ...] = ()
+    targets: tuple[TokenEntry, ...] = ()
+
+
+SETTINGS_SHAPES: tuple[tuple[str, type], ...] = (
+    ("daemon", DaemonSection),
+    ("link", LinkSection),
+    ("control", ControlSection),
+    ("entry", EntrySection),
+)
+TOKEN_SECTIONS = ("callers", "operators", "targets")
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises:
+        ConfigurationError: the file can't be read or breaks a rule.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigurationError(f"{path}: {error}; check the file") from error
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str = "settings") -> Settings:
+    """Return the settings that ``text`` says.
+
+    Raises:
+        ConfigurationError: the text breaks a rule; the message names the
+            source, section, key, value and allowed range.
+    """
+    parser = read_ini(text, source)
+    known = [name for name, _ in SETTINGS_SHAPES] + list(TOKEN_SECTIONS)
+    for section in parser.sections():
+        if section not in known:
+            raise ConfigurationError(
+                f"{source}: [{section}]: unknown section; use "
+                + ", ".join(f"[{name}]" for name in known)
+            )
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    daemon = read_section(DaemonSection, sections.get("daemon", {}), "daemon", source)
+    link = read_section(LinkSection, sections.get("link", {}), "link", source)
+    control = read_section(
+        ControlSection, sections.get("control", {}), "control", source
+    )
+    entry = None
+    if daemon.role is DaemonRole.ENTRY:
+        entry = read_section(EntrySection, sections.get("entry", {}), "entry", source)
+    settings = Settings(
+        daemon,
+        link,
+        control,
+        entry,
+        _read_members(control.members, source),
+        *(
+            _read_tokens(sections.get(name, {}), name, source)
+            for name in TOKEN_SECTIONS
+        ),
+    )
+    _check_whole(settings, source)
+    return settings
+
+
+def _read_members(text: str, source: str) -> tuple[MemberEntry, ...]:
+    members = []
+    for part in text.replace("\n", ",").split(","):
+        if not part.strip():
+            continue
+        name, _, rest = part.strip().partition("=")
+        address, _, failure_domain = rest.partition("/")
+        values = {"id": name.strip(), "listen": address.strip()}
+        _check_member(values, source)
+        members.append(MemberEntry(name.strip(), address.strip(), failure_domain))
+    if not members or len(members) > _MAX_MEMBERS:
+        raise ConfigurationError(
+            f"{source}: [control] members = {text!r}: name 1 to {_MAX_MEMBERS} "
+            "members as id=address, with commas between"
+        )
+    if len({member.member_id for member in members}) < len(members):
+        raise ConfigurationError(
+            f"{source}: [control] members = {text!r}: an id stands twice; "
+            "give each member its own"
+        )
+    return tuple(members)
+
+
+class _MemberShape(NamedTuple):
+    id: Name
+    listen: Address
+
+
+def _check_member(values: dict[str, str], source: str) -> None:
+    read_section(_MemberShape, values, "control", f"{source}: members")
+    _check_address(values["listen"], "control", "members", source)
+
+
+class _TokenShape(NamedTuple):
+    name: Name
+    token: Secret
+
+
+def _read_tokens(
+    values: dict[str, str], section: str, source: str
+) -> tuple[TokenEntry, ...]:
+    tokens = []
+    for name, token in values.items():
+        try:
+            read_section(_TokenShape, {"name": name, "token": token}, section, source)
+        except ConfigurationError as error:
+            # The message of a bad token would carry the token itself.
+            raise ConfigurationError(
+                f"{source}: [{section}] {name}: the name needs lower-case letters, "
+                "digits, dots, dashes and underscores; the token needs "
+                f"{_MIN_TOKEN_CHARACTERS} to 256 characters without spaces"
+            ) from error
+        tokens.append(TokenEntry(name, token))
+    if len({entry.token for entry in tokens}) < len(tokens):
+        raise ConfigurationError(
+            f"{source}: [{section}]: two names have the same token; give each its own"
+        )
+    return tuple(tokens)
+
+
+def _check_whole(settings: Settings, source: str) -> None:
+    _check_address(settings.link.listen, "link", "listen", source)
+    if settings.entry is not None:
+        _check_address(settings.entry.http_listen, "entry", "http_listen", source)
+    if settings.daemon.metrics_listen:
+        _check_address(
+            settings.daemon.metrics_listen, "daemon", "metrics_listen", source
+        )
+    if settings.daemon.role is DaemonRole.CONTROL:
+        _check_control(settings, source)
+    if settings.link.silence_limit_ms <= settings.link.ping_interval_ms:
+        raise ConfigurationError(
+            f"{source}: [link] silence_limit_ms = {settings.link.silence_limit_ms}: "
+            f"give more than ping_interval_ms ({settings.link.ping_interval_ms})"
+        )
+
+
+def _check_control(settings: Settings, source: str) -> None:
+    if not settings.daemon.data_folder:
+        raise ConfigurationError(
+            f"{source}: [daemon] data_folder: missing; a control member needs "
+            "a folder on its disk"
+        )
+    ids = {member.member_id for member in settings.members}
+    if settings.daemon.id not in ids and not settings.control.join:
+        raise ConfigurationError(
+            f"{source}: [control] members: {settings.daemon.id} is not among them; "
+            "add it, or set join = true to enter a group that runs already"
+        )
+    if settings.control.election_timeout_ms < 2 * settings.control.heartbeat_ms:
+        raise ConfigurationError(
+            f"{source}: [control] election_timeout_ms = "
+            f"{settings.control.election_timeout_ms}: give at least twice "
+            f"heartbeat_ms ({settings.control.heartbeat_ms})"
+        )
+
+
+def _check_address(address: str, section: str, key: str, source: str) -> None:
+    host, _, port = address.rpartition(":")
+    octets = [int(part) for part in host.split(".")]
+    if max(octets) > 255 or int(port) > _PORT_LIMIT:
+        raise ConfigurationError(
+            f"{source}: [{section}] {key} = {address!r}: give an IP number with "
+            f"parts from 0 to 255 and a port from 0 to {_PORT_LIMIT}"
+        )
