Add the command line and the key=value log format

Cause: operators need commands with exit codes by verdict and ids kept over retries. Change: foxspring's commands over HTTP to the entries, tried in turn; one-line logs.

--- /dev/null
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators and callers."""
--- /dev/null
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
@@ -0,0 +1,112 @@
+"""Requests to the entries, tried in turn, with ids kept over retries."""
+
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import urllib3
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 15.0
+ROUNDS = 4
+HTTP_UNAUTHORIZED = 401
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A whole answer from an entry; ``verdict`` is empty if it named none."""
+
+    status: int
+    verdict: str
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as JSON, or an empty object if it is none."""
+        try:
+            return msgspec.json.decode(self.body)
+        except msgspec.DecodeError:
+            return {}
+
+
+@dataclass(frozen=True)
+class Unreachable:
+    """No entry gave a whole answer; ``verdict`` says what may have happened."""
+
+    verdict: str
+    detail: str
+
+
+class Client:
+    """Sends a request to one entry after another until one answers.
+
+    A request that may be sent twice (it carries a change id, or only reads)
+    goes on to the next entry whatever happened; any other goes on only while
+    nothing was sent.
+    """
+
+    def __init__(
+        self, addresses: Sequence[str], token: str, rounds: int = ROUNDS
+    ) -> None:
+        self.addresses = list(addresses)
+        self.token = token
+        self.rounds = rounds
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        repeatable: bool = True,
+        timeout_s: float = READ_TIMEOUT_S,
+    ) -> Reply | Unreachable:
+        """Return the first whole answer, or why there is none."""
+        sent = False
+        detail = "no entry address; give --entry"
+        for address in self.addresses * self.rounds:
+            try:
+                reply = self._send(address, method, path, body, headers, timeout_s)
+            except (
+                urllib3.exceptions.NewConnectionError,
+                urllib3.exceptions.ConnectTimeoutError,
+            ) as error:
+                detail = f"{address}: {error}"
+                continue
+            except urllib3.exceptions.HTTPError as error:
+                detail = f"{address}: {error}"
+                sent = True
+                if not repeatable:
+                    break
+                continue
+            if reply.status == 503 and (repeatable or reply.verdict == "not_run"):
+                detail = f"{address}: {reply.body.decode(errors='replace')}"
+                continue
+            return reply
+        return Unreachable("may_have_run" if sent else "not_run", detail)
+
+    def _send(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str] | None,
+        timeout_s: float,
+    ) -> Reply:
+        response = self._pool.request(
+            method,
+            f"http://{address}{path}",
+            body=body,
+            headers={"Authorization": f"Bearer {self.token}", **(headers or {})},
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+        )
+        verdict = response.headers.get("Foxspring-Verdict", "")
+        return Reply(response.status, verdict, response.data)
+
+
+def new_id(prefix: str) -> str:
+    """Return a new change or request id."""
+    return f"{prefix}-{secrets.token_hex(8)}"
--- /dev/null
+++ b/packages/foxspring-daemon/foxspring_daemon/tests/test_logging.py
@@ -0,0 +1,38 @@
+"""One event is one line, whatever its values hold."""
+
+import logging
+import sys
+import unittest
+
+from foxspring_daemon._logging import KeyValueFormatter, quote
+
+
+def _line(message: str, *values: object, failing: bool = False) -> str:
+    record = logging.LogRecord("m", logging.INFO, "f", 1, message, values, None)
+    if failing:
+        try:
+            raise ValueError("first\nsecond")
+        except ValueError:
+            record.exc_info = sys.exc_info()
+    return KeyValueFormatter("entry-1").format(record)
+
+
+class FormatterTest(unittest.TestCase):
+    def test_lines(self) -> None:
+        cases = [
+            (_line("event=started id=%s", "a"), "event=started id=a"),
+            (_line("event=x v=%s", "a\nlevel=error"), "v=a\\nlevel=error"),
+            (_line("a library's words"), 'event=message text="a library\'s words"'),
+            (_line("event=failed", failing=True), "ValueError: first\\nsecond"),
+        ]
+        for line, expected in cases:
+            with self.subTest(expected):
+                self.assertIn(expected, line)
+                self.assertNotIn("\n", line)
+                self.assertIn(" daemon=entry-1 ", line)
+
+    def test_quote(self) -> None:
+        cases = {"plain": "plain", "": '""', 'a "b"': '"a \\"b\\""', "a\tb": '"a\\tb"'}
+        for value, expected in cases.items():
+            with self.subTest(value):
+                self.assertEqual(quote(value), expected)
