--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/state/__init__.py
@@ -0,0 +1,29 @@
+"""The replicated state of control, kept in one database file."""
+
+from foxspring_control.state._machine import STATE_FILE, ControlState
+from foxspring_control.state._records import (
+    JobRecord,
+    Moment,
+    TargetRecord,
+    TaskRecord,
+)
+from foxspring_control.state._settings import DEFAULT_STATE_SETTINGS, StateSettings
+from foxspring_control.state._work import (
+    ParseConfiguration,
+    StateChanges,
+    Tables,
+)
+
+__all__ = [
+    "DEFAULT_STATE_SETTINGS",
+    "ControlState",
+    "JobRecord",
+    "Moment",
+    "ParseConfiguration",
+    "STATE_FILE",
+    "StateChanges",
+    "StateSettings",
+    "Tables",
+    "TargetRecord",
+    "TaskRecord",
+]
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/state/_configuration_rules.py
@@ -0,0 +1,69 @@
+"""How a configuration change is judged and what it asks of service replicas."""
+
+from collections.abc import Iterable
+
+from foxspring_model import (
+    ApplyConfiguration,
+    CommandResult,
+    Configuration,
+    Priority,
+    Service,
+    Task,
+    TaskKind,
+)
+
+from foxspring_control.state._records import ConfigurationRecord, TaskRecord
+
+SERVICE_JOB_PREFIX = "service/"
+
+
+def conflict(
+    command: ApplyConfiguration, current: ConfigurationRecord
+) -> CommandResult | None:
+    """Return the answer to a change with an outdated base; None if it is not."""
+    if command.base_revision == current.revision:
+        return None
+    return CommandResult(
+        status="conflict",
+        revision=current.revision,
+        won_by=current.operator,
+        reason=(
+            f"base revision {command.base_revision} is not the revision in force,"
+            f" {current.revision} by {current.operator or 'nobody'}"
+            f" (change {current.change_id or 'none'}); show it, merge, apply again"
+        ),
+    )
+
+
+def replica_ids(service: Service) -> list[str]:
+    """Return the task ids of the service's replicas."""
+    prefix = f"{SERVICE_JOB_PREFIX}{service.name}/"
+    return [f"{prefix}{number}" for number in range(service.replicas)]
+
+
+def new_replica(service: Service, task_id: str, epoch: int, now_ms: int) -> TaskRecord:
+    """Return a queued replica of ``service``.
+
+    ``epoch`` is the log index of the change. It is above every epoch that an
+    earlier replica of this id can have had, so that one's events stay void.
+    """
+    return TaskRecord(
+        Task(
+            task_id=task_id,
+            job_id=f"{SERVICE_JOB_PREFIX}{service.name}",
+            kind=TaskKind.SERVICE,
+            team=service.team,
+            resources=service.replica,
+            priority=Priority.URGENT,
+            work_class=service.name,
+            epoch=epoch,
+            changed_ms=now_ms,
+        )
+    )
+
+
+def wanted_replicas(configuration: Configuration) -> Iterable[tuple[str, Service]]:
+    """Return each replica's task id with its service."""
+    for service in configuration.services:
+        for task_id in replica_ids(service):
+            yield task_id, service
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/state/_job_rules.py
@@ -0,0 +1,92 @@
+"""What a job must satisfy before it is accepted, and the state it is in."""
+
+from collections.abc import Iterable
+
+from foxspring_model import Configuration, JobSpec, Resources, Task, TaskKind, Team
+
+from foxspring_control.state._records import JobRecord, TaskRecord
+
+_UNLIMITED = Resources()
+
+
+def reject_reason(
+    spec: JobSpec,
+    configuration: Configuration,
+    capacities: Iterable[Resources],
+    tasks_limit: int,
+) -> str:
+    """Return why ``spec`` can never run and how to fix it; empty if it can.
+
+    Without any known target, nothing is said about size.
+    """
+    if not spec.name:
+        return "job has no name; give it one"
+    if not 1 <= spec.tasks <= tasks_limit:
+        return f"tasks={spec.tasks} is outside 1..{tasks_limit}; split the job"
+    if spec.resources.is_negative():
+        return f"resources {_show(spec.resources)} are negative; use 0 or more"
+    team = _find_team(configuration, spec.team)
+    if team is None:
+        return _unknown_team(spec.team, configuration)
+    return _quota_reason(spec, team) or _size_reason(spec.resources, capacities)
+
+
+def tasks_of(record: JobRecord) -> Iterable[TaskRecord]:
+    """Return the queued tasks of a new job, ids ``JOB/0`` onward."""
+    spec = record.spec
+    for number in range(spec.tasks):
+        yield TaskRecord(
+            Task(
+                task_id=f"{record.job_id}/{number}",
+                job_id=record.job_id,
+                kind=TaskKind.BATCH,
+                team=spec.team,
+                resources=spec.resources,
+                priority=spec.priority,
+                work_class=spec.work_class,
+                changed_ms=record.submitted_ms,
+            )
+        )
+
+
+def job_state(record: JobRecord, placed_tasks: int) -> str:
+    """Return ``queued``, ``running``, ``finished``, ``failed`` or ``cancelled``."""
+    if record.open_tasks:
+        return "running" if placed_tasks else "queued"
+    if record.cancelled:
+        return "cancelled"
+    return "failed" if record.failed_tasks else "finished"
+
+
+def _find_team(configuration: Configuration, name: str) -> Team | None:
+    return next((team for team in configuration.teams if team.name == name), None)
+
+
+def _unknown_team(name: str, configuration: Configuration) -> str:
+    known = ", ".join(sorted(team.name for team in configuration.teams)) or "none"
+    return f"team {name!r} is not in the configuration; known teams: {known}"
+
+
+def _quota_reason(spec: JobSpec, team: Team) -> str:
+    if team.max_resources == _UNLIMITED or spec.resources.fits_in(team.max_resources):
+        return ""
+    return (
+        f"one task needs {_show(spec.resources)} but team {team.name!r} may hold"
+        f" {_show(team.max_resources)} in all; ask for less or raise the quota"
+    )
+
+
+def _size_reason(needed: Resources, capacities: Iterable[Resources]) -> str:
+    known = list(capacities)
+    if not known or any(needed.fits_in(capacity) for capacity in known):
+        return ""
+    largest = Resources(*(max(column) for column in zip(*known, strict=True)))
+    return (
+        f"one task needs {_show(needed)} and fits none of {len(known)} kinds of"
+        f" target; the most of each resource is {_show(largest)}"
+    )
+
+
+def _show(amount: Resources) -> str:
+    pairs = zip(amount._fields, amount, strict=True)
+    return " ".join(f"{name}={value}" for name, value in pairs if value) or "nothing"
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/state/_prune.py
@@ -0,0 +1,72 @@
+"""Dropping rows past their retention, by the log's index and clock only.
+
+Every replica drops the same rows at the same entry, so digests stay equal.
+"""
+
+from foxspring_control.state._records import Moment
+from foxspring_control.state._work import Work
+
+_ANSWERS_BY_AGE = """
+DELETE FROM answer WHERE (kind, who, change_id) IN (
+    SELECT kind, who, change_id FROM answer
+    WHERE log_index < :newest AND (at_ms < :oldest OR log_index <= :beyond)
+    ORDER BY log_index LIMIT :batch)
+"""
+_AUDIT_BY_AGE = """
+DELETE FROM audit WHERE log_index IN (
+    SELECT log_index FROM audit WHERE at_ms < :oldest OR log_index <= :beyond
+    ORDER BY log_index LIMIT :batch)
+"""
+_NEWEST_BEYOND = "SELECT log_index FROM {} ORDER BY log_index DESC LIMIT 1 OFFSET ?"
+_ENDED_JOBS = """
+SELECT number, job_id FROM job WHERE ended_ms > 0
+    AND (ended_ms < ? OR number <= ?) ORDER BY ended_ms, number LIMIT ?
+"""
+
+
+def prune(work: Work, moment: Moment) -> None:
+    """Drop at most one batch of old rows from each bounded table."""
+    settings = work.settings
+    connection = work.tables.connection
+    _drop_answers(work, moment)
+    connection.execute(
+        _AUDIT_BY_AGE,
+        {
+            "oldest": moment.at_ms - settings.audit_retention_ms,
+            "beyond": _index_beyond(work, "audit", settings.audit_limit),
+            "batch": settings.prune_batch,
+        },
+    )
+    _drop_jobs(work, moment)
+    oldest_key = moment.at_ms - settings.key_retention_ms
+    work.tables.keys.delete_older(oldest_key, settings.prune_batch)
+
+
+def _drop_answers(work: Work, moment: Moment) -> None:
+    settings = work.settings
+    work.tables.connection.execute(
+        _ANSWERS_BY_AGE,
+        {
+            "newest": moment.log_index,
+            "oldest": moment.at_ms - settings.answer_retention_ms,
+            "beyond": _index_beyond(work, "answer", settings.answer_limit),
+            "batch": settings.prune_batch,
+        },
+    )
+
+
+def _drop_jobs(work: Work, moment: Moment) -> None:
+    settings = work.settings
+    connection = work.tables.connection
+    beyond = work.tables.counters.get("job_number") - settings.job_limit
+    oldest = moment.at_ms - settings.job_retention_ms
+    rows = connection.execute(_ENDED_JOBS, (oldest, beyond, settings.prune_batch))
+    for number, job_id in rows.fetchall():
+        connection.execute("DELETE FROM task WHERE job_id = ?", (job_id,))
+        connection.execute("DELETE FROM job WHERE number = ?", (number,))
+
+
+def _index_beyond(work: Work, table: str, limit: int) -> int:
+    query = _NEWEST_BEYOND.format(table)
+    row = work.tables.connection.execute(query, (limit,)).fetchone()
+    return int(row[0]) if row else 0
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/state/_task_rules.py
@@ -0,0 +1,217 @@
+"""How a task changes state: pure rules of the task aggregate.
+
+``evictions`` counts runs that ended without the task's own outcome, and
+``resumed`` those of them that were placed again. The difference is one while
+an eviction waits for its resumption and zero otherwise.
+"""
+
+from foxspring_model import (
+    CHECKS,
+    ENDED_STATES,
+    PLACED_STATES,
+    Invariant,
+    Task,
+    TaskEvent,
+    TaskKind,
+    TaskState,
+)
+
+from foxspring_control.state._records import StopIntent, TaskRecord
+
+FAILED_TARGETS_KEPT = 16
+REASON_CANCELLED = "cancelled"
+REASON_OWNER_CHANGED = "owner changed before the start was confirmed"
+
+_RUN_ENDED = frozenset({"stopped", "lost"})
+
+
+def place(
+    record: TaskRecord, target_id: str, epoch: int, owner_epoch: int, now_ms: int
+) -> TaskRecord | None:
+    """Return the task placed on ``target_id``, or None if it may not be."""
+    task = record.task
+    if task.state is not TaskState.QUEUED or epoch != task.epoch + 1:
+        return None
+    if not CHECKS.check(
+        Invariant.ONE_PLACE, task.target_id == "", f"{task.task_id} still placed"
+    ):
+        return None
+    resumed = task.resumed + (1 if task.evictions > task.resumed else 0)
+    if not _resumes_once(task, resumed):
+        return None
+    placed = task._replace(
+        state=TaskState.STARTING,
+        epoch=epoch,
+        target_id=target_id,
+        resumed=resumed,
+        reason="",
+        changed_ms=now_ms,
+    )
+    return TaskRecord(placed, StopIntent.REQUEUE, owner_epoch)
+
+
+def evict(record: TaskRecord, epoch: int, reason: str, now_ms: int) -> TaskRecord:
+    """Begin to stop a placed task so that it is queued again."""
+    task = record.task
+    if task.epoch != epoch or task.state not in PLACED_STATES:
+        return record
+    if task.state is TaskState.STOPPING:
+        return record
+    return _stopping(record, StopIntent.REQUEUE, reason, now_ms)
+
+
+def cancel(record: TaskRecord, now_ms: int) -> TaskRecord:
+    """Cancel a task; one that holds a place keeps it until it has stopped."""
+    task = record.task
+    if task.state in ENDED_STATES:
+        return record
+    if task.state in PLACED_STATES:
+        return _stopping(record, StopIntent.CANCEL, REASON_CANCELLED, now_ms)
+    return _ended(record, TaskState.CANCELLED, REASON_CANCELLED, now_ms)
+
+
+def revive_replica(record: TaskRecord, now_ms: int) -> TaskRecord:
+    """Let a service replica that is being removed be queued again instead."""
+    task = record.task
+    if task.state is not TaskState.STOPPING or record.intent is not StopIntent.CANCEL:
+        return record
+    return _stopping(record, StopIntent.REQUEUE, "wanted again", now_ms)
+
+
+def give_up(record: TaskRecord, reason: str, now_ms: int) -> TaskRecord:
+    """End a queued batch task that can never run."""
+    task = record.task
+    if task.state is not TaskState.QUEUED or task.kind is TaskKind.SERVICE:
+        return record
+    return _ended(record, TaskState.FAILED, reason, now_ms)
+
+
+def apply_event(
+    record: TaskRecord, event: TaskEvent, owner_epoch: int, now_ms: int
+) -> TaskRecord:
+    """Return the task after an owner's event; the same record if it is void.
+
+    An event is void when it is of another epoch or target, or when the task
+    holds no place. ``owner_epoch`` is the present one of the task's target.
+    """
+    task = record.task
+    if event.epoch != task.epoch or task.state not in PLACED_STATES:
+        return record
+    if event.target_id and event.target_id != task.target_id:
+        return record
+    if event.kind == "started":
+        return _started(record, now_ms)
+    if event.kind == "checkpointed":
+        return _checkpointed(record, event, now_ms)
+    if event.kind == "refused":
+        return _refused(record, event, owner_epoch, now_ms)
+    if event.kind == "finished":
+        return _finished(record, event, now_ms)
+    if event.kind == "failed":
+        return _failed(record, event, now_ms)
+    if event.kind in _RUN_ENDED:
+        return _run_ended(record, event, now_ms)
+    return record
+
+
+def _started(record: TaskRecord, now_ms: int) -> TaskRecord:
+    if record.task.state is not TaskState.STARTING:
+        return record
+    task = record.task._replace(state=TaskState.RUNNING, changed_ms=now_ms)
+    return record._replace(task=task)
+
+
+def _checkpointed(record: TaskRecord, event: TaskEvent, now_ms: int) -> TaskRecord:
+    if not event.checkpoint or event.checkpoint == record.task.checkpoint:
+        return record
+    task = record.task._replace(checkpoint=event.checkpoint, changed_ms=now_ms)
+    return record._replace(task=task)
+
+
+def _refused(
+    record: TaskRecord, event: TaskEvent, owner_epoch: int, now_ms: int
+) -> TaskRecord:
+    """Queue a task that was never sent to its target.
+
+    A new owner can't know what the last one sent, so its refusal only begins
+    a stop, and the task keeps its place until that is confirmed.
+    """
+    if record.task.state is TaskState.RUNNING:
+        return record
+    if owner_epoch != record.owner_epoch:
+        if record.task.state is TaskState.STOPPING:
+            return record
+        return _stopping(record, StopIntent.REQUEUE, REASON_OWNER_CHANGED, now_ms)
+    if record.intent is StopIntent.CANCEL:
+        return _ended(record, TaskState.CANCELLED, REASON_CANCELLED, now_ms)
+    return _queued(record, event.detail or "refused by the target's owner", now_ms)
+
+
+def _finished(record: TaskRecord, event: TaskEvent, now_ms: int) -> TaskRecord:
+    if record.intent is StopIntent.CANCEL:
+        return _ended(record, TaskState.CANCELLED, REASON_CANCELLED, now_ms)
+    if record.task.kind is TaskKind.SERVICE:
+        return _attempt_failed(record, event, "the replica exited", now_ms)
+    ended = _ended(record, TaskState.FINISHED, "", now_ms)
+    return ended._replace(task=ended.task._replace(result=event.result))
+
+
+def _failed(record: TaskRecord, event: TaskEvent, now_ms: int) -> TaskRecord:
+    if record.intent is StopIntent.CANCEL:
+        return _ended(record, TaskState.CANCELLED, REASON_CANCELLED, now_ms)
+    return _attempt_failed(record, event, event.detail or "failed", now_ms)
+
+
+def _attempt_failed(
+    record: TaskRecord, event: TaskEvent, reason: str, now_ms: int
+) -> TaskRecord:
+    task = record.task
+    targets = tuple(t for t in task.failed_targets if t != task.target_id)
+    kept = (*targets, task.target_id)[-FAILED_TARGETS_KEPT:]
+    failed = task._replace(
+        attempts=task.attempts + 1,
+        failed_targets=kept,
+        checkpoint=event.checkpoint or task.checkpoint,
+    )
+    return _queued(record._replace(task=failed), reason, now_ms)
+
+
+def _run_ended(record: TaskRecord, event: TaskEvent, now_ms: int) -> TaskRecord:
+    task = record.task._replace(checkpoint=event.checkpoint or record.task.checkpoint)
+    kept = record._replace(task=task)
+    if record.intent is StopIntent.CANCEL:
+        return _ended(kept, TaskState.CANCELLED, REASON_CANCELLED, now_ms)
+    evicted = task._replace(evictions=task.evictions + 1)
+    reason = task.reason or event.detail or event.kind
+    return _queued(kept._replace(task=evicted), reason, now_ms)
+
+
+def _stopping(
+    record: TaskRecord, intent: StopIntent, reason: str, now_ms: int
+) -> TaskRecord:
+    task = record.task._replace(
+        state=TaskState.STOPPING, reason=reason, changed_ms=now_ms
+    )
+    return record._replace(task=task, intent=intent)
+
+
+def _queued(record: TaskRecord, reason: str, now_ms: int) -> TaskRecord:
+    task = record.task._replace(
+        state=TaskState.QUEUED, target_id="", reason=reason, changed_ms=now_ms
+    )
+    return TaskRecord(task)
+
+
+def _ended(
+    record: TaskRecord, state: TaskState, reason: str, now_ms: int
+) -> TaskRecord:
+    task = record.task._replace(
+        state=state, target_id="", reason=reason, changed_ms=now_ms
+    )
+    return TaskRecord(task, record.intent)
+
+
+def _resumes_once(task: Task, resumed: int) -> bool:
+    holds = resumed <= task.evictions and task.evictions - task.resumed <= 1
+    detail = f"{task.task_id} evictions={task.evictions} resumed={resumed}"
+    return CHECKS.check(Invariant.RESUME_ONCE, holds, detail)
--- a/packages/foxspring-model/foxspring_model/_commands.py
+++ b/packages/foxspring-model/foxspring_model/_commands.py
@@ -127,13 +127,16 @@
 class ClaimKey(NamedTuple):
     """Claim an idempotency key for one entry before its request is sent.
 
-    ``fingerprint`` is a digest of the request that the key came with.
+    ``fingerprint`` is a digest of the request that the key came with. A claim
+    sent again with its own ``claim_id`` is still claimed; control fills in the
+    proposal's id where it is empty.
     """
 
     key: str
     fingerprint: str
     entry_id: str
     incarnation: int
+    claim_id: str = ""
 
 
 class CompleteKey(NamedTuple):
