Carry the token's name with a request

Cause: the audit names who changed what, and a route saw only the token's role. Change: HttpRequest has principal, the name that the settings give to the token.

--- a/packages/foxspring-entry/foxspring_entry/_http.py
+++ b/packages/foxspring-entry/foxspring_entry/_http.py
@@ -17,7 +17,8 @@
 class HttpRequest(NamedTuple):
     """One request after its limits were checked and its token accepted.
 
-    ``path`` is without the query; header names are lower case.
+    ``path`` is without the query; header names are lower case. ``principal``
+    is the name that the settings give to the token.
     """
 
     method: str
@@ -27,6 +28,7 @@
     body: bytes
     role: Role
     peer: str
+    principal: str = ""
 
 
 class HttpResponse(NamedTuple):
