Add the stand-in target

Cause: nothing played the platform's side, so no failure could be caused. Change: a target process after the platform contract, without a guard, that writes every run to an event file which survives a kill; it can be slow, hang, fail tasks, lie about memory, cut or double its answers, leave and fall silent. Conclusion: the event files are the oracle for the invariants' tests.

--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/_announcer.py
@@ -0,0 +1,118 @@
+"""A stand-in's announcements and reports to the entries."""
+
+import logging
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+from foxspring_model import AnnounceBody, ReportAnswerBody, ReportBody
+
+_LOG = logging.getLogger(__name__)
+_MS_PER_S = 1_000
+_TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
+
+
+class Schedule(NamedTuple):
+    """What is posted every how many milliseconds."""
+
+    announce_ms: int = 1_000
+    report_ms: int = 500
+
+
+class Announcer:
+    """Posts announcements and reports to a list of entries in turn.
+
+    ``on_answer`` is given the answer of each report; what the functions return
+    is posted, and nothing is when ``silent`` says so.
+    """
+
+    def __init__(
+        self,
+        entries: tuple[str, ...],
+        token: str,
+        schedule: Schedule,
+        announcement: Callable[[], AnnounceBody],
+        report: Callable[[], ReportBody],
+        on_answer: Callable[[ReportAnswerBody], None],
+        silent: Callable[[], bool],
+    ) -> None:
+        self.entries = entries
+        self._headers = {
+            "Authorization": f"Bearer {token}",
+            "Content-Type": "application/json",
+        }
+        self._announcement = announcement
+        self._report = report
+        self._on_answer = on_answer
+        self._silent = silent
+        self._stopping = threading.Event()
+        self._pool = urllib3.PoolManager(num_pools=16, maxsize=4, retries=False)
+        self._turn = 0
+        self._threads = [
+            threading.Thread(
+                target=self._repeat, args=(step, every_ms), daemon=True, name=name
+            )
+            for name, step, every_ms in (
+                ("announce", self._post_announcement, schedule.announce_ms),
+                ("report", self._post_report, schedule.report_ms),
+            )
+        ]
+
+    def start(self) -> None:
+        """Begin to post."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop posting."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+        self._pool.clear()
+
+    def _repeat(self, step: Callable[[], None], every_ms: int) -> None:
+        while not self._stopping.wait(every_ms / _MS_PER_S):
+            if self._silent():
+                continue
+            try:
+                step()
+            except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+                _LOG.warning("event=post_failed reason=%r", str(error))
+
+    def _post_announcement(self) -> None:
+        self._post("/v1/targets/announce", msgspec.json.encode(self._announcement()))
+
+    def _post_report(self) -> None:
+        report = self._report()
+        path = f"/v1/targets/{report['target_id']}/report"
+        answer = self._post(path, msgspec.json.encode(report))
+        if answer:
+            self._on_answer(msgspec.json.decode(answer, type=ReportAnswerBody))
+
+    def _post(self, path: str, body: bytes) -> bytes:
+        """Return the first good answer of the entries; empty if there is none."""
+        for _ in self.entries:
+            self._turn += 1
+            entry = self.entries[self._turn % len(self.entries)]
+            try:
+                answer = self._pool.request(
+                    "POST",
+                    f"http://{entry}{path}",
+                    body=body,
+                    headers=self._headers,
+                    timeout=_TIMEOUT,
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
+            if answer.status < 300:
+                return answer.data
+            _LOG.warning(
+                "event=post_refused entry=%s path=%s status=%d reason=%r",
+                entry,
+                path,
+                answer.status,
+                answer.data[:200].decode("utf-8", "replace"),
+            )
+        return b""
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/_events.py
@@ -0,0 +1,92 @@
+"""Events a stand-in target writes of all it runs, one JSON object a line.
+
+The file is written through on each event, so it survives a killed process.
+Times are of the machine's monotonic clock, comparable between processes.
+"""
+
+import threading
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+from foxspring_model import Clock
+
+
+class RunEvent(NamedTuple):
+    """One thing that happened on a target.
+
+    ``kind`` is ``process_started``, ``process_ended``, ``leaving``,
+    ``request_started``, ``request_ended``, ``task_started`` or ``task_ended``.
+    ``run`` numbers the runs of one process. ``detail`` of a request is its
+    nonce and of an ended task its last state; ``work_ms`` is the progress of a
+    task. ``slots``, ``memory_mb``, ``cores_milli`` and ``accelerators`` are
+    what the run holds.
+    """
+
+    at_ms: int
+    kind: str
+    target_id: str
+    incarnation: int
+    run: int = 0
+    task_id: str = ""
+    epoch: int = 0
+    request_id: str = ""
+    key: str = ""
+    detail: str = ""
+    work_ms: int = 0
+    slots: int = 0
+    memory_mb: int = 0
+    cores_milli: int = 0
+    accelerators: int = 0
+    open_connections: int = 0
+
+
+class EventWriter:
+    """Appends events to a file; safe to use from any thread."""
+
+    def __init__(
+        self, path: Path, target_id: str, incarnation: int, clock: Clock
+    ) -> None:
+        self.target_id = target_id
+        self.incarnation = incarnation
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._runs = 0
+        self._file = path.open("ab", buffering=0)
+
+    def next_run(self) -> int:
+        """Return a number that no other run of this process has."""
+        with self._lock:
+            self._runs += 1
+            return self._runs
+
+    def write(self, kind: str, at_ms: int = 0, **fields: Any) -> None:
+        """Append one event, now or at the earlier time ``at_ms``.
+
+        ``fields`` are those of :class:`RunEvent` after ``incarnation``.
+        """
+        with self._lock:
+            event = RunEvent(
+                at_ms or self._clock.monotonic_ms(),
+                kind,
+                self.target_id,
+                self.incarnation,
+                **fields,
+            )
+            self._file.write(msgspec.json.encode(event._asdict()) + b"\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+def read_events(path: Path) -> list[RunEvent]:
+    """Return the events of a file; a last line that was cut short is left out.
+
+    Raises:
+        ValueError: a line before the last one is no event.
+    """
+    if not path.exists():
+        return []
+    lines = path.read_bytes().split(b"\n")
+    return [RunEvent(**msgspec.json.decode(line)) for line in lines[:-1]]
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/standin.py
@@ -0,0 +1,37 @@
+"""Runs one stand-in target: ``python -m foxspring_testing.standin``."""
+
+import logging
+import signal
+import threading
+from pathlib import Path
+
+import click
+
+from foxspring_testing._standin import StandIn
+from foxspring_testing._standin_settings import read_standin_settings
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="INI file with a section [target].",
+)
+def main(settings_path: Path) -> None:
+    """Run a stand-in target until it is told to stop."""
+    logging.basicConfig(
+        level=logging.INFO, format="at=%(asctime)s level=%(levelname)s %(message)s"
+    )
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    standin = StandIn(read_standin_settings(settings_path))
+    standin.start()
+    stopping.wait()
+    standin.stop()
+
+
+if __name__ == "__main__":
+    main()
