Add the leader's duties: leases, ownership, tasks and queries

Change: ControlService, a pykka actor around a core that declines while it follows and serves while it leads. Entry leases are granted only over a read barrier and to an entry that holds the configuration in force and every table that took a target from it; silent targets lose their owner first and are forgotten when no lease can be left. RecordTaskEvents names its reporter, so that the end of a run told by a former owner is no proof.

--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/__init__.py
@@ -0,0 +1,21 @@
+"""The leader's duties: leases, ownership, placement and answers to entries."""
+
+from foxspring_control.service._messages import Leadership, LogHandle, SendMessage
+from foxspring_control.service._scheduling import (
+    MakeScheduler,
+    SchedulerHandle,
+    make_scheduler,
+)
+from foxspring_control.service._service import ControlService
+from foxspring_control.service._settings import ServiceSettings
+
+__all__ = [
+    "ControlService",
+    "Leadership",
+    "LogHandle",
+    "MakeScheduler",
+    "SchedulerHandle",
+    "SendMessage",
+    "ServiceSettings",
+    "make_scheduler",
+]
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_core.py
@@ -0,0 +1,106 @@
+"""A control member's service: declines while it follows, serves while it leads."""
+
+import logging
+from typing import Any
+
+from foxspring_model import (
+    Clock,
+    EntryHeartbeat,
+    HeartbeatRejected,
+    Proposal,
+    ProposalResult,
+    Query,
+    QueryResult,
+)
+
+from foxspring_control.service._leader import Leader
+from foxspring_control.service._messages import Leadership, LogHandle, Post, SendMessage
+from foxspring_control.service._scheduling import MakeScheduler
+from foxspring_control.service._settings import ServiceSettings
+from foxspring_control.state import ControlState, StateChanges
+
+_LOG = logging.getLogger(__name__)
+
+NO_LEADER = Leadership(False, 0, "", "")
+
+
+class ServiceCore:
+    """The service without its thread; every method runs on one thread."""
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        log: LogHandle,
+        state: ControlState,
+        send: SendMessage,
+        clock: Clock,
+        post: Post,
+        make_scheduler: MakeScheduler,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.state = state
+        self.send = send
+        self.clock = clock
+        self.post = post
+        self.make_scheduler = make_scheduler
+        self.leadership = NO_LEADER
+        self.leader: Leader | None = None
+
+    def on_leadership(self, leadership: Leadership) -> None:
+        """Begin or end the leader's duties."""
+        self.leadership = leadership
+        self.leader = None
+        if leadership.is_leader:
+            self._lead()
+        _LOG.info(
+            "event=leadership term=%d leader=%s leading=%s",
+            leadership.term,
+            leadership.leader_id,
+            leadership.is_leader,
+        )
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Handle a message of an entry, or name the leader."""
+        if self.leader is not None:
+            self.leader.receive(sender, message)
+            return
+        answer = self._declined(message)
+        if answer is not None:
+            self.send(getattr(message, "reply_to", "") or sender, answer)
+
+    def state_changed(self, changes: StateChanges) -> None:
+        """Take what a batch of entries changed."""
+        if self.leader is None:
+            return
+        if changes.reset:
+            self._lead()
+            return
+        self.leader.state_changed(changes)
+
+    def tick(self) -> None:
+        """Do what is due."""
+        if self.leader is not None:
+            self.leader.tick()
+
+    def _lead(self) -> None:
+        self.leader = Leader(
+            self.settings,
+            self.leadership,
+            self.log,
+            self.state,
+            self.send,
+            self.clock,
+            self.post,
+            self.make_scheduler(),
+        )
+
+    def _declined(self, message: Any) -> Any:
+        leader_id = self.leadership.leader_id
+        if isinstance(message, EntryHeartbeat):
+            return HeartbeatRejected(self.settings.member_id, leader_id)
+        if isinstance(message, Proposal):
+            return ProposalResult(message.proposal_id, "not_leader", leader_id)
+        if isinstance(message, Query):
+            return QueryResult(message.query_id, "not_leader", leader_id)
+        return None
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_duties.py
@@ -0,0 +1,91 @@
+"""What owners must do for placed tasks, sent again until an event confirms it."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from foxspring_model import (
+    JobSpec,
+    RunTask,
+    StopTask,
+    TargetInfo,
+    Task,
+    TaskKind,
+    TaskState,
+)
+
+
+class Duty(NamedTuple):
+    """A message that the owner of ``target_id`` has to act on."""
+
+    target_id: str
+    message: RunTask | StopTask
+    sent_ms: int = 0
+
+
+class Duties:
+    """Open duties by task, oldest sent first."""
+
+    def __init__(self) -> None:
+        self.by_task: dict[str, Duty] = {}
+
+    def set(self, task_id: str, duty: Duty | None) -> None:
+        """Replace the task's duty; one that only repeats keeps its time."""
+        held = self.by_task.get(task_id)
+        if duty is None:
+            self.by_task.pop(task_id, None)
+        elif held is None or held.message != duty.message:
+            self.by_task[task_id] = duty
+
+    def due(self, now_ms: int, interval_ms: int, limit: int) -> Iterator[Duty]:
+        """Return up to ``limit`` duties to send now, and note them as sent."""
+        due: list[str] = []
+        for task_id, duty in self.by_task.items():
+            if len(due) >= limit:
+                break
+            if duty.sent_ms == 0 or now_ms - duty.sent_ms >= interval_ms:
+                due.append(task_id)
+        for task_id in due:
+            duty = self.by_task.pop(task_id)
+            self.by_task[task_id] = duty._replace(sent_ms=now_ms)
+            yield duty
+
+
+def duty_of(
+    task: Task, spec: JobSpec | None, owner_epoch: int, keep_checkpoint: bool
+) -> Duty | None:
+    """Return what the owner of the task's target has to do; None if nothing.
+
+    ``spec`` is a batch task's job. ``keep_checkpoint`` asks a stop to save one.
+    """
+    if task.state is TaskState.STARTING:
+        return Duty(task.target_id, _run(task, spec, owner_epoch))
+    if task.state is TaskState.STOPPING:
+        stop = StopTask(task.task_id, task.epoch, task.target_id, keep_checkpoint)
+        return Duty(task.target_id, stop)
+    return None
+
+
+def serves(task: Task) -> str:
+    """Return the service that the task is a replica of, empty if none."""
+    return task.work_class if task.kind is TaskKind.SERVICE else ""
+
+
+def is_leaving(info: TargetInfo, draining: bool) -> bool:
+    """Tell whether nothing new may be sent to the target."""
+    return info.leaving or draining
+
+
+def _run(task: Task, spec: JobSpec | None, owner_epoch: int) -> RunTask:
+    return RunTask(
+        task_id=task.task_id,
+        job_id=task.job_id,
+        epoch=task.epoch,
+        target_id=task.target_id,
+        owner_epoch=owner_epoch,
+        service=serves(task),
+        resources=task.resources,
+        priority=task.priority,
+        work_class=task.work_class,
+        payload=spec.payload if spec is not None else "",
+        checkpoint=task.checkpoint,
+    )
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_leader.py
@@ -0,0 +1,143 @@
+"""The duties of the control leader, from one election to its end."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from foxspring_model import (
+    ClaimKey,
+    Clock,
+    EntryHeartbeat,
+    Proposal,
+    ProposalResult,
+    Query,
+    QueryResult,
+    TargetSeen,
+    TaskEvents,
+    UsageBatch,
+)
+
+from foxspring_control._replication import ProposeOutcome
+from foxspring_control.service._entry_keeper import EntryKeeper
+from foxspring_control.service._messages import Leadership, LogHandle, Post, SendMessage
+from foxspring_control.service._proposer import Proposer
+from foxspring_control.service._queries import QUERIES, QueryError
+from foxspring_control.service._scheduling import SchedulerHandle
+from foxspring_control.service._settings import ServiceSettings
+from foxspring_control.service._target_keeper import TargetKeeper
+from foxspring_control.service._task_keeper import TaskKeeper
+from foxspring_control.service._view import LeaderView
+from foxspring_control.state import ControlState, StateChanges
+
+_CLAIM = msgspec.msgpack.Decoder(ClaimKey)
+
+
+class Leader:
+    """Everything that only the leader does; rebuilt from state at election."""
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        leadership: Leadership,
+        log: LogHandle,
+        state: ControlState,
+        send: SendMessage,
+        clock: Clock,
+        post: Post,
+        scheduler: SchedulerHandle,
+    ) -> None:
+        now_ms = clock.monotonic_ms()
+        self.settings = settings
+        self.leadership = leadership
+        self.log = log
+        self.state = state
+        self.send = send
+        self.clock = clock
+        self.post = post
+        self.proposer = Proposer(log, post, clock, settings.proposal_timeout_ms)
+        self.view = LeaderView(state, now_ms)
+        self.entries = EntryKeeper(
+            settings, leadership.term, self.view, self.proposer, send, now_ms
+        )
+        self.targets = TargetKeeper(settings, self.view, self.proposer, now_ms)
+        self.tasks = TaskKeeper(
+            settings, self.view, self.proposer, send, scheduler, now_ms
+        )
+        self._handlers: dict[type, Callable[[str, Any, int], None]] = {
+            EntryHeartbeat: self.entries.heartbeat,
+            TargetSeen: lambda _, message, now: self.targets.seen(message, now),
+            TaskEvents: lambda sender, message, _: self.tasks.events(sender, message),
+            UsageBatch: self._usage,
+            Proposal: self._propose,
+            Query: self._query,
+        }
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Handle a message of an entry; other kinds are ignored."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message, self.clock.monotonic_ms())
+
+    def state_changed(self, changes: StateChanges) -> None:
+        """Take what a batch of entries changed."""
+        now_ms = self.clock.monotonic_ms()
+        self.view.update(changes, now_ms)
+        self.tasks.state_changed(changes, now_ms)
+        if changes.configuration or changes.entries or changes.targets:
+            self.entries.push_changes(now_ms)
+
+    def tick(self) -> None:
+        """Do what is due."""
+        now_ms = self.clock.monotonic_ms()
+        self.targets.tick(now_ms)
+        self.entries.tick(self.targets.silent(now_ms), now_ms)
+        self.tasks.tick(now_ms)
+
+    def _usage(self, _: str, batch: UsageBatch, now_ms: int) -> None:
+        for sample in batch.samples:
+            self.targets.sampled(sample.target_id, now_ms)
+        self.tasks.usage(batch, now_ms)
+
+    def _propose(self, _: str, proposal: Proposal, now_ms: int) -> None:
+        def done(outcome: ProposeOutcome) -> None:
+            result = ProposalResult(
+                proposal.proposal_id, outcome.status, outcome.leader_id, outcome.result
+            )
+            self.send(proposal.reply_to, result)
+
+        self.log.propose(proposal.kind, _body_of(proposal), done)
+
+    def _query(self, _: str, query: Query, now_ms: int) -> None:
+        def confirmed(outcome: ProposeOutcome) -> None:
+            self.post(lambda: self._answer(query, outcome))
+
+        self.log.read_barrier(confirmed)
+
+    def _answer(self, query: Query, outcome: ProposeOutcome) -> None:
+        result = QueryResult(query.query_id, outcome.status, outcome.leader_id)
+        if outcome.status == "applied":
+            result = result._replace(result=self._run_query(query))
+        self.send(query.reply_to, result)
+
+    def _run_query(self, query: Query) -> bytes:
+        run = QUERIES.get(query.kind)
+        if run is None:
+            reason = f"unknown query {query.kind!r}; one of {', '.join(QUERIES)}"
+            return msgspec.json.encode({"status": "rejected", "reason": reason})
+        try:
+            return run(self, query.arguments)
+        except (QueryError, msgspec.DecodeError) as error:
+            return msgspec.json.encode({"status": "rejected", "reason": str(error)})
+
+
+def _body_of(proposal: Proposal) -> bytes:
+    """Return the command's body, a key claim marked with its proposal's id."""
+    if proposal.kind != ClaimKey.__name__:
+        return proposal.body
+    try:
+        claim = _CLAIM.decode(proposal.body)
+    except msgspec.DecodeError:
+        return proposal.body
+    if claim.claim_id:
+        return proposal.body
+    return msgspec.msgpack.encode(claim._replace(claim_id=proposal.proposal_id))
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_leases.py
@@ -0,0 +1,94 @@
+"""The leader's view of the leases that entries hold."""
+
+from typing import NamedTuple
+
+from foxspring_control.service._settings import ServiceSettings
+
+
+class EntryLease(NamedTuple):
+    """What the leader knows of one entry.
+
+    ``until_ms`` is when its last lease has surely ended. ``losses`` counts
+    lost leases and new incarnations since ``last_loss_ms`` was long ago.
+    """
+
+    incarnation: int
+    until_ms: int = 0
+    held_since_ms: int = 0
+    confirmed_revision: int = 0
+    ownership_version: int = 0
+    losses: int = 0
+    last_loss_ms: int = 0
+
+
+class EntryLeases:
+    """Leases by entry; all are unknown when a leader begins.
+
+    A new leader can't know what the last one granted, so it takes every lease
+    as held until one whole lease after its own beginning.
+    """
+
+    def __init__(self, settings: ServiceSettings, now_ms: int) -> None:
+        self.settings = settings
+        self.unknown_until_ms = now_ms + settings.entry_lease_surely_ms()
+        self.by_entry: dict[str, EntryLease] = {}
+
+    def heard(
+        self,
+        entry_id: str,
+        incarnation: int,
+        revision: int,
+        ownership_version: int,
+        now_ms: int,
+    ) -> None:
+        """Note what a heartbeat says of its entry."""
+        lease = self.by_entry.get(entry_id)
+        if lease is None:
+            lease = EntryLease(incarnation, held_since_ms=now_ms)
+        elif lease.incarnation != incarnation:
+            lease = self._lost(lease, now_ms)._replace(incarnation=incarnation)
+        self.by_entry[entry_id] = lease._replace(
+            confirmed_revision=revision, ownership_version=ownership_version
+        )
+
+    def grant(self, entry_id: str, now_ms: int) -> None:
+        """Grant a lease from now on, on the leader's clock."""
+        lease = self.by_entry[entry_id]
+        if lease.until_ms and lease.until_ms <= now_ms:
+            lease = self._lost(lease, now_ms)
+        until_ms = now_ms + self.settings.entry_lease_surely_ms()
+        self.by_entry[entry_id] = lease._replace(until_ms=until_ms)
+
+    def is_live(self, entry_id: str, now_ms: int) -> bool:
+        """Tell whether this leader's last grant may still be in use."""
+        lease = self.by_entry.get(entry_id)
+        return lease is not None and now_ms < lease.until_ms
+
+    def has_surely_ended(self, entry_id: str, now_ms: int) -> bool:
+        """Tell whether the entry surely holds no lease of any leader."""
+        return now_ms >= self.unknown_until_ms and not self.is_live(entry_id, now_ms)
+
+    def has_flapped(self, entry_id: str, now_ms: int) -> bool:
+        """Tell whether the entry lost a lease or restarted of late."""
+        lease = self.by_entry.get(entry_id)
+        if lease is None or not lease.losses:
+            return False
+        return now_ms - lease.last_loss_ms <= self.settings.flap_memory_ms
+
+    def is_stable(self, entry_id: str, now_ms: int) -> bool:
+        """Tell whether the entry held its lease long enough to be given targets."""
+        lease = self.by_entry.get(entry_id)
+        if lease is None or not self.is_live(entry_id, now_ms):
+            return False
+        return now_ms - lease.held_since_ms >= self._stable_after_ms(lease, now_ms)
+
+    def _stable_after_ms(self, lease: EntryLease, now_ms: int) -> int:
+        if now_ms - lease.last_loss_ms > self.settings.flap_memory_ms:
+            return self.settings.stable_ms
+        doubled = self.settings.stable_ms << min(lease.losses, 16)
+        return min(doubled, self.settings.stable_most_ms)
+
+    def _lost(self, lease: EntryLease, now_ms: int) -> EntryLease:
+        recent = now_ms - lease.last_loss_ms <= self.settings.flap_memory_ms
+        losses = lease.losses + 1 if recent else 1
+        return lease._replace(losses=losses, last_loss_ms=now_ms, held_since_ms=now_ms)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_messages.py
@@ -0,0 +1,55 @@
+"""What the service's actor is told, and what it needs from the log."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from foxspring_control._replication import ProposeCallback
+from foxspring_control.state import StateChanges
+
+SendMessage = Callable[[str, Any], Any]
+Post = Callable[[Callable[[], None]], None]
+
+
+class LogHandle(Protocol):
+    """The part of the replicated log that the service uses."""
+
+    def propose(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
+        """Append an entry and call back once it is applied here, or not."""
+
+    def read_barrier(self, on_done: ProposeCallback) -> None:
+        """Call back with ``applied`` if this member surely leads."""
+
+    def status(self) -> Any:
+        """Return the member's ``RaftStatus``."""
+
+
+class Leadership(NamedTuple):
+    """Who leads; ``leader_id`` may be empty."""
+
+    is_leader: bool
+    term: int
+    leader_id: str
+    leader_address: str
+
+
+class Received(NamedTuple):
+    """A message of an entry; replies go to ``sender``."""
+
+    sender: str
+    message: Any
+
+
+class StateChanged(NamedTuple):
+    """Entries were applied here."""
+
+    changes: StateChanges
+
+
+class Call(NamedTuple):
+    """A callback to run on the actor's thread."""
+
+    function: Callable[[], None]
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_service.py
@@ -0,0 +1,121 @@
+"""The actor that runs a control member's service on a thread of its own."""
+
+import logging
+from typing import Any, Protocol
+
+import pykka
+from foxspring_model import Clock
+
+from foxspring_control.service._core import ServiceCore
+from foxspring_control.service._messages import (
+    Call,
+    Leadership,
+    LogHandle,
+    Received,
+    SendMessage,
+    StateChanged,
+    Tick,
+)
+from foxspring_control.service._scheduling import MakeScheduler, make_scheduler
+from foxspring_control.service._settings import ServiceSettings
+from foxspring_control.state import ControlState
+
+_LOG = logging.getLogger(__name__)
+
+
+class LeadershipLike(Protocol):
+    """The fields of the log's ``LeadershipChange``."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads."""
+
+    @property
+    def term(self) -> int:
+        """The leader's term."""
+
+    @property
+    def leader_id(self) -> str:
+        """The leader's member id, empty if unknown."""
+
+    @property
+    def leader_address(self) -> str:
+        """The leader's link address."""
+
+
+class _ServiceActor(pykka.ThreadingActor):
+    def __init__(self, core: ServiceCore) -> None:
+        super().__init__()
+        self._core = core
+
+    def on_receive(self, message: Any) -> None:
+        """Hand one message to the core; a failure ends only that message."""
+        try:
+            self._handle(message)
+        except Exception:
+            _LOG.exception("event=service_failed message=%s", type(message).__name__)
+
+    def _handle(self, message: Any) -> None:
+        if isinstance(message, Received):
+            self._core.receive(message.sender, message.message)
+        elif isinstance(message, StateChanged):
+            self._core.state_changed(message.changes)
+        elif isinstance(message, Call):
+            message.function()
+        elif isinstance(message, Leadership):
+            self._core.on_leadership(message)
+        elif isinstance(message, Tick):
+            self._core.tick()
+
+
+class ControlService:
+    """The service of one control member; safe to call from any thread.
+
+    Every method only queues for the actor's thread. Give :meth:`receive` the
+    entries' messages, :meth:`on_leadership` the log's changes, and call
+    :meth:`tick` every 50 to 200 ms.
+    """
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        log: LogHandle,
+        state: ControlState,
+        send: SendMessage,
+        clock: Clock,
+        make_scheduler: MakeScheduler = make_scheduler,
+    ) -> None:
+        self._core = ServiceCore(
+            settings, log, state, send, clock, self._post, make_scheduler
+        )
+        self._ref = _ServiceActor.start(self._core)
+        state.subscribe(lambda changes: self._tell(StateChanged(changes)))
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Handle a message of an entry; replies go to ``sender``."""
+        self._tell(Received(sender, message))
+
+    def on_leadership(self, change: LeadershipLike) -> None:
+        """Take a change of who leads."""
+        self._tell(
+            Leadership(
+                change.is_leader, change.term, change.leader_id, change.leader_address
+            )
+        )
+
+    def tick(self) -> None:
+        """Do what is due."""
+        self._tell(Tick())
+
+    def close(self) -> None:
+        """Stop the actor after what is queued."""
+        self._ref.stop()
+
+    def _post(self, function: Any) -> None:
+        self._tell(Call(function))
+
+    def _tell(self, message: Any) -> None:
+        try:
+            self._ref.tell(message)
+        except pykka.ActorDeadError:
+            return
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_settings.py
@@ -0,0 +1,49 @@
+"""Times and limits of the leader's duties."""
+
+from typing import NamedTuple
+
+
+class ServiceSettings(NamedTuple):
+    """Settings of one control member's service; times are milliseconds.
+
+    ``lease_ms`` is an entry's lease and ``task_lease_ms`` a task's; both are
+    stretched by ``drift_percent`` and ``margin_ms`` before they count as
+    surely ended. A target is silent after ``target_silence_ms`` without an
+    announcement or a usage sample. An entry must have held its lease for
+    ``stable_ms`` before targets are moved to it; that time doubles with each
+    loss of its lease within ``flap_memory_ms``, up to ``stable_most_ms``.
+    """
+
+    member_id: str
+    lease_ms: int = 2_000
+    task_lease_ms: int = 5_000
+    drift_percent: int = 10
+    margin_ms: int = 200
+    target_silence_ms: int = 8_000
+    stable_ms: int = 5_000
+    stable_most_ms: int = 300_000
+    flap_memory_ms: int = 600_000
+    rebalance_interval_ms: int = 2_000
+    moves_a_round: int = 8
+    moves_percent: int = 5
+    proposal_timeout_ms: int = 3_000
+    resend_interval_ms: int = 1_000
+    resends_a_tick: int = 256
+    unconfirmed_ms: int = 15_000
+    push_interval_ms: int = 300
+    placements_a_command: int = 64
+    events_a_command: int = 256
+
+    def entry_lease_surely_ms(self) -> int:
+        """Return after how long a granted entry lease has surely ended."""
+        return self._surely(self.lease_ms)
+
+    def target_leases_surely_ms(self) -> int:
+        """Return after how long without an owner no task lease can be left.
+
+        The last owner may have renewed them until its own lease ended.
+        """
+        return self.entry_lease_surely_ms() + self._surely(self.task_lease_ms)
+
+    def _surely(self, lease_ms: int) -> int:
+        return lease_ms * (100 + self.drift_percent) // 100 + self.margin_ms
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_target_keeper.py
@@ -0,0 +1,106 @@
+"""Targets: their announcements, and what follows when one falls silent."""
+
+import logging
+
+from foxspring_model import (
+    AssignOwners,
+    OwnerAssignment,
+    RecordTaskEvents,
+    RegisterTarget,
+    RemoveTarget,
+    TargetSeen,
+    TaskEvent,
+)
+
+from foxspring_control.service._proposer import Proposer
+from foxspring_control.service._settings import ServiceSettings
+from foxspring_control.service._view import LeaderView
+from foxspring_control.state import TargetRecord
+
+_LOG = logging.getLogger(__name__)
+
+
+class TargetKeeper:
+    """Registers targets and removes silent ones once no lease can be left.
+
+    A silent target first loses its owner, so that nobody renews leases there.
+    When it has been without one for every lease to end, its tasks are lost and
+    it is forgotten.
+    """
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        view: LeaderView,
+        proposer: Proposer,
+        now_ms: int,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.proposer = proposer
+        self.seen_ms = dict.fromkeys(view.targets, now_ms)
+
+    def seen(self, message: TargetSeen, now_ms: int) -> None:
+        """Take a target's announcement that an entry passed on."""
+        info = message.info
+        known = self.view.targets.get(info.target_id)
+        if known is not None and info.incarnation < known.info.incarnation:
+            return
+        self.seen_ms[info.target_id] = now_ms
+        if known is None or known.info != info:
+            key = f"target/{info.target_id}"
+            self.proposer.propose(key, RegisterTarget(info))
+
+    def sampled(self, target_id: str, now_ms: int) -> None:
+        """Note that the target reported its usage."""
+        if target_id in self.view.targets:
+            self.seen_ms[target_id] = now_ms
+
+    def silent(self, now_ms: int) -> frozenset[str]:
+        """Return the targets that have been silent for too long."""
+        limit_ms = now_ms - self.settings.target_silence_ms
+        return frozenset(
+            target_id
+            for target_id in self.view.targets
+            if self.seen_ms.setdefault(target_id, now_ms) <= limit_ms
+        )
+
+    def tick(self, now_ms: int) -> None:
+        """Take the next step with each silent target."""
+        released = []
+        for target_id in sorted(self.silent(now_ms)):
+            record = self.view.targets[target_id]
+            if record.owner:
+                released.append(OwnerAssignment(target_id, ""))
+            elif self._surely_free(target_id, now_ms):
+                self._remove(record)
+        if released:
+            self.proposer.propose("release", AssignOwners(tuple(released)))
+        for target_id in self.seen_ms.keys() - self.view.targets.keys():
+            if now_ms - self.seen_ms[target_id] > self.settings.target_silence_ms:
+                del self.seen_ms[target_id]
+
+    def _surely_free(self, target_id: str, now_ms: int) -> bool:
+        since_ms = self.view.unowned_since_ms.get(target_id, now_ms)
+        return now_ms - since_ms >= self.settings.target_leases_surely_ms()
+
+    def _remove(self, record: TargetRecord) -> None:
+        target_id = record.info.target_id
+        with self.view.state.reading() as tables:
+            held = tables.tasks.on_target(target_id)
+        if held:
+            events = tuple(
+                TaskEvent(
+                    row.task.task_id,
+                    row.task.epoch,
+                    target_id,
+                    "lost",
+                    detail="target silent past every lease",
+                )
+                for row in held
+            )
+            self.proposer.propose(f"lost/{target_id}", RecordTaskEvents(events))
+            return
+        command = RemoveTarget(target_id, record.info.incarnation)
+        if self.proposer.propose(f"target/{target_id}", command):
+            _LOG.info("event=target_removed target=%s", target_id)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -0,0 +1,176 @@
+"""Tasks: what the scheduler decides, and what owners are told and tell."""
+
+import logging
+from collections.abc import Iterator
+
+from foxspring_model import (
+    ENDED_STATES,
+    EvictTasks,
+    PlaceTasks,
+    RecordTaskEvents,
+    TaskEvents,
+    TaskEventsAck,
+    TaskState,
+    UsageBatch,
+)
+
+from foxspring_control._replication import ProposeOutcome
+from foxspring_control.service._duties import Duties, duty_of
+from foxspring_control.service._messages import SendMessage
+from foxspring_control.service._proposer import Proposer
+from foxspring_control.service._scheduling import SchedulerHandle
+from foxspring_control.service._settings import ServiceSettings
+from foxspring_control.service._view import LeaderView
+from foxspring_control.state import (
+    ControlState,
+    StateChanges,
+    StopIntent,
+    Tables,
+    TaskRecord,
+)
+
+_LOG = logging.getLogger(__name__)
+
+_OPEN_STATES = (
+    TaskState.STARTING,
+    TaskState.RUNNING,
+    TaskState.STOPPING,
+    TaskState.QUEUED,
+)
+
+
+class TaskKeeper:
+    """Feeds the scheduler, proposes its decisions and carries them to owners."""
+
+    def __init__(
+        self,
+        settings: ServiceSettings,
+        view: LeaderView,
+        proposer: Proposer,
+        send: SendMessage,
+        scheduler: SchedulerHandle,
+        now_ms: int,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.proposer = proposer
+        self.send = send
+        self.scheduler = scheduler
+        self.duties = Duties()
+        self._proposal_number = 0
+        self._load(now_ms)
+
+    @property
+    def state(self) -> ControlState:
+        """The applied state."""
+        return self.view.state
+
+    def state_changed(self, changes: StateChanges, now_ms: int) -> None:
+        """Take what a batch of entries changed."""
+        with self.state.reading() as tables:
+            if changes.configuration:
+                self.scheduler.set_configuration(self.state.configuration(tables))
+            for target_id in changes.targets:
+                self._take_target(target_id)
+            for task_id in changes.tasks:
+                self._take_task(tables, task_id, now_ms)
+            for target_id in self.view.take_owner_changed():
+                for record in tables.tasks.on_target(target_id):
+                    self._set_duty(tables, record)
+
+    def events(self, sender: str, batch: TaskEvents) -> None:
+        """Commit what an owner learnt, then acknowledge it."""
+        command = RecordTaskEvents(batch.events, batch.entry_id)
+
+        def done(outcome: ProposeOutcome) -> None:
+            if outcome.status != "applied":
+                return
+            self.send(sender, TaskEventsAck(batch.batch_id))
+            self._note_refusals(batch)
+
+        self.proposer.propose(f"events/{batch.batch_id}", command, done)
+
+    def usage(self, batch: UsageBatch, now_ms: int) -> None:
+        """Let the scheduler learn from measurements."""
+        for sample in batch.samples:
+            self.scheduler.record_sample(sample, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Propose what the scheduler decides and send open duties."""
+        decisions = self.scheduler.decide(now_ms)
+        size = self.settings.placements_a_command
+        for first in range(0, len(decisions.placements), size):
+            self._propose(PlaceTasks(decisions.placements[first : first + size]))
+        if decisions.evictions:
+            self._propose(EvictTasks(decisions.evictions))
+        for ended in decisions.ended:
+            self._propose(ended)
+        for throttle in decisions.throttles:
+            self._send_to_owner(throttle.target_id, throttle)
+        self._send_duties(now_ms)
+
+    def _load(self, now_ms: int) -> None:
+        with self.state.reading() as tables:
+            self.scheduler.set_configuration(self.state.configuration(tables))
+            for target_id in self.view.targets:
+                self._take_target(target_id)
+            for record in _open_tasks(tables):
+                self.scheduler.upsert_task(record.task, now_ms)
+                self._set_duty(tables, record)
+        self.view.take_owner_changed()
+
+    def _take_target(self, target_id: str) -> None:
+        record = self.view.targets.get(target_id)
+        if record is None:
+            self.scheduler.remove_target(target_id)
+            return
+        self.scheduler.upsert_target(record.info, record.draining)
+
+    def _take_task(self, tables: Tables, task_id: str, now_ms: int) -> None:
+        record = tables.tasks.get(task_id)
+        if record is None:
+            self.scheduler.forget_task(task_id)
+            self.duties.set(task_id, None)
+            return
+        self.scheduler.upsert_task(record.task, now_ms)
+        if record.task.state in ENDED_STATES:
+            self.scheduler.forget_task(task_id)
+        self._set_duty(tables, record)
+
+    def _set_duty(self, tables: Tables, record: TaskRecord) -> None:
+        task = record.task
+        target = self.view.targets.get(task.target_id)
+        owner_epoch = target.owner_epoch if target is not None else 0
+        spec = None
+        if task.state is TaskState.STARTING:
+            job = tables.jobs.get(task.job_id)
+            spec = job.spec if job is not None else None
+        keep = record.intent is StopIntent.REQUEUE
+        self.duties.set(task.task_id, duty_of(task, spec, owner_epoch, keep))
+
+    def _note_refusals(self, batch: TaskEvents) -> None:
+        now_ms = self.proposer.clock.monotonic_ms()
+        for event in batch.events:
+            if event.kind == "refused":
+                self.scheduler.task_refused(event.task_id, event.target_id, now_ms)
+
+    def _send_duties(self, now_ms: int) -> None:
+        due = self.duties.due(
+            now_ms, self.settings.resend_interval_ms, self.settings.resends_a_tick
+        )
+        for duty in due:
+            self._send_to_owner(duty.target_id, duty.message)
+
+    def _send_to_owner(self, target_id: str, message: object) -> None:
+        address = self.view.owner_address(target_id)
+        if address:
+            self.send(address, message)
+
+    def _propose(self, command: object) -> None:
+        self._proposal_number += 1
+        self.proposer.propose(f"decision/{self._proposal_number}", command)
+
+
+def _open_tasks(tables: Tables) -> Iterator[TaskRecord]:
+    for state in _OPEN_STATES:
+        yield from tables.tasks.in_state(state)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_view.py
@@ -0,0 +1,97 @@
+"""The leader's picture of targets, entries and the configuration."""
+
+from foxspring_model import EntryInfo
+
+from foxspring_control.state import ControlState, StateChanges, Tables, TargetRecord
+
+OWNERSHIP_VERSION = "ownership_version"
+
+
+class LeaderView:
+    """Targets and entries of the applied state, kept up to date.
+
+    ``must_know`` is the ownership version that an entry has to hold before it
+    is granted a lease, because a target was taken from it there.
+    ``unowned_since_ms`` says since when each target without an owner has been
+    seen without one. ``owner_changed`` collects targets with a new owner until
+    they are taken.
+    """
+
+    def __init__(self, state: ControlState, now_ms: int) -> None:
+        self.state = state
+        self.targets: dict[str, TargetRecord] = {}
+        self.entries: dict[str, EntryInfo] = {}
+        self.revision = 0
+        self.ownership_version = 0
+        self.must_know: dict[str, int] = {}
+        self.unowned_since_ms: dict[str, int] = {}
+        self.owner_changed: set[str] = set()
+        with state.reading() as tables:
+            self._load(tables, now_ms)
+        self.first_version = self.ownership_version
+
+    def update(self, changes: StateChanges, now_ms: int) -> None:
+        """Read again what changed."""
+        with self.state.reading() as tables:
+            self._load_versions(tables)
+            for target_id in changes.targets:
+                self._take_target(target_id, tables.targets.get(target_id), now_ms)
+            if changes.entries:
+                self._load_entries(tables)
+
+    def required_version(self, entry_id: str) -> int:
+        """Return the ownership version that the entry must hold for a lease."""
+        return self.must_know.get(entry_id, self.first_version)
+
+    def owner_address(self, target_id: str) -> str:
+        """Return the link address of the target's owner, empty if none."""
+        target = self.targets.get(target_id)
+        entry = self.entries.get(target.owner) if target is not None else None
+        return entry.link_address if entry is not None else ""
+
+    def owners(self) -> dict[str, str]:
+        """Return each target's owner, empty if it has none."""
+        return {target_id: target.owner for target_id, target in self.targets.items()}
+
+    def take_owner_changed(self) -> set[str]:
+        """Return the targets whose owner changed since the last call."""
+        changed, self.owner_changed = self.owner_changed, set()
+        return changed
+
+    def _load(self, tables: Tables, now_ms: int) -> None:
+        for record in tables.targets.every():
+            self._take_target(record.info.target_id, record, now_ms)
+        self._load_entries(tables)
+        self._load_versions(tables)
+
+    def _load_entries(self, tables: Tables) -> None:
+        self.entries = {entry.entry_id: entry for entry in tables.entries.every()}
+
+    def _load_versions(self, tables: Tables) -> None:
+        self.revision = tables.configurations.current().revision
+        self.ownership_version = tables.counters.get(OWNERSHIP_VERSION)
+
+    def _take_target(
+        self, target_id: str, record: TargetRecord | None, now_ms: int
+    ) -> None:
+        held = self.targets.get(target_id)
+        if held is not None and (record is None or record.owner != held.owner):
+            self._taken_from(held, record)
+        if record is None:
+            self.targets.pop(target_id, None)
+            self.unowned_since_ms.pop(target_id, None)
+            return
+        self.targets[target_id] = record
+        if record.owner:
+            self.unowned_since_ms.pop(target_id, None)
+        else:
+            self.unowned_since_ms.setdefault(target_id, now_ms)
+        if held is None or record.owner_epoch != held.owner_epoch:
+            self.owner_changed.add(target_id)
+
+    def _taken_from(self, held: TargetRecord, record: TargetRecord | None) -> None:
+        if not held.owner:
+            return
+        version = record.version if record is not None else self.ownership_version
+        known = self.must_know.get(held.owner, 0)
+        self.must_know[held.owner] = max(known, version)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the leader's duties."""
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/tests/builders.py
@@ -0,0 +1,225 @@
+"""A service over a real state, a fake log and a paused clock, for tests."""
+
+from collections import defaultdict
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+from foxspring_link import PausedClock
+from foxspring_model import (
+    ConfigurationPush,
+    EntryHeartbeat,
+    EntryInfo,
+    EntryLeaseGrant,
+    OwnershipUpdate,
+    Query,
+    QueryResult,
+    TargetSeen,
+    TaskEvent,
+    TaskEvents,
+    UsageBatch,
+    UsageSample,
+)
+from foxspring_model.scheduling import Scheduler, SchedulerSettings
+
+from foxspring_control._replication import (
+    LogEntry,
+    ProposeCallback,
+    ProposeOutcome,
+)
+from foxspring_control.service import Leadership, ServiceSettings
+from foxspring_control.service._core import ServiceCore
+from foxspring_control.service._leader import Leader
+from foxspring_control.state import ControlState
+from foxspring_control.state.tests.builders import (
+    StateDriver,
+    entry_info,
+    target_info,
+)
+
+Kind = TypeVar("Kind")
+TICK_MS = 100
+
+
+class FakeLog:
+    """Commits each proposal at once, or holds them while ``held`` is set."""
+
+    def __init__(self, driver: StateDriver, clock: PausedClock) -> None:
+        self.driver = driver
+        self.clock = clock
+        self.held: list[tuple[str, bytes, ProposeCallback]] | None = None
+        self.leads = True
+        self.kinds: list[str] = []
+
+    def propose(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
+        """Commit, hold or refuse one command."""
+        if not self.leads:
+            on_done(ProposeOutcome("not_leader"))
+        elif self.held is not None:
+            self.held.append((kind, body, on_done))
+        else:
+            self._commit(kind, body, on_done)
+
+    def release(self) -> None:
+        """Commit what was held."""
+        held, self.held = self.held or [], None
+        for kind, body, on_done in held:
+            self._commit(kind, body, on_done)
+
+    def read_barrier(self, on_done: ProposeCallback) -> None:
+        """Answer as a leader under a valid lease, or not."""
+        on_done(ProposeOutcome("applied" if self.leads else "not_leader"))
+
+    def status(self) -> Any:
+        """Return nothing; no test here asks for members."""
+        return None
+
+    def _commit(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
+        log = self.driver.log
+        entry = LogEntry(len(log) + 1, 1, kind, body, self.clock.wall_ms())
+        log.append(entry)
+        self.kinds.append(kind)
+        result = self.driver.state.apply([entry])[0]
+        on_done(ProposeOutcome("applied", "", result))
+
+
+class Held(NamedTuple):
+    """What a stand-in entry holds."""
+
+    info: EntryInfo
+    revision: int = 0
+    ownership_version: int = 0
+    lease_until_ms: int = 0
+
+
+class Site:
+    """A leader with stand-in entries whose messages the test sends."""
+
+    def __init__(self, settings: ServiceSettings | None = None) -> None:
+        self.settings = settings or ServiceSettings("control-1")
+        self.driver = StateDriver()
+        self.clock = PausedClock()
+        self.log = FakeLog(self.driver, self.clock)
+        self.sent: dict[str, list[Any]] = defaultdict(list)
+        self.entries: dict[str, Held] = {}
+        self.alive_targets: dict[str, int] = {}
+        self.core = self._core()
+        self.state.subscribe(lambda changes: self.core.state_changed(changes))
+        self.batches = 0
+
+    @property
+    def state(self) -> ControlState:
+        """The applied state."""
+        return self.driver.state
+
+    @property
+    def leader(self) -> Leader:
+        """The duties of the present leader."""
+        if self.core.leader is None:
+            raise AssertionError("nobody leads")
+        return self.core.leader
+
+    def close(self) -> None:
+        """Remove the state's folder."""
+        self.driver.close()
+
+    def elect(self, term: int = 1) -> None:
+        """Begin a new leader's duties, with nothing kept in memory."""
+        self.core = self._core()
+        self.core.on_leadership(Leadership(True, term, "control-1", "127.0.0.1:1"))
+
+    def start(self, entries: int = 2, targets: int = 2, settle_ms: int = 9_000) -> None:
+        """Elect a leader, start entries and targets, and let them settle."""
+        self.elect()
+        for number in range(1, entries + 1):
+            self.add_entry(number)
+        for number in range(1, targets + 1):
+            self.alive_targets[f"target-{number}"] = 1
+        self.run(settle_ms)
+
+    def add_entry(self, number: int, incarnation: int = 1) -> None:
+        """Start an entry that heartbeats while the site runs."""
+        info = entry_info(number, incarnation)
+        self.entries[info.entry_id] = Held(info)
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass; live entries and targets do what they do."""
+        for _ in range(duration_ms // TICK_MS):
+            self.clock.advance(TICK_MS)
+            if self.clock.now_ms % 500 == 0:
+                self._heartbeats()
+            if self.clock.now_ms % 1_000 == 0:
+                self._announcements()
+            self.core.tick()
+            self.deliver()
+
+    def deliver(self) -> None:
+        """Let each live entry take the tables and grants sent to it."""
+        for entry_id, held in list(self.entries.items()):
+            for message in self.sent[held.info.link_address]:
+                self.entries[entry_id] = _taken(self.entries[entry_id], message)
+
+    def take(self, entry_id: str, kind: type[Kind]) -> list[Kind]:
+        """Return and forget the messages of a kind sent to an entry."""
+        number = int(entry_id.removeprefix("entry-"))
+        address = entry_info(number).link_address
+        taken = [m for m in self.sent[address] if isinstance(m, kind)]
+        self.sent[address] = [m for m in self.sent[address] if not isinstance(m, kind)]
+        return taken
+
+    def report(self, entry_id: str, *events: TaskEvent, batch: str = "") -> None:
+        """Have an entry report task events."""
+        self.batches += 1
+        number = int(entry_id.removeprefix("entry-"))
+        message = TaskEvents(batch or f"batch-{self.batches}", entry_id, events)
+        self.core.receive(entry_info(number).link_address, message)
+
+    def sample(self, entry_id: str, target_id: str, *running: tuple[str, int]) -> None:
+        """Have an entry pass on a target's usage."""
+        sample = UsageSample(target_id, 1, self.clock.now_ms, 0, 0, (), running)
+        self.core.receive("", UsageBatch(entry_id, (sample,)))
+
+    def query(self, kind: str, **arguments: Any) -> Any:
+        """Run a query and return its JSON answer."""
+        body = msgspec.json.encode(arguments)
+        self.core.receive("asker", Query("q", "asker", kind, body))
+        answer = self.sent["asker"].pop()
+        if not isinstance(answer, QueryResult):
+            raise AssertionError(answer)
+        return msgspec.json.decode(answer.result)
+
+    def _core(self) -> ServiceCore:
+        return ServiceCore(
+            self.settings,
+            self.log,
+            self.state,
+            lambda address, message: self.sent[address].append(message),
+            self.clock,
+            lambda function: function(),
+            lambda: Scheduler(SchedulerSettings()),
+        )
+
+    def _heartbeats(self) -> None:
+        for held in list(self.entries.values()):
+            heartbeat = EntryHeartbeat(
+                held.info, self.clock.now_ms, held.revision, held.ownership_version
+            )
+            self.core.receive(held.info.link_address, heartbeat)
+
+    def _announcements(self) -> None:
+        for target_id, incarnation in self.alive_targets.items():
+            number = int(target_id.removeprefix("target-"))
+            seen = TargetSeen("entry-1", target_info(number, incarnation))
+            self.core.receive("", seen)
+
+
+def _taken(held: Held, message: Any) -> Held:
+    if isinstance(message, ConfigurationPush):
+        return held._replace(revision=max(held.revision, message.revision))
+    if isinstance(message, OwnershipUpdate):
+        applies = message.full or message.from_version == held.ownership_version
+        if applies and message.version > held.ownership_version:
+            return held._replace(ownership_version=message.version)
+    if isinstance(message, EntryLeaseGrant):
+        until_ms = message.heartbeat_sent_ms + message.lease_ms
+        return held._replace(lease_until_ms=max(held.lease_until_ms, until_ms))
+    return held
--- a/packages/foxspring-control/foxspring_control/state/__init__.py
+++ b/packages/foxspring-control/foxspring_control/state/__init__.py
@@ -1,9 +1,11 @@
 """The replicated state of control, kept in one database file."""
 
+from foxspring_control.state._job_rules import job_state, task_view
 from foxspring_control.state._machine import STATE_FILE, ControlState
 from foxspring_control.state._records import (
     JobRecord,
     Moment,
+    StopIntent,
     TargetRecord,
     TaskRecord,
 )
@@ -23,7 +25,10 @@
     "STATE_FILE",
     "StateChanges",
     "StateSettings",
+    "StopIntent",
     "Tables",
     "TargetRecord",
     "TaskRecord",
+    "job_state",
+    "task_view",
 ]
--- a/packages/foxspring-control/foxspring_control/state/_job_rules.py
+++ b/packages/foxspring-control/foxspring_control/state/_job_rules.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Iterable
 
-from foxspring_model import Configuration, JobSpec, Resources, Task, TaskKind, Team
+from foxspring_model import (
+    Configuration,
+    JobSpec,
+    Resources,
+    Task,
+    TaskKind,
+    TaskView,
+    Team,
+)
 
 from foxspring_control.state._records import JobRecord, TaskRecord
 
-_UNLIMITED = Resources()
-
 
 def reject_reason(
     spec: JobSpec,
@@ -68,11 +74,12 @@
 
 
 def _quota_reason(spec: JobSpec, team: Team) -> str:
-    if team.max_resources == _UNLIMITED or spec.resources.fits_in(team.max_resources):
+    limited = zip(spec.resources, team.max_resources, strict=True)
+    if all(not limit or needed <= limit for needed, limit in limited):
         return ""
     return (
-        f"one task needs {_show(spec.resources)} but team {team.name!r} may hold"
-        f" {_show(team.max_resources)} in all; ask for less or raise the quota"
+        f"one task needs {_show(spec.resources)} but team {team.name!r} may hold at"
+        f" most {_show(team.max_resources)}; ask for less or raise the quota"
     )
 
 
@@ -90,3 +97,22 @@
 def _show(amount: Resources) -> str:
     pairs = zip(amount._fields, amount, strict=True)
     return " ".join(f"{name}={value}" for name, value in pairs if value) or "nothing"
+
+
+def task_view(task: Task) -> TaskView:
+    """Return the task as operators see it."""
+    return TaskView(
+        task_id=task.task_id,
+        job_id=task.job_id,
+        kind=str(task.kind),
+        team=task.team,
+        state=str(task.state),
+        epoch=task.epoch,
+        target_id=task.target_id,
+        attempts=task.attempts,
+        evictions=task.evictions,
+        resumed=task.resumed,
+        checkpoint=task.checkpoint,
+        result=task.result,
+        reason=task.reason,
+    )
--- a/packages/foxspring-control/foxspring_control/state/_machine.py
+++ b/packages/foxspring-control/foxspring_control/state/_machine.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import msgspec
-from foxspring_model import COMMANDS, CommandResult
+from foxspring_model import COMMANDS, CommandResult, Configuration
 
 from foxspring_control._replication import LogEntry
 from foxspring_control.state import _fleet_commands as fleet
@@ -128,6 +128,10 @@
         with self._database.reading() as connection:
             yield Tables(connection)
 
+    def configuration(self, tables: Tables) -> Configuration:
+        """Return the configuration in force in ``tables``."""
+        return ParsedConfiguration(self._parsed.parse).at(tables)
+
     def close(self) -> None:
         """Close the file; everything committed is kept."""
         self._database.close()
--- a/packages/foxspring-control/foxspring_control/state/_tables.py
+++ b/packages/foxspring-control/foxspring_control/state/_tables.py
@@ -24,6 +24,8 @@
 _ENTRY = msgspec.msgpack.Decoder(EntryInfo)
 _CONFIGURATION = msgspec.msgpack.Decoder(ConfigurationRecord)
 
+_REMOVALS_KEPT_FROM = "removals_kept_from"
+
 NO_CONFIGURATION = ConfigurationRecord(0, "", "", "", 0)
 
 
@@ -219,18 +221,18 @@
         rows = self._connection.execute(f"{query} ORDER BY target_id", (version,))
         return [str(row[0]) for row in rows]
 
-    def oldest_removal(self) -> int:
-        """Return the version of the oldest removal that is remembered, or 0."""
-        query = "SELECT min(version) FROM removed_target"
-        return int(self._connection.execute(query).fetchone()[0] or 0)
+    def removals_kept_from(self) -> int:
+        """Return the version after which every removal is remembered."""
+        return Counters(self._connection).get(_REMOVALS_KEPT_FROM)
 
     def keep_removals(self, limit: int) -> None:
         """Forget all but the newest ``limit`` removals."""
-        self._connection.execute(
-            "DELETE FROM removed_target WHERE version <= (SELECT version FROM"
-            " removed_target ORDER BY version DESC LIMIT 1 OFFSET ?)",
-            (limit,),
-        )
+        query = "SELECT version FROM removed_target ORDER BY version DESC"
+        row = self._connection.execute(f"{query} LIMIT 1 OFFSET ?", (limit,)).fetchone()
+        if row is None:
+            return
+        self._connection.execute("DELETE FROM removed_target WHERE version <= ?", row)
+        Counters(self._connection).set(_REMOVALS_KEPT_FROM, int(row[0]))
 
 
 class EntryTable:
--- a/packages/foxspring-control/foxspring_control/state/_task_commands.py
+++ b/packages/foxspring-control/foxspring_control/state/_task_commands.py
@@ -46,7 +46,7 @@
 ) -> CommandResult:
     """Apply what owners learnt, in the order given."""
     for event in command.events:
-        _record_event(work, event, moment)
+        _record_event(work, event, command.entry_id, moment)
     return _OK
 
 
@@ -84,13 +84,17 @@
     return True
 
 
-def _record_event(work: Work, event: TaskEvent, moment: Moment) -> None:
+def _record_event(work: Work, event: TaskEvent, entry_id: str, moment: Moment) -> None:
     record = work.tables.tasks.get(event.task_id)
     if record is None:
         return
     target = work.tables.targets.get(record.task.target_id)
-    owner_epoch = target.owner_epoch if target is not None else 0
-    after = task_rules.apply_event(record, event, owner_epoch, moment.at_ms)
+    owner = target.owner if target is not None else ""
+    reporter = task_rules.Reporter(
+        owns=not entry_id or entry_id == owner,
+        owner_epoch=target.owner_epoch if target is not None else 0,
+    )
+    after = task_rules.apply_event(record, event, reporter, moment.at_ms)
     work.save_task(record, after, moment)
 
 
--- a/packages/foxspring-control/foxspring_control/state/_task_rules.py
+++ b/packages/foxspring-control/foxspring_control/state/_task_rules.py
@@ -5,6 +5,8 @@
 an eviction waits for its resumption and zero otherwise.
 """
 
+from typing import NamedTuple
+
 from foxspring_model import (
     CHECKS,
     ENDED_STATES,
@@ -86,13 +88,24 @@
     return _ended(record, TaskState.FAILED, reason, now_ms)
 
 
+class Reporter(NamedTuple):
+    """Who reports an event, as far as the rules ask.
+
+    ``owns`` tells whether it owns the task's target now, or is control itself;
+    ``owner_epoch`` is the target's present one.
+    """
+
+    owns: bool
+    owner_epoch: int
+
+
 def apply_event(
-    record: TaskRecord, event: TaskEvent, owner_epoch: int, now_ms: int
+    record: TaskRecord, event: TaskEvent, reporter: Reporter, now_ms: int
 ) -> TaskRecord:
     """Return the task after an owner's event; the same record if it is void.
 
     An event is void when it is of another epoch or target, or when the task
-    holds no place. ``owner_epoch`` is the present one of the task's target.
+    holds no place.
     """
     task = record.task
     if event.epoch != task.epoch or task.state not in PLACED_STATES:
@@ -104,13 +117,13 @@
     if event.kind == "checkpointed":
         return _checkpointed(record, event, now_ms)
     if event.kind == "refused":
-        return _refused(record, event, owner_epoch, now_ms)
+        return _refused(record, event, reporter, now_ms)
     if event.kind == "finished":
         return _finished(record, event, now_ms)
     if event.kind == "failed":
         return _failed(record, event, now_ms)
     if event.kind in _RUN_ENDED:
-        return _run_ended(record, event, now_ms)
+        return _run_ended(record, event, reporter, now_ms)
     return record
 
 
@@ -129,19 +142,18 @@
 
 
 def _refused(
-    record: TaskRecord, event: TaskEvent, owner_epoch: int, now_ms: int
+    record: TaskRecord, event: TaskEvent, reporter: Reporter, now_ms: int
 ) -> TaskRecord:
     """Queue a task that was never sent to its target.
 
-    A new owner can't know what the last one sent, so its refusal only begins
-    a stop, and the task keeps its place until that is confirmed.
+    Where the owner has changed since the placement, neither the old nor the
+    new one can know what the other sent, so the task keeps its place until
+    the present owner has stopped it.
     """
     if record.task.state is TaskState.RUNNING:
         return record
-    if owner_epoch != record.owner_epoch:
-        if record.task.state is TaskState.STOPPING:
-            return record
-        return _stopping(record, StopIntent.REQUEUE, REASON_OWNER_CHANGED, now_ms)
+    if not reporter.owns or reporter.owner_epoch != record.owner_epoch:
+        return _unproven_end(record, now_ms)
     if record.intent is StopIntent.CANCEL:
         return _ended(record, TaskState.CANCELLED, REASON_CANCELLED, now_ms)
     return _queued(record, event.detail or "refused by the target's owner", now_ms)
@@ -176,7 +188,11 @@
     return _queued(record._replace(task=failed), reason, now_ms)
 
 
-def _run_ended(record: TaskRecord, event: TaskEvent, now_ms: int) -> TaskRecord:
+def _run_ended(
+    record: TaskRecord, event: TaskEvent, reporter: Reporter, now_ms: int
+) -> TaskRecord:
+    if not reporter.owns:
+        return _unproven_end(record, now_ms)
     task = record.task._replace(checkpoint=event.checkpoint or record.task.checkpoint)
     kept = record._replace(task=task)
     if record.intent is StopIntent.CANCEL:
@@ -186,6 +202,13 @@
     return _queued(kept._replace(task=evicted), reason, now_ms)
 
 
+def _unproven_end(record: TaskRecord, now_ms: int) -> TaskRecord:
+    """Have the present owner stop a task that a former one says has ended."""
+    if record.task.state is TaskState.STOPPING:
+        return record
+    return _stopping(record, StopIntent.REQUEUE, REASON_OWNER_CHANGED, now_ms)
+
+
 def _stopping(
     record: TaskRecord, intent: StopIntent, reason: str, now_ms: int
 ) -> TaskRecord:
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/state/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated state."""
--- a/packages/foxspring-model/foxspring_model/_commands.py
+++ b/packages/foxspring-model/foxspring_model/_commands.py
@@ -112,9 +112,14 @@
 
 
 class RecordTaskEvents(NamedTuple):
-    """Apply what owners learnt; events of an older epoch change nothing."""
+    """Apply what owners learnt; events of an older epoch change nothing.
+
+    ``entry_id`` names the reporter; it is empty where control itself knows
+    that every lease has ended.
+    """
 
     events: tuple[TaskEvent, ...]
+    entry_id: str = ""
 
 
 class EndTasks(NamedTuple):
