Elect a leader and commit over links: the replicated log's first cut

Change: foxspring_control/raft with a pure decision core (step), segment storage with checksummed frames, and ReplicatedLog, one thread that drains its inbox and syncs once a batch.

Conclusion: fit for others to integrate; not yet to be relied on.

--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/_election.py
@@ -0,0 +1,196 @@
+"""Elections: pre-vote, votes, and how a member becomes leader or follower."""
+
+from foxspring_control.raft._events import Answer, Diagnosed, LeaderChanged, Send
+from foxspring_control.raft._messages import RequestVote, TimeoutNow, VoteReply
+from foxspring_control.raft._state import Progress, RaftState, Role
+from foxspring_control.raft._writing import append_first_entry
+
+
+def become_follower(state: RaftState, term: int, leader_id: str, now_ms: int) -> None:
+    """Follow ``leader_id`` (empty if unknown) in ``term``."""
+    was_leading = state.role is Role.LEADER
+    if term > state.term:
+        state.term = term
+        state.voted_for = ""
+    state.role = Role.FOLLOWER
+    state.votes.clear()
+    state.transfer_election = False
+    if was_leading:
+        state.progress.clear()
+        state.draw_election_due(now_ms)
+        _fail_waiting(state)
+    state.set_leader(leader_id)
+
+
+def _fail_waiting(state: RaftState) -> None:
+    if state.member_change is not None:
+        state.emit(Answer(state.member_change.token, "unknown"))
+        state.member_change = None
+    if state.transfer_token is not None and not state.transfer_target:
+        state.emit(Answer(state.transfer_token, "unknown"))
+        state.transfer_token = None
+
+
+def campaign_if_due(state: RaftState, now_ms: int) -> None:
+    """Start a pre-vote when no leader was heard for an election timeout."""
+    if now_ms < state.election_due_ms:
+        return
+    state.draw_election_due(now_ms)
+    if not _may_campaign(state):
+        return
+    state.role = Role.PRE_CANDIDATE
+    state.set_leader("")
+    state.votes = {state.member_id}
+    _ask_for_votes(state, state.term + 1, pre_vote=True)
+    _count_votes(state, now_ms)
+
+
+def _may_campaign(state: RaftState) -> bool:
+    if state.refused or not state.is_voter():
+        return False
+    return state.is_established() or _is_initial(state)
+
+
+def _is_initial(state: RaftState) -> bool:
+    return any(m.member_id == state.member_id for m in state.settings.initial_members)
+
+
+def _start_election(state: RaftState, now_ms: int, transfer: bool) -> None:
+    state.role = Role.CANDIDATE
+    state.term += 1
+    state.voted_for = state.member_id
+    state.elections += 1
+    state.votes = {state.member_id}
+    state.transfer_election = transfer
+    state.set_leader("")
+    state.draw_election_due(now_ms)
+    _ask_for_votes(state, state.term, pre_vote=False)
+    _count_votes(state, now_ms)
+
+
+def _ask_for_votes(state: RaftState, term: int, pre_vote: bool) -> None:
+    request = RequestVote(
+        term,
+        state.member_id,
+        state.log.last_index,
+        state.log.last_term,
+        pre_vote,
+        state.transfer_election and not pre_vote,
+    )
+    for member in state.membership.members:
+        if member.voter and member.member_id != state.member_id:
+            state.emit(Send(member.link_address, request))
+
+
+def on_request_vote(
+    state: RaftState, sender: str, request: RequestVote, now_ms: int
+) -> None:
+    """Answer a request for a vote or a pre-vote."""
+    if _hears_leader(state, now_ms) and not request.transfer:
+        # Ignoring the term too keeps a member that was cut off from
+        # deposing a leader that the others still hear.
+        _reply_vote(state, sender, request, granted=False)
+        return
+    if not request.pre_vote and request.term > state.term:
+        become_follower(state, request.term, "", now_ms)
+    granted = _grants(state, request)
+    if granted and not request.pre_vote:
+        state.voted_for = request.candidate_id
+        state.draw_election_due(now_ms)
+    _reply_vote(state, sender, request, granted)
+
+
+def _hears_leader(state: RaftState, now_ms: int) -> bool:
+    if state.role is Role.LEADER:
+        return True
+    return now_ms < state.heard_leader_ms + state.settings.election_timeout_ms
+
+
+def _grants(state: RaftState, request: RequestVote) -> bool:
+    if state.refused:
+        return False
+    if not state.is_established() and not _is_founding(state, request):
+        return False
+    own = (state.log.last_term, state.log.last_index)
+    if (request.last_term, request.last_index) < own:
+        return False
+    if request.pre_vote:
+        return request.term > state.term
+    if request.term != state.term:
+        return False
+    return state.voted_for in ("", request.candidate_id)
+
+
+def _is_founding(state: RaftState, request: RequestVote) -> bool:
+    return request.last_index == 0 and _is_initial(state)
+
+
+def _reply_vote(
+    state: RaftState, sender: str, request: RequestVote, granted: bool
+) -> None:
+    term = request.term if granted else state.term
+    reply = VoteReply(term, state.member_id, request.pre_vote, granted)
+    state.emit(Send(sender, reply))
+
+
+def on_vote_reply(state: RaftState, reply: VoteReply, now_ms: int) -> None:
+    """Count a vote; enough of them start the election or win it."""
+    if not reply.granted:
+        if reply.term > state.term:
+            become_follower(state, reply.term, "", now_ms)
+        return
+    wanted = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
+    term = state.term + 1 if reply.pre_vote else state.term
+    if state.role is not wanted or reply.term != term:
+        return
+    state.votes.add(reply.member_id)
+    _count_votes(state, now_ms)
+
+
+def _count_votes(state: RaftState, now_ms: int) -> None:
+    voters = set(state.membership.voters())
+    needed = state.majority() if state.is_established() else len(voters)
+    if len(state.votes & voters) < needed:
+        return
+    if state.role is Role.PRE_CANDIDATE:
+        _start_election(state, now_ms, transfer=False)
+    elif state.role is Role.CANDIDATE:
+        _become_leader(state, now_ms)
+
+
+def _become_leader(state: RaftState, now_ms: int) -> None:
+    state.role = Role.LEADER
+    state.leader_id = state.member_id
+    state.lead_since_ms = now_ms
+    state.announced = False
+    state.synced_index = 0
+    state.member_change = None
+    if state.transfer_token is not None:
+        state.emit(Answer(state.transfer_token, "unknown"))
+    state.transfer_token = None
+    state.transfer_target = ""
+    next_index = state.log.last_index + 1
+    state.progress = {
+        member.member_id: Progress(next_index, now_ms)
+        for member in state.membership.members
+        if member.member_id != state.member_id
+    }
+    append_first_entry(state)
+    state.emit(Diagnosed("elected", f"term={state.term}"))
+
+
+def announce_if_ready(state: RaftState) -> None:
+    """Tell the runtime once the first entry of this term is committed."""
+    if state.announced or state.commit_index < state.first_term_index:
+        return
+    state.announced = True
+    address = state.settings.link_address
+    state.emit(LeaderChanged(True, state.term, state.member_id, address))
+
+
+def on_timeout_now(state: RaftState, message: TimeoutNow, now_ms: int) -> None:
+    """Campaign at once: the leader of this term has stepped down."""
+    if message.term != state.term or state.role is Role.LEADER:
+        return
+    if _may_campaign(state):
+        _start_election(state, now_ms, transfer=True)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -0,0 +1,226 @@
+"""The replicated log as its users see it: a thread around the runtime."""
+
+import itertools
+import logging
+import os
+import queue
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from foxspring_model import Clock
+
+from foxspring_control._replication import (
+    ProposeCallback,
+    ProposeOutcome,
+    StateMachine,
+)
+from foxspring_control.raft._events import (
+    AddMember,
+    Event,
+    Propose,
+    ReadBarrier,
+    Received,
+    RemoveMember,
+    Tick,
+    Transfer,
+)
+from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._runtime import Runtime, SendMessage
+from foxspring_control.raft._segments import Sync
+from foxspring_control.raft._settings import Member, RaftSettings
+from foxspring_control.raft._state import RaftState
+from foxspring_control.raft._status import LeadershipChange, RaftStatus
+from foxspring_control.raft._step import next_due_ms
+from foxspring_control.raft._storage import Storage
+
+_LOG = logging.getLogger(__name__)
+
+MAX_BATCH_EVENTS = 512
+MAX_WAIT_MS = 1_000
+EXIT_STORAGE_FAILED = 74
+
+
+def exit_process(reason: str) -> None:
+    """End the process at once: what its disk holds can't be relied on."""
+    _LOG.critical("event=storage_failed action=exit reason=%r", reason)
+    logging.shutdown()
+    os._exit(EXIT_STORAGE_FAILED)
+
+
+class ReplicatedLog:
+    """One member of the replicated log.
+
+    ``send(address, message)`` must not block. ``on_leadership`` and all
+    ``on_done`` callbacks run on the log's own thread and must not block; call
+    :meth:`propose` from them freely. ``on_fatal(reason)`` is called when the
+    disk fails; the default ends the process.
+    """
+
+    def __init__(
+        self,
+        settings: RaftSettings,
+        state_machine: StateMachine,
+        send: SendMessage,
+        clock: Clock,
+        on_leadership: Callable[[LeadershipChange], None],
+        on_fatal: Callable[[str], None] = exit_process,
+        sync: Sync = os.fdatasync,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.on_fatal = on_fatal
+        self._machine = state_machine
+        self._send = send
+        self._on_leadership = on_leadership
+        self._storage = Storage(
+            settings.data_folder,
+            settings.member_id,
+            settings.segment_bytes,
+            settings.tail_bytes,
+            sync,
+        )
+        self._inbox: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
+        self._tokens = itertools.count(1)
+        self._waiting: dict[int, ProposeCallback] = {}
+        self._lock = threading.Lock()
+        self._closed = False
+        self._runtime: Runtime | None = None
+        self._thread = threading.Thread(
+            target=self._run, name=f"raft-{settings.member_id}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Read the data folder and take part in the group.
+
+        Raises:
+            WrongMemberError: the folder is another member's or in use.
+            DamagedLogError: the folder lost data that was synced.
+            OSError: the folder can't be written.
+        """
+        stored = self._storage.open()
+        state = RaftState(self.settings, stored, self.clock.monotonic_ms())
+        runtime = Runtime(
+            state,
+            self._storage,
+            self._machine,
+            self._send,
+            self.clock,
+            self._on_leadership,
+        )
+        runtime.waiting = self._waiting
+        self._runtime = runtime
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop taking part; answer every waiting caller; close the files.
+
+        At a planned stop call :meth:`transfer_leadership` before.
+        """
+        with self._lock:
+            if self._closed:
+                return
+            self._closed = True
+        self._inbox.put(None)
+        if self._thread.is_alive() and threading.current_thread() != self._thread:
+            self._thread.join()
+        self._storage.close()
+
+    def receive(self, sender_address: str, message: Any) -> None:
+        """Hand over a message of another member; never blocks."""
+        self._inbox.put(Received(sender_address, message))
+
+    def propose(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
+        """Append an entry and call back once it is applied here, or not."""
+        at_ms = self.clock.wall_ms()
+        self._ask(on_done, lambda token: Propose(token, kind, body, at_ms))
+
+    def read_barrier(self, on_done: Callable[[ProposeOutcome], None]) -> None:
+        """Call back with ``applied`` if a read now sees every earlier write.
+
+        Any other member than a leader under a valid lease answers
+        ``not_leader`` at once.
+        """
+        self._ask(on_done, ReadBarrier)
+
+    def add_member(self, member: Member, on_done: ProposeCallback) -> None:
+        """Add a member as a learner; it votes once it is caught up.
+
+        The callback comes once the learner is committed; :meth:`status` shows
+        when it votes. ``rejected`` carries the reason as text in ``result``.
+        """
+        at_ms = self.clock.wall_ms()
+        self._ask(on_done, lambda token: AddMember(token, member, at_ms))
+
+    def remove_member(self, member_id: str, on_done: ProposeCallback) -> None:
+        """Remove a member for good; ``rejected`` as for :meth:`add_member`."""
+        at_ms = self.clock.wall_ms()
+        self._ask(on_done, lambda token: RemoveMember(token, member_id, at_ms))
+
+    def transfer_leadership(self, on_done: ProposeCallback) -> None:
+        """Hand the leadership to another voter before a planned stop.
+
+        ``applied`` names the new leader in ``leader_id``.
+        """
+        self._ask(on_done, Transfer)
+
+    def status(self) -> RaftStatus:
+        """Return the member's state; call it after :meth:`start`."""
+        if self._runtime is None:
+            raise RuntimeError("call start() before status()")
+        return self._runtime.status()
+
+    def _ask(self, on_done: ProposeCallback, event: Callable[[int], Event]) -> None:
+        token = next(self._tokens)
+        with self._lock:
+            closed = self._closed
+            if not closed:
+                self._waiting[token] = on_done
+                self._inbox.put(event(token))
+        if closed:
+            on_done(ProposeOutcome("not_leader"))
+
+    def _run(self) -> None:
+        runtime = self._runtime
+        if runtime is None:
+            return
+        try:
+            self._serve(runtime)
+        except (OSError, DamagedLogError) as error:
+            self.on_fatal(f"{type(error).__name__}: {error}")
+        except Exception as error:
+            _LOG.exception("event=raft_failed member=%s", self.settings.member_id)
+            self.on_fatal(f"{type(error).__name__}: {error}")
+        self._answer_all()
+
+    def _serve(self, runtime: Runtime) -> None:
+        while True:
+            events = self._next_batch(runtime)
+            if events is None:
+                return
+            now_ms = self.clock.monotonic_ms()
+            runtime.run_batch(events, now_ms)
+
+    def _next_batch(self, runtime: Runtime) -> list[Event] | None:
+        wait_ms = next_due_ms(runtime.state) - self.clock.monotonic_ms()
+        events: list[Event] = []
+        try:
+            event = self._inbox.get(timeout=min(max(wait_ms, 1), MAX_WAIT_MS) / 1_000)
+            while event is not None:
+                events.append(event)
+                if len(events) >= MAX_BATCH_EVENTS or self._inbox.empty():
+                    break
+                event = self._inbox.get()
+            if event is None:
+                return None
+        except queue.Empty:
+            pass
+        return [*events, Tick()]
+
+    def _answer_all(self) -> None:
+        with self._lock:
+            self._closed = True
+            waiting = list(self._waiting.values())
+            self._waiting.clear()
+        for on_done in waiting:
+            on_done(ProposeOutcome("unknown"))
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -0,0 +1,263 @@
+"""Carries out the effects of the decision core, one group commit a batch."""
+
+import logging
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+from foxspring_model import Clock
+
+from foxspring_control._replication import LogEntry, ProposeOutcome, StateMachine
+from foxspring_control.raft._events import (
+    Accepted,
+    Answer,
+    AppendLog,
+    Commit,
+    Diagnosed,
+    Effect,
+    Event,
+    Flush,
+    InstallSnapshot,
+    LeaderChanged,
+    SaveCommit,
+    Send,
+    SendChunk,
+    SendEntries,
+    SnapshotStored,
+    StoreChunk,
+    Synced,
+)
+from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
+from foxspring_control.raft._status import (
+    Counters,
+    LeadershipChange,
+    RaftStatus,
+    describe,
+)
+from foxspring_control.raft._step import step
+from foxspring_control.raft._storage import Storage
+
+_LOG = logging.getLogger(__name__)
+
+APPLY_BATCH_BYTES = 1024 * 1024
+
+SendMessage = Callable[[str, Any], object]
+AnswerCallback = Callable[[ProposeOutcome], None]
+
+
+class Runtime:
+    """One member's decision state with its storage, messages and callers.
+
+    It has no thread: the caller feeds it batches of events. Errors of the
+    disk are passed on; nothing may be fed to it after one.
+    """
+
+    def __init__(
+        self,
+        state: RaftState,
+        storage: Storage,
+        machine: StateMachine,
+        send: SendMessage,
+        clock: Clock,
+        on_leadership: Callable[[LeadershipChange], None],
+    ) -> None:
+        self.state = state
+        self.storage = storage
+        self.machine = machine
+        self.send = send
+        self.clock = clock
+        self.on_leadership = on_leadership
+        self.waiting: dict[int, AnswerCallback] = {}
+        self.accepted: dict[int, int] = {}
+        self.applied_index = 0
+        self._recover()
+
+    def _recover(self) -> None:
+        state = self.state
+        snapshot = state.snapshot
+        if snapshot and self.machine.applied_index() < snapshot.state_index:
+            path = self.storage.snapshot_path(snapshot.snapshot_index)
+            self.machine.install_snapshot(path)
+        applied = self.machine.applied_index()
+        if applied > state.log.last_index:
+            raise DamagedLogError(
+                f"the state holds entry {applied} but the log ends at "
+                f"{state.log.last_index}; replace this member under a new id"
+            )
+        base = snapshot.snapshot_index if snapshot else 0
+        self.applied_index = max(applied, base)
+        state.commit_index = max(state.commit_index, self.applied_index)
+        self._apply(state.commit_index)
+
+    def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
+        """Decide on a batch, write and sync once, then send and answer."""
+        effects: list[Effect] = []
+        for event in events:
+            effects += step(self.state, event, now_ms)[1]
+        effects += step(self.state, Flush(), now_ms)[1]
+        while effects:
+            effects = self._carry_out(effects, now_ms)
+
+    def _carry_out(self, effects: list[Effect], now_ms: int) -> list[Effect]:
+        entries = [e for f in effects if isinstance(f, AppendLog) for e in f.entries]
+        self.storage.tail.append(entries)
+        # A leader counts its own copy only after its sync, so its followers
+        # may write theirs at the same time.
+        for effect in effects:
+            if isinstance(effect, SendEntries):
+                self._send_entries(effect)
+        self._persist(effects)
+        for effect in effects:
+            self._act(effect)
+        self._take_snapshot_if_due(now_ms)
+        if not entries or self.state.role is not Role.LEADER:
+            return []
+        synced = Synced(self.state.term, self.state.log.last_index)
+        follow_up = step(self.state, synced, now_ms)[1]
+        return follow_up + step(self.state, Flush(), now_ms)[1]
+
+    def _persist(self, effects: list[Effect]) -> None:
+        pending: list[LogEntry] = []
+        force = False
+        for effect in effects:
+            match effect:
+                case AppendLog():
+                    pending += effect.entries
+                case SaveCommit():
+                    force = True
+                case StoreChunk():
+                    self.storage.store_chunk(effect.chunk)
+                case InstallSnapshot():
+                    self._save(pending, force)
+                    pending, force = [], False
+                    self._install(effect)
+                case _:
+                    pass
+        self._save(pending, force)
+
+    def _save(self, entries: list[LogEntry], force: bool) -> None:
+        state = self.state
+        commit = state.commit_index
+        self.storage.save(state.term, state.voted_for, commit, entries, force)
+
+    def _install(self, effect: InstallSnapshot) -> None:
+        state = self.state
+        path = self.storage.accept_incoming(effect.snapshot)
+        if effect.reset:
+            self.storage.reset_log(state.term, state.voted_for, effect.snapshot)
+        if self.machine.applied_index() < effect.snapshot.state_index:
+            self.machine.install_snapshot(path)
+        self.applied_index = max(self.applied_index, effect.snapshot.snapshot_index)
+
+    def _act(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self.send(effect.address, effect.message)
+            case SendChunk():
+                self._send_chunk(effect)
+            case Commit():
+                self._apply(effect.commit_index)
+            case Accepted():
+                self.accepted[effect.log_index] = effect.token
+            case Answer():
+                self._answer(effect)
+            case LeaderChanged():
+                self._change_leader(effect)
+            case Diagnosed():
+                self._log_line(effect)
+            case _:
+                pass
+
+    def _send_entries(self, effect: SendEntries) -> None:
+        limit = self.state.settings.max_append_bytes
+        entries = self.storage.read(effect.first_index, effect.last_index, limit)
+        self.send(effect.address, effect.header._replace(entries=tuple(entries)))
+
+    def _send_chunk(self, effect: SendChunk) -> None:
+        header = effect.header
+        size = self.state.settings.snapshot_chunk_bytes
+        data = self.storage.read_chunk(header.snapshot_index, header.offset, size)
+        self.send(effect.address, header._replace(data=data))
+
+    def _apply(self, commit_index: int) -> None:
+        while self.applied_index < commit_index:
+            first = self.applied_index + 1
+            entries = self.storage.read(first, commit_index, APPLY_BATCH_BYTES)
+            if not entries or entries[0].log_index != first:
+                raise DamagedLogError(
+                    f"committed entry {first} can't be read back from the log; "
+                    "replace this member under a new id"
+                )
+            self._apply_entries(entries)
+
+    def _apply_entries(self, entries: list[LogEntry]) -> None:
+        own = [e for e in entries if not e.kind.startswith(LOG_KIND_PREFIX)]
+        results = self.machine.apply(own) if own else []
+        self.applied_index = entries[-1].log_index
+        leader = self.state.leader_id
+        for entry, result in zip(own, results, strict=True):
+            token = self.accepted.pop(entry.log_index, None)
+            if token is not None:
+                self._finish(token, ProposeOutcome("applied", leader, result))
+
+    def _answer(self, effect: Answer) -> None:
+        result = effect.reason.encode()
+        outcome = ProposeOutcome(effect.status, effect.leader_id, result)
+        self._finish(effect.token, outcome)
+
+    def _finish(self, token: int, outcome: ProposeOutcome) -> None:
+        on_done = self.waiting.pop(token, None)
+        if on_done is None:
+            return
+        try:
+            on_done(outcome)
+        except Exception:
+            _LOG.exception("event=callback_failed")
+
+    def _change_leader(self, effect: LeaderChanged) -> None:
+        if not effect.is_leader:
+            self.fail_accepted(effect.leader_id)
+        _LOG.info(
+            "event=leader_changed member=%s is_leader=%s term=%d leader=%s",
+            self.state.member_id,
+            effect.is_leader,
+            effect.term,
+            effect.leader_id,
+        )
+        self.on_leadership(LeadershipChange(*effect))
+
+    def fail_accepted(self, leader_id: str) -> None:
+        """Answer every appended proposal as unknown."""
+        tokens = list(self.accepted.values())
+        self.accepted.clear()
+        for token in tokens:
+            self._finish(token, ProposeOutcome("unknown", leader_id))
+
+    def _log_line(self, effect: Diagnosed) -> None:
+        member = self.state.member_id
+        _LOG.warning("event=%s member=%s %s", effect.event, member, effect.detail)
+
+    def _take_snapshot_if_due(self, now_ms: int) -> None:
+        state = self.state
+        held = state.snapshot.snapshot_index if state.snapshot else 0
+        if self.applied_index - held < state.settings.snapshot_every_entries:
+            return
+        snapshot = self._write_snapshot(self.storage.snapshot_path(self.applied_index))
+        self.storage.record_snapshot(snapshot)
+        step(state, snapshot, now_ms)
+        self.storage.log.compact(state.log.base_index + 1)
+
+    def _write_snapshot(self, path: Path) -> SnapshotStored:
+        state_index = self.machine.write_snapshot(path)
+        index = self.applied_index
+        term = self.state.log.term_at(index) or 0
+        membership = self.state.membership_at(index)
+        total = path.stat().st_size
+        return SnapshotStored(index, term, state_index, membership, total)
+
+    def status(self) -> RaftStatus:
+        """Return the member's status now."""
+        log = self.storage.log
+        counters = Counters(self.applied_index, log.sync_count, log.disk_bytes())
+        return describe(self.state, counters, self.clock.monotonic_ms())
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/_sending_snapshots.py
@@ -0,0 +1,156 @@
+"""Snapshots: sending one in chunks and receiving it."""
+
+from foxspring_control.raft._events import (
+    Diagnosed,
+    InstallSnapshot,
+    Send,
+    SendChunk,
+    SnapshotStored,
+    StoreChunk,
+)
+from foxspring_control.raft._messages import SnapshotChunk, SnapshotReply
+from foxspring_control.raft._state import Incoming, Progress, RaftState
+
+
+def needs_snapshot(state: RaftState, progress: Progress) -> bool:
+    """Tell whether a follower lacks entries that the log no longer holds."""
+    if state.snapshot is None:
+        return False
+    return state.log.term_at(progress.next_index - 1) is None
+
+
+def send_chunk(
+    state: RaftState, member_id: str, progress: Progress, now_ms: int
+) -> bool:
+    """Send the chunk that a follower waits for, again after a timeout.
+
+    Returns whether a chunk was sent.
+    """
+    snapshot = state.snapshot
+    if snapshot is None:
+        return False
+    if progress.chunk_index != snapshot.snapshot_index:
+        progress.chunk_index = snapshot.snapshot_index
+        progress.chunk_offset = 0
+        progress.chunk_sent_ms = 0
+    resend_ms = state.settings.election_timeout_ms
+    if progress.chunk_sent_ms and now_ms < progress.chunk_sent_ms + resend_ms:
+        return False
+    progress.chunk_sent_ms = now_ms
+    progress.heartbeat_ms = now_ms
+    progress.heartbeat_due = False
+    header = _header(state, member_id, progress, snapshot, now_ms)
+    state.emit(SendChunk(state.address_of(member_id), header))
+    return True
+
+
+def _header(
+    state: RaftState,
+    member_id: str,
+    progress: Progress,
+    snapshot: SnapshotStored,
+    now_ms: int,
+) -> SnapshotChunk:
+    return SnapshotChunk(
+        state.term,
+        state.member_id,
+        snapshot.snapshot_index,
+        snapshot.snapshot_term,
+        snapshot.state_index,
+        snapshot.membership,
+        progress.chunk_offset,
+        snapshot.total,
+        now_ms,
+        member_id in state.membership.voters(),
+        b"",
+    )
+
+
+def on_snapshot_reply(state: RaftState, reply: SnapshotReply) -> None:
+    """Note how much of the snapshot a follower holds."""
+    progress = state.progress.get(reply.member_id)
+    if progress is None or reply.term != state.term:
+        return
+    progress.acked_sent_ms = max(progress.acked_sent_ms, reply.sent_ms)
+    if reply.snapshot_index != progress.chunk_index:
+        return
+    progress.chunk_sent_ms = 0
+    if not reply.done:
+        progress.chunk_offset = reply.next_offset
+        return
+    progress.match_index = max(progress.match_index, reply.snapshot_index)
+    progress.next_index = max(progress.next_index, reply.snapshot_index + 1)
+    progress.probing = True
+    progress.waiting = False
+    progress.chunk_offset = 0
+
+
+def take_chunk(state: RaftState, sender: str, chunk: SnapshotChunk) -> None:
+    """Store a chunk in its place, and install the snapshot after the last."""
+    if chunk.snapshot_index <= state.commit_index:
+        _reply(state, sender, chunk, chunk.total, True)
+        return
+    expected = _expected_offset(state, chunk)
+    if chunk.offset != expected:
+        _reply(state, sender, chunk, expected, False)
+        return
+    state.emit(StoreChunk(chunk))
+    held = chunk.offset + len(chunk.data)
+    state.incoming = Incoming(chunk.snapshot_index, chunk.term, held)
+    if held < chunk.total:
+        _reply(state, sender, chunk, held, False)
+        return
+    _install(state, chunk)
+    _reply(state, sender, chunk, held, True)
+
+
+def _expected_offset(state: RaftState, chunk: SnapshotChunk) -> int:
+    incoming = state.incoming
+    if incoming is None:
+        return 0
+    # Snapshots of two leaders at one index may differ byte for byte.
+    same = incoming[:2] == (chunk.snapshot_index, chunk.term)
+    return incoming.next_offset if same else 0
+
+
+def _install(state: RaftState, chunk: SnapshotChunk) -> None:
+    snapshot = SnapshotStored(
+        chunk.snapshot_index,
+        chunk.snapshot_term,
+        chunk.state_index,
+        chunk.membership,
+        chunk.total,
+    )
+    reset = state.log.term_at(chunk.snapshot_index) != chunk.snapshot_term
+    if reset:
+        state.log.reset(chunk.snapshot_index, chunk.snapshot_term)
+        state.memberships = [(chunk.snapshot_index, chunk.membership)]
+    state.incoming = None
+    state.snapshot = snapshot
+    state.commit_index = chunk.snapshot_index
+    state.emit(InstallSnapshot(snapshot, reset))
+    detail = f"snapshot_index={chunk.snapshot_index} bytes={chunk.total}"
+    state.emit(Diagnosed("snapshot_installed", detail))
+
+
+def _reply(
+    state: RaftState, sender: str, chunk: SnapshotChunk, offset: int, done: bool
+) -> None:
+    reply = SnapshotReply(
+        state.term,
+        state.member_id,
+        chunk.snapshot_index,
+        offset,
+        done,
+        chunk.sent_ms,
+    )
+    state.emit(Send(sender, reply))
+
+
+def on_snapshot_stored(state: RaftState, snapshot: SnapshotStored) -> None:
+    """Compact the log behind a new snapshot of this member's own."""
+    state.snapshot = snapshot
+    keep_from = snapshot.snapshot_index - state.settings.keep_entries
+    state.log.compact(max(keep_from, state.log.base_index))
+    while len(state.memberships) > 1 and state.memberships[1][0] <= keep_from:
+        state.memberships.pop(0)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -0,0 +1,168 @@
+"""The decision function of one member: event in, effects out."""
+
+from foxspring_control.raft._appending import (
+    accept_leader,
+    commit_if_quorum,
+    flush,
+    on_append_entries,
+    on_append_reply,
+    refuses_as_emptied,
+)
+from foxspring_control.raft._election import (
+    become_follower,
+    campaign_if_due,
+    on_request_vote,
+    on_timeout_now,
+    on_vote_reply,
+)
+from foxspring_control.raft._events import (
+    AddMember,
+    Answer,
+    Effect,
+    Event,
+    Flush,
+    Propose,
+    ReadBarrier,
+    Received,
+    RemoveMember,
+    SnapshotStored,
+    Synced,
+    Tick,
+    Transfer,
+)
+from foxspring_control.raft._membership import (
+    advance_transfer,
+    on_add_member,
+    on_remove_member,
+    on_transfer,
+    promote_learner,
+    settle_member_change,
+)
+from foxspring_control.raft._messages import (
+    AppendEntries,
+    AppendReply,
+    RequestVote,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+)
+from foxspring_control.raft._sending_snapshots import (
+    on_snapshot_reply,
+    on_snapshot_stored,
+    take_chunk,
+)
+from foxspring_control.raft._state import RaftState, Role
+from foxspring_control.raft._writing import on_propose
+
+
+def step(state: RaftState, event: Event, now_ms: int) -> tuple[RaftState, list[Effect]]:
+    """Decide what ``event`` at ``now_ms`` changes and asks for.
+
+    ``state`` is changed in place and returned; nothing else is touched, so
+    equal states, events and times give equal effects. ``now_ms`` must be read
+    after the event arrived, because promises to a leader are counted from it.
+    """
+    state.effects = []
+    match event:
+        case Tick():
+            _on_tick(state, now_ms)
+        case Received():
+            _on_message(state, event, now_ms)
+        case Propose():
+            on_propose(state, event)
+        case ReadBarrier():
+            _on_read_barrier(state, event, now_ms)
+        case AddMember():
+            on_add_member(state, event, now_ms)
+        case RemoveMember():
+            on_remove_member(state, event, now_ms)
+        case Transfer():
+            on_transfer(state, event, now_ms)
+        case Synced():
+            _on_synced(state, event)
+        case SnapshotStored():
+            on_snapshot_stored(state, event)
+        case Flush():
+            flush(state, now_ms)
+    settle_member_change(state, now_ms)
+    advance_transfer(state, now_ms)
+    return state, state.effects
+
+
+def next_due_ms(state: RaftState) -> int:
+    """Return when the next :class:`Tick` has something to do."""
+    if state.role is not Role.LEADER:
+        if state.transfer_token is not None:
+            return min(state.election_due_ms, state.transfer_due_ms)
+        return state.election_due_ms
+    heartbeat = state.settings.heartbeat_ms
+    sent = [p.heartbeat_ms + heartbeat for p in state.progress.values()]
+    return min(sent, default=state.lead_since_ms + heartbeat)
+
+
+def _on_tick(state: RaftState, now_ms: int) -> None:
+    if state.role is not Role.LEADER:
+        campaign_if_due(state, now_ms)
+        return
+    if _lost_quorum(state, now_ms):
+        become_follower(state, state.term, "", now_ms)
+        return
+    for progress in state.progress.values():
+        if now_ms >= progress.heartbeat_ms + state.settings.heartbeat_ms:
+            progress.heartbeat_due = True
+    promote_learner(state, now_ms)
+
+
+def _lost_quorum(state: RaftState, now_ms: int) -> bool:
+    heard = max(state.quorum_sent_ms(now_ms), state.lead_since_ms)
+    return now_ms >= heard + state.settings.election_timeout_ms
+
+
+def _on_message(state: RaftState, event: Received, now_ms: int) -> None:
+    message = event.message
+    match message:
+        case AppendEntries():
+            on_append_entries(state, event.sender, message, now_ms)
+        case AppendReply():
+            on_append_reply(state, message, now_ms)
+        case RequestVote():
+            on_request_vote(state, event.sender, message, now_ms)
+        case VoteReply():
+            on_vote_reply(state, message, now_ms)
+        case SnapshotChunk():
+            _on_chunk(state, event.sender, message, now_ms)
+        case SnapshotReply():
+            _on_snapshot_reply(state, message, now_ms)
+        case TimeoutNow():
+            on_timeout_now(state, message, now_ms)
+
+
+def _on_chunk(state: RaftState, sender: str, chunk: SnapshotChunk, now_ms: int) -> None:
+    if chunk.term < state.term:
+        return
+    accept_leader(state, chunk.term, chunk.leader_id, now_ms)
+    if not refuses_as_emptied(state, chunk.to_voter, chunk.snapshot_index):
+        take_chunk(state, sender, chunk)
+
+
+def _on_snapshot_reply(state: RaftState, reply: SnapshotReply, now_ms: int) -> None:
+    if reply.term > state.term:
+        become_follower(state, reply.term, "", now_ms)
+    elif state.role is Role.LEADER:
+        on_snapshot_reply(state, reply)
+
+
+def _on_synced(state: RaftState, event: Synced) -> None:
+    if state.role is not Role.LEADER or event.term != state.term:
+        return
+    state.synced_index = max(state.synced_index, event.log_index)
+    commit_if_quorum(state)
+
+
+def _on_read_barrier(state: RaftState, event: ReadBarrier, now_ms: int) -> None:
+    if state.announced and state.lease_valid(now_ms):
+        state.emit(Answer(event.token, "applied", state.member_id))
+        return
+    other = "" if state.leader_id == state.member_id else state.leader_id
+    state.emit(Answer(event.token, "not_leader", other))
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -0,0 +1,265 @@
+"""Everything one member keeps in its data folder."""
+
+import fcntl
+import os
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from foxspring_control._replication import LogEntry
+from foxspring_control.raft._events import SnapshotStored
+from foxspring_control.raft._frames import DamagedLogError, Frame
+from foxspring_control.raft._messages import Membership, SnapshotChunk
+from foxspring_control.raft._segments import SegmentLog, Sync, sync_folder
+from foxspring_control.raft._state import (
+    MEMBERS_KIND,
+    StoredState,
+    decode_membership,
+)
+from foxspring_control.raft._tail import LogTail
+from foxspring_control.raft._terms import TermTable
+
+_IDENTITY = "member.json"
+_SNAPSHOT = "snapshot.json"
+_INCOMING = "incoming.part"
+
+
+class WrongMemberError(Exception):
+    """The data folder belongs to another member or is in use.
+
+    Give each member a data folder of its own and keep its member id.
+    """
+
+
+class _Replay:
+    """Rebuilds the log's terms and memberships from frames."""
+
+    def __init__(self, snapshot: SnapshotStored | None) -> None:
+        self.log: TermTable | None = None
+        self.snapshot = snapshot
+        self.term = 0
+        self.voted_for = ""
+        self.commit_index = 0
+        self.sequence = 0
+        self.memberships: list[tuple[int, Membership]] = []
+
+    def on_frame(self, frame: Frame) -> None:
+        self.sequence = frame.sequence
+        self.term = frame.term
+        self.voted_for = frame.voted_for
+        self.commit_index = max(self.commit_index, frame.commit_index)
+        if frame.reset_index:
+            self.log = TermTable(frame.reset_index, frame.reset_term)
+            self.memberships.clear()
+        for entry in frame.entries:
+            self._on_entry(entry)
+
+    def _on_entry(self, entry: LogEntry) -> None:
+        if self.log is None:
+            first = entry.log_index == 1
+            # The term before the oldest entry is unknown after a compaction.
+            base = 0 if first else entry.log_index
+            self.log = TermTable(base, 0 if first else entry.term)
+        if entry.log_index <= self.log.base_index:
+            return
+        while self.memberships and self.memberships[-1][0] >= entry.log_index:
+            self.memberships.pop()
+        self.log.append(entry.log_index, entry.term)
+        if entry.kind == MEMBERS_KIND:
+            membership = decode_membership(entry.body)
+            self.memberships.append((entry.log_index, membership))
+
+    def result(self) -> StoredState:
+        snapshot = self.snapshot
+        log = self.log or TermTable()
+        memberships = self.memberships
+        if snapshot is not None:
+            index = snapshot.snapshot_index
+            if log.last_index < index:
+                log = TermTable(index, snapshot.snapshot_term)
+            later = [m for m in memberships if m[0] > index]
+            memberships = [(index, snapshot.membership), *later]
+        elif log.base_index > 0:
+            raise DamagedLogError(
+                "the log begins after its first entry and there is no snapshot; "
+                "replace this member under a new id"
+            )
+        commit = max(self.commit_index, snapshot.snapshot_index if snapshot else 0)
+        return StoredState(
+            self.term,
+            self.voted_for,
+            min(commit, log.last_index),
+            log,
+            tuple(memberships),
+            snapshot,
+        )
+
+
+class Storage:
+    """One member's log, hard state and latest snapshot in its data folder.
+
+    Use it from one thread. A raised ``OSError`` means that nothing more may
+    be answered for: the process must end.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        member_id: str,
+        segment_bytes: int,
+        tail_bytes: int,
+        sync: Sync = os.fdatasync,
+    ) -> None:
+        self.folder = folder
+        self.member_id = member_id
+        self.log = SegmentLog(folder, segment_bytes, sync)
+        self.tail = LogTail(tail_bytes)
+        self._sync = sync
+        self._sequence = 0
+        self._hard_state: tuple[int, str] = (0, "")
+        self._lock_descriptor = -1
+
+    def open(self) -> StoredState:
+        """Lock the folder, read it and return what it holds.
+
+        Raises:
+            WrongMemberError: the folder is another member's or in use.
+            DamagedLogError: synced data is missing or broken.
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._lock()
+        self._check_identity()
+        replay = _Replay(self._load_snapshot())
+        self.log.load(replay.on_frame)
+        stored = replay.result()
+        self._sequence = replay.sequence
+        self._hard_state = (stored.term, stored.voted_for)
+        return stored
+
+    def _lock(self) -> None:
+        self._lock_descriptor = os.open(self.folder / "lock", os.O_CREAT | os.O_RDWR)
+        try:
+            fcntl.flock(self._lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._lock_descriptor)
+            self._lock_descriptor = -1
+            raise WrongMemberError(
+                f"{self.folder} is in use by another process; stop it first"
+            ) from error
+
+    def _check_identity(self) -> None:
+        path = self.folder / _IDENTITY
+        if not path.exists():
+            self._write_whole(path, msgspec.json.encode(self.member_id))
+            return
+        owner = msgspec.json.decode(path.read_bytes(), type=str)
+        if owner != self.member_id:
+            raise WrongMemberError(
+                f"{self.folder} belongs to member {owner}, not {self.member_id}; "
+                "set the member id back or use another data folder"
+            )
+
+    def save(
+        self,
+        term: int,
+        voted_for: str,
+        commit_index: int,
+        entries: Iterable[LogEntry],
+        force: bool = False,
+    ) -> bool:
+        """Write the hard state and entries if anything is new, and sync.
+
+        Returns whether anything was written.
+        """
+        fresh = tuple(entries)
+        if not fresh and not force and (term, voted_for) == self._hard_state:
+            return False
+        self._write(Frame(0, term, voted_for, commit_index, 0, 0, fresh))
+        return True
+
+    def reset_log(self, term: int, voted_for: str, snapshot: SnapshotStored) -> None:
+        """Empty the log behind an installed snapshot."""
+        index = snapshot.snapshot_index
+        self.tail.clear()
+        self._write(Frame(0, term, voted_for, index, index, snapshot.snapshot_term))
+
+    def _write(self, frame: Frame) -> None:
+        self._sequence += 1
+        self.log.write(frame._replace(sequence=self._sequence))
+        self.log.sync()
+        self._hard_state = (frame.term, frame.voted_for)
+
+    def read(self, first: int, last: int, max_bytes: int) -> list[LogEntry]:
+        """Return entries from ``first`` on, at most about ``max_bytes``."""
+        if last < first:
+            return []
+        found = self.tail.read(first, last, max_bytes)
+        return found or self.log.read(first, last, max_bytes)
+
+    def snapshot_path(self, snapshot_index: int) -> Path:
+        """Return the file of the snapshot at an index."""
+        return self.folder / f"state-{snapshot_index}.snapshot"
+
+    def record_snapshot(self, snapshot: SnapshotStored) -> None:
+        """Make a written snapshot file the latest; delete the older ones."""
+        path = self.snapshot_path(snapshot.snapshot_index)
+        self._sync_file(path)
+        self._write_whole(self.folder / _SNAPSHOT, msgspec.json.encode(snapshot))
+        for other in self.folder.glob("state-*.snapshot"):
+            if other != path:
+                other.unlink(missing_ok=True)
+
+    def store_chunk(self, chunk: SnapshotChunk) -> None:
+        """Write a received chunk at its offset."""
+        mode = "wb" if chunk.offset == 0 else "r+b"
+        with (self.folder / _INCOMING).open(mode) as file:
+            file.seek(chunk.offset)
+            file.write(chunk.data)
+
+    def accept_incoming(self, snapshot: SnapshotStored) -> Path:
+        """Make the received file the latest snapshot; return its path."""
+        path = self.snapshot_path(snapshot.snapshot_index)
+        incoming = self.folder / _INCOMING
+        self._sync_file(incoming)
+        os.replace(incoming, path)
+        self.record_snapshot(snapshot)
+        return path
+
+    def read_chunk(self, snapshot_index: int, offset: int, size: int) -> bytes:
+        """Return up to ``size`` bytes of a snapshot file."""
+        with self.snapshot_path(snapshot_index).open("rb") as file:
+            file.seek(offset)
+            return file.read(size)
+
+    def close(self) -> None:
+        """Close the files and release the folder."""
+        self.log.close()
+        if self._lock_descriptor >= 0:
+            os.close(self._lock_descriptor)
+            self._lock_descriptor = -1
+
+    def _load_snapshot(self) -> SnapshotStored | None:
+        path = self.folder / _SNAPSHOT
+        if not path.exists():
+            return None
+        snapshot = msgspec.json.decode(path.read_bytes(), type=SnapshotStored)
+        if not self.snapshot_path(snapshot.snapshot_index).exists():
+            raise DamagedLogError(
+                f"the snapshot at {snapshot.snapshot_index} is missing in "
+                f"{self.folder}; replace this member under a new id"
+            )
+        return snapshot
+
+    def _write_whole(self, path: Path, data: bytes) -> None:
+        temporary = path.with_suffix(".tmp")
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            self._sync(file.fileno())
+        os.replace(temporary, path)
+        sync_folder(self.folder)
+
+    def _sync_file(self, path: Path) -> None:
+        with path.open("rb") as file:
+            self._sync(file.fileno())
