Add the harness of real processes and the fault network

Cause: failures between processes need real processes and faulty links. Change: Site starts, pauses, kills and restarts daemons and stand-ins by pid with settings it writes; FaultNetwork proxies every address and holds, loses, delays, cuts or resets bytes between two named processes, in one direction or both. Conclusion: the demo and the integration tests can be written on Site.

--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/_fault_network.py
@@ -0,0 +1,228 @@
+"""TCP proxies in front of every process, and the faults between them.
+
+All connections go through one event loop on an own thread. A connection knows
+the process it comes from and the one it goes to, so a fault can lie between
+two processes, in one direction or both.
+"""
+
+import asyncio
+import threading
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple, TypeVar
+
+from foxspring_testing._ports import HOST
+
+_CHUNK_BYTES = 64 * 1024
+_HELD_POLL_S = 0.02
+_MS_PER_S = 1_000
+_CALL_LIMIT_S = 10.0
+ANYONE = "*"
+
+T = TypeVar("T")
+SourceFinder = Callable[[int], str]
+
+
+class Fault(NamedTuple):
+    """What happens to bytes on the way from one process to another.
+
+    ``held`` keeps them back until the fault is lifted, as a partition does
+    with TCP's retransmission; ``swallowed`` loses them for good and lets no
+    close through; ``cut_after`` resets a connection after that many bytes.
+    """
+
+    delay_ms: int = 0
+    held: bool = False
+    swallowed: bool = False
+    cut_after: int = -1
+
+
+NO_FAULT = Fault()
+
+
+class _Pipe:
+    """One connection through a proxy; the faults of both its directions."""
+
+    def __init__(self, source: str, destination: str) -> None:
+        self.source = source
+        self.destination = destination
+        self.forward_lost = False
+        self.back_lost = False
+        self.writers: list[asyncio.StreamWriter] = []
+
+    def matches(self, source: str, destination: str) -> bool:
+        return source in (ANYONE, self.source) and destination in (
+            ANYONE,
+            self.destination,
+        )
+
+    def abort(self) -> None:
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class FaultNetwork:
+    """Owns the proxies and the faults; every method is safe from any thread.
+
+    ``find_source`` names the process that owns a local port, or gives an
+    empty string for one that is not a process of the site.
+    """
+
+    def __init__(self, find_source: SourceFinder = lambda _: "") -> None:
+        self.find_source = find_source
+        self._faults: dict[tuple[str, str], Fault] = {}
+        self._pipes: set[_Pipe] = set()
+        self._servers: list[asyncio.Server] = []
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name="fault-network", daemon=True
+        )
+        self._thread.start()
+
+    def add_proxy(self, destination: str, address: str) -> str:
+        """Listen for ``destination`` and pass on to ``address``; return where."""
+        return self._call(self._listen(destination, address))
+
+    def set_fault(self, source: str, destination: str, fault: Fault) -> None:
+        """Lay a fault between two processes; ``ANYONE`` stands for all."""
+        self._faults = self._faults | {(source, destination): fault}
+
+    def partition(self, cut_off: set[str], others: set[str], both: bool = True) -> None:
+        """Hold all that ``cut_off`` sends to ``others``, and back if ``both``."""
+        for one in cut_off:
+            for other in others - cut_off:
+                self.set_fault(one, other, Fault(held=True))
+                if both:
+                    self.set_fault(other, one, Fault(held=True))
+
+    def silence(
+        self, source: str, destination: str, forward: bool = True, back: bool = True
+    ) -> int:
+        """Lose all bytes of the open connections for good; new ones work.
+
+        Returns how many connections went silent.
+        """
+        pipes = [p for p in list(self._pipes) if p.matches(source, destination)]
+        for pipe in pipes:
+            pipe.forward_lost = pipe.forward_lost or forward
+            pipe.back_lost = pipe.back_lost or back
+        return len(pipes)
+
+    def reset(self, source: str, destination: str) -> int:
+        """Reset the open connections; returns how many."""
+        pipes = [p for p in list(self._pipes) if p.matches(source, destination)]
+        for pipe in pipes:
+            self._loop.call_soon_threadsafe(pipe.abort)
+        return len(pipes)
+
+    def restore(self) -> None:
+        """Lift every fault; connections that went silent stay so."""
+        self._faults = {}
+
+    def stop(self) -> None:
+        """Close every proxy and connection."""
+        self._call(self._close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _call(self, work: Coroutine[Any, Any, T]) -> T:
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        return future.result(_CALL_LIMIT_S)
+
+    async def _listen(self, destination: str, address: str) -> str:
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._carry(destination, address, reader, writer)
+
+        server = await asyncio.start_server(accept, HOST, 0)
+        self._servers.append(server)
+        return f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+    async def _close(self) -> None:
+        for server in self._servers:
+            server.close()
+        for pipe in list(self._pipes):
+            pipe.abort()
+        current = asyncio.current_task()
+        tasks = [task for task in asyncio.all_tasks() if task is not current]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _carry(
+        self,
+        destination: str,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        source = self.find_source(int(writer.get_extra_info("peername")[1]))
+        pipe = _Pipe(source, destination)
+        pipe.writers.append(writer)
+        self._pipes.add(pipe)
+        try:
+            await self._while_held(source, destination)
+            host, _, port = address.rpartition(":")
+            upstream_reader, upstream = await asyncio.open_connection(host, int(port))
+            pipe.writers.append(upstream)
+            await asyncio.gather(
+                self._pump(pipe, reader, upstream, True),
+                self._pump(pipe, upstream_reader, writer, False),
+            )
+        except OSError:
+            pass
+        finally:
+            pipe.abort()
+            self._pipes.discard(pipe)
+
+    async def _pump(
+        self,
+        pipe: _Pipe,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        forward: bool,
+    ) -> None:
+        passed = 0
+        while True:
+            chunk = await reader.read(_CHUNK_BYTES)
+            one, other = pipe.source, pipe.destination
+            fault = await self._while_held(*((one, other) if forward else (other, one)))
+            if pipe.forward_lost if forward else pipe.back_lost:
+                if not chunk:
+                    return
+                continue
+            if fault.delay_ms:
+                await asyncio.sleep(fault.delay_ms / _MS_PER_S)
+            if not chunk:
+                break
+            if fault.swallowed:
+                continue
+            if 0 <= fault.cut_after < passed + len(chunk):
+                writer.write(chunk[: max(0, fault.cut_after - passed)])
+                await writer.drain()
+                pipe.abort()
+                return
+            passed += len(chunk)
+            writer.write(chunk)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    async def _while_held(self, source: str, destination: str) -> Fault:
+        while True:
+            fault = self._fault_between(source, destination)
+            if not fault.held:
+                return fault
+            await asyncio.sleep(_HELD_POLL_S)
+
+    def _fault_between(self, source: str, destination: str) -> Fault:
+        for key in (
+            (source, destination),
+            (source, ANYONE),
+            (ANYONE, destination),
+        ):
+            fault = self._faults.get(key)
+            if fault is not None:
+                return fault
+        return NO_FAULT
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_fault_network.py
@@ -0,0 +1,89 @@
+import os
+import socket
+import unittest
+
+from foxspring_testing._fault_network import ANYONE, Fault, FaultNetwork
+from foxspring_testing._http_server import HttpServer, Received, Reply
+from foxspring_testing._socket_owner import owner_of_port
+
+HEAD = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
+BODY = b"whole answer"
+
+
+def serve(_: Received) -> Reply:
+    return Reply(200, BODY)
+
+
+class FaultNetworkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.server = HttpServer("127.0.0.1:0", serve)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.network = FaultNetwork(lambda _: "client")
+        self.addCleanup(self.network.stop)
+        self.proxy = self.network.add_proxy("server", self.server.address)
+
+    def connect(self) -> socket.socket:
+        host, _, port = self.proxy.partition(":")
+        connection = socket.create_connection((host, int(port)), timeout=10)
+        self.addCleanup(connection.close)
+        return connection
+
+    def ask(self, connection: socket.socket, timeout: float = 10) -> bytes:
+        """Return the answer, or what came of it before it was cut or silent."""
+        connection.settimeout(timeout)
+        answer = b""
+        try:
+            connection.sendall(HEAD)
+            while not answer.endswith(BODY):
+                chunk = connection.recv(4_096)
+                if not chunk:
+                    return answer
+                answer += chunk
+        except OSError:
+            return answer
+        return answer
+
+    def test_faultless_connection_passes_everything_on(self) -> None:
+        self.assertTrue(self.ask(self.connect()).endswith(BODY))
+
+    def test_answer_is_cut_after_the_given_bytes(self) -> None:
+        self.network.set_fault("server", "client", Fault(cut_after=20))
+        self.assertEqual(20, len(self.ask(self.connect())))
+
+    def test_silence_loses_open_connections_and_spares_new_ones(self) -> None:
+        for forward, back in ((True, False), (False, True), (True, True)):
+            with self.subTest(forward=forward, back=back):
+                old = self.connect()
+                self.assertTrue(self.ask(old).endswith(BODY))
+                silenced = self.network.silence("client", "server", forward, back)
+                self.assertGreaterEqual(silenced, 1)
+                self.assertEqual(b"", self.ask(old, timeout=0.3))
+                self.assertTrue(self.ask(self.connect()).endswith(BODY))
+
+    def test_partition_holds_bytes_until_it_is_restored(self) -> None:
+        connection = self.connect()
+        self.ask(connection)
+        self.network.partition({"client"}, {"server"})
+        self.assertEqual(b"", self.ask(connection, timeout=0.3))
+        self.network.restore()
+        connection.settimeout(10)
+        self.assertTrue(connection.recv(4_096).endswith(BODY))
+
+    def test_one_way_partition_still_carries_the_other_way(self) -> None:
+        connection = self.connect()
+        self.ask(connection)
+        self.network.partition({"server"}, {"client"}, both=False)
+        self.assertEqual(b"", self.ask(connection, timeout=0.3))
+
+    def test_reset_breaks_open_connections(self) -> None:
+        connection = self.connect()
+        self.ask(connection)
+        self.assertEqual(1, self.network.reset(ANYONE, "server"))
+        self.assertEqual(b"", self.ask(connection))
+
+    def test_owner_of_a_port_is_found_among_our_processes(self) -> None:
+        connection = self.connect()
+        port = connection.getsockname()[1]
+        self.assertEqual("me", owner_of_port(port, [("me", os.getpid())]))
+        self.assertEqual("", owner_of_port(port, []))
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_process.py
@@ -0,0 +1,46 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from foxspring_testing._process import ManagedProcess
+from foxspring_testing._standin_settings import write_standin_settings
+from foxspring_testing._wait import wait_until
+from foxspring_testing.tests.builders import standin_settings
+
+
+class ManagedProcessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name)
+        self.settings = standin_settings(path)
+        write_standin_settings(path / "t1.ini", self.settings)
+        arguments = ("foxspring_testing.standin", "--settings", str(path / "t1.ini"))
+        self.process = ManagedProcess("t1", arguments, path / "t1.log")
+        self.addCleanup(self.process.kill)
+
+    def start(self) -> None:
+        self.process.start()
+        events = Path(self.settings.events)
+        wait_until(
+            lambda: events.exists() and b"process_started" in events.read_bytes(),
+            "the stand-in's first event",
+        )
+
+    def test_planned_stop_ends_with_success(self) -> None:
+        self.start()
+        self.assertTrue(self.process.stop())
+        self.assertEqual(0, self.process.exit_code())
+
+    def test_paused_process_is_alive_and_can_be_killed(self) -> None:
+        self.start()
+        self.process.pause()
+        self.assertTrue(self.process.alive())
+        self.process.kill()
+        self.assertEqual((False, 0), (self.process.alive(), self.process.pid))
+
+    def test_wrong_settings_end_the_process_with_an_error(self) -> None:
+        Path(self.process.arguments[-1]).write_text("[target]\nslots = many\n")
+        self.process.start()
+        wait_until(lambda: self.process.exit_code() is not None, "its end")
+        self.assertEqual(1, self.process.exit_code())
