--- a/packages/foxspring-testing/foxspring_testing/_events.py
+++ b/packages/foxspring-testing/foxspring_testing/_events.py
@@ -16,11 +16,11 @@
     """One thing that happened on a target.
 
     ``kind`` is ``process_started``, ``process_ended``, ``leaving``,
-    ``request_started``, ``request_ended``, ``task_started`` or ``task_ended``.
-    ``run`` numbers the runs of one process. ``detail`` of a request is its
-    nonce and of an ended task its last state; ``work_ms`` is the progress of a
-    task. ``slots``, ``memory_mb``, ``cores_milli`` and ``accelerators`` are
-    what the run holds.
+    ``staying``, ``request_started``, ``request_ended``, ``task_started`` or
+    ``task_ended``. ``run`` numbers the runs of one process. ``detail`` is a
+    request's nonce, a started task's service and an ended task's last state.
+    ``work_ms`` and ``checkpoint_ms`` are a task's progress and what it saved
+    of it; ``slots`` to ``accelerators`` are what the run holds.
     """
 
     at_ms: int
@@ -34,6 +34,7 @@
     key: str = ""
     detail: str = ""
     work_ms: int = 0
+    checkpoint_ms: int = 0
     slots: int = 0
     memory_mb: int = 0
     cores_milli: int = 0
--- a/packages/foxspring-testing/foxspring_testing/_standin.py
+++ b/packages/foxspring-testing/foxspring_testing/_standin.py
@@ -89,8 +89,8 @@
 
     def behave(self, behaviour: Behaviour) -> None:
         """Change the behaviour from now on."""
-        if behaviour.leaving and not self.behaviour.leaving:
-            self._events.write("leaving")
+        if behaviour.leaving != self.behaviour.leaving:
+            self._events.write("leaving" if behaviour.leaving else "staying")
         self.behaviour = behaviour
         self.tasks.behaviour = behaviour
         self.requests.behaviour = behaviour
--- a/packages/foxspring-testing/foxspring_testing/_task_table.py
+++ b/packages/foxspring-testing/foxspring_testing/_task_table.py
@@ -138,5 +138,6 @@
             task_id=task.task_id,
             epoch=task.epoch,
             work_ms=int(task.progress_ms),
+            checkpoint_ms=int(task.checkpoint or 0),
             detail=task.state,
         )
--- a/packages/foxspring-testing/foxspring_testing/tests/builders.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/builders.py
@@ -1,10 +1,12 @@
 """Builders of test data for foxspring-testing."""
 
 from pathlib import Path
+from typing import Any
 
 from foxspring_model import ResourcesBody, StartTaskBody
 
-from foxspring_testing import StandInSettings
+from foxspring_testing import RunEvent, StandInSettings
+from foxspring_testing._clients import CallerRecord
 
 
 def standin_settings(folder: Path, entries: str = "") -> StandInSettings:
@@ -43,3 +45,33 @@
         payload=payload,
         checkpoint=checkpoint,
     )
+
+
+def task_event(
+    kind: str,
+    at_ms: int,
+    target: str = "t1",
+    run: int = 1,
+    epoch: int = 1,
+    **fields: Any,
+) -> RunEvent:
+    started = {"slots": 1, "memory_mb": 100} if kind == "task_started" else {}
+    return RunEvent(at_ms, kind, target, 1, run, "job/0", epoch, **(started | fields))
+
+
+def request_event(
+    kind: str, at_ms: int, nonce: str = "n1", run: int = 1, **fields: Any
+) -> RunEvent:
+    started = {"slots": 1} if kind == "request_started" else {}
+    return RunEvent(
+        at_ms, kind, "t1", 1, run, request_id=nonce, detail=nonce, **(started | fields)
+    )
+
+
+def caller_record(
+    nonce: str = "n1", verdict: str = "ran", **fields: Any
+) -> CallerRecord:
+    record = CallerRecord(
+        nonce, "POST", "", False, "e1", 100, 200, verdict, 200, nonce, 0, 0, "t1", 1
+    )
+    return record._replace(**fields)
