Write the demo against the operators' surface

Cause: make demo had no program. Change: the demo starts 3 control, 2 entry and 4 stand-in processes, applies a configuration, sends requests, loses a target and an entry and counts.

--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/demo.py
@@ -0,0 +1,201 @@
+"""Shows a whole site at work and under failures: ``make demo``."""
+
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from foxspring_config import print_configuration, service, team
+from foxspring_model import Configuration, JobSpec, Resources
+
+from foxspring_testing._audit_view import (
+    TaskCounts,
+    audit_lines,
+    count_tasks,
+    job,
+    owners,
+    service_targets,
+    wait_job_ended,
+)
+from foxspring_testing._clients import CallerRecord, OperatorClient
+from foxspring_testing._site import Site
+from foxspring_testing._site_checks import (
+    SiteRecords,
+    check_site,
+    logged_violations,
+)
+from foxspring_testing._site_settings import SiteSize
+from foxspring_testing._traffic import Traffic, TrafficSettings
+from foxspring_testing._wait import wait_until
+
+_SIZE = SiteSize(controls=3, entries=2, targets=4)
+_SERVICE = "pipe-register"
+_TEAM = "workshops"
+_QUIET_TRAFFIC_S = 2.0
+_RECOVERY_S = 30.0
+
+
+def demo_configuration() -> str:
+    """Return the demo's configuration as the operators' library prints it."""
+    return print_configuration(
+        Configuration(
+            services=(
+                service(_SERVICE, _TEAM, replicas=3, cores_milli=2_000, memory_mb=512),
+            ),
+            teams=(team(_TEAM, max_tasks=20, max_cores_milli=64_000),),
+        )
+    )
+
+
+def demo_job() -> JobSpec:
+    """Return a batch job that is long enough to lose its target."""
+    payload = '{"work_ms": 8000, "checkpoint_every_ms": 200, "result": "stock 4711"}'
+    size = Resources(slots=1, cores_milli=4_000, memory_mb=1_024)
+    return JobSpec(
+        "reconcile", _TEAM, 1, size, work_class="reconciliation", payload=payload
+    )
+
+
+def main() -> int:
+    """Run the demo; return 0 if everything was as it must be."""
+    begun = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="foxspring-demo-") as folder:
+        site = Site(Path(folder), _SIZE)
+        with site:
+            _say(f"started {len(site.processes)} processes on loopback")
+            good = _run(site)
+        _say(f"all stopped after {time.monotonic() - begun:.1f} s")
+    return 0 if good else 1
+
+
+def _run(site: Site) -> bool:
+    operator = site.operator()
+    _apply(operator)
+    _say(f"{_SERVICE} runs on {_wait_replicas(operator)}")
+    traffic = Traffic(
+        TrafficSettings(_SERVICE),
+        site.caller(),
+        lambda: [
+            site.daemons[name].http
+            for name in site.names("entry")
+            if site.processes[name].alive()
+        ],
+    )
+    traffic.start()
+    job_id = operator.submit(demo_job()).body["job_id"]
+    lost_target = _wait_checkpoint(operator, job_id)
+    time.sleep(_QUIET_TRAFFIC_S)
+    _kill_target(site, operator, job_id, lost_target)
+    _kill_entry(site, operator)
+    ended = wait_job_ended(operator, job_id)
+    _say(f"job {job_id} {ended['state']}: {_brief(ended)}")
+    _say_answered_after(traffic)
+    told = traffic.stop()
+    return _report(site, operator, told, count_tasks([ended]))
+
+
+def _apply(operator: OperatorClient) -> None:
+    text = demo_configuration()
+    _say("configuration printed by the operators' library:")
+    print(text, flush=True)
+    answer = operator.apply(text, base=0, change_id="demo-configuration")
+    _say(f"applied: {answer.body}")
+    revision = answer.body["revision"]
+    wait_until(
+        lambda: operator.get(f"/v1/in-force?revision={revision}")["in_force"],
+        f"revision {revision} in force at every entry",
+    )
+    _say(f"revision {revision} is in force everywhere")
+
+
+def _wait_replicas(operator: OperatorClient) -> list[str]:
+    wait_until(
+        lambda: len(service_targets(operator, _SERVICE)) >= 3,
+        f"3 replicas of {_SERVICE}",
+        _RECOVERY_S,
+    )
+    return service_targets(operator, _SERVICE)
+
+
+def _wait_checkpoint(operator: OperatorClient, job_id: str) -> str:
+    wait_until(
+        lambda: bool(job(operator, job_id)["tasks"][0]["checkpoint"]),
+        f"a checkpoint of {job_id}",
+    )
+    task = job(operator, job_id)["tasks"][0]
+    _say(f"job {job_id} runs on {task['target_id']}, checkpoint {task['checkpoint']}")
+    return str(task["target_id"])
+
+
+def _kill_target(
+    site: Site, operator: OperatorClient, job_id: str, target: str
+) -> None:
+    site.kill(target)
+    _say(f"killed {target}")
+    wait_until(
+        lambda: job(operator, job_id)["tasks"][0]["resumed"] == 1,
+        f"{job_id} resumed",
+        _RECOVERY_S,
+    )
+    task = job(operator, job_id)["tasks"][0]
+    _say(f"job {job_id} resumed once, on {task['target_id']}, epoch {task['epoch']}")
+
+
+def _kill_entry(site: Site, operator: OperatorClient) -> None:
+    site.kill("entry-1")
+    _say("killed entry-1")
+    wait_until(
+        lambda: "entry-1" not in owners(operator).values(),
+        "every target owned by another entry",
+        _RECOVERY_S,
+    )
+    _say("entry-2 owns every target")
+
+
+def _say_answered_after(traffic: Traffic) -> None:
+    before = len(traffic.records())
+    wait_until(
+        lambda: any(each.verdict == "ran" for each in traffic.records()[before:]),
+        "an answered request after the failures",
+    )
+    _say("requests are still answered")
+
+
+def _report(
+    site: Site, operator: OperatorClient, told: list[CallerRecord], tasks: TaskCounts
+) -> bool:
+    _say("audit trail:")
+    for line in audit_lines(operator):
+        print(line)
+    for name, process in site.processes.items():
+        if process.alive() and name in site.daemons:
+            print(f"process={name} resident_kb={process.resident_kb()}")
+    results = check_site(site, SiteRecords(told)) + logged_violations(site)
+    for result in results:
+        print(result.line())
+    violations = sum(len(result.violations) for result in results)
+    verdicts = Counter(record.verdict for record in told)
+    print(
+        f"asked={len(told)} answered={verdicts['ran']} "
+        f"refused_as_not_run={verdicts['not_run']} "
+        f"may_have_run={verdicts['may_have_run'] + verdicts['lost']} "
+        f"tasks_finished={tasks.finished} tasks_resumed={tasks.resumed} "
+        f"violations={violations}",
+        flush=True,
+    )
+    return violations == 0 and tasks.finished == 1 and tasks.resumed == 1
+
+
+def _brief(ended: dict[str, Any]) -> str:
+    task = ended["tasks"][0]
+    return f"result {task['result']!r}, resumed {task['resumed']}"
+
+
+def _say(text: str) -> None:
+    print(f"== {text}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
