--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_actor.py
@@ -0,0 +1,214 @@
+"""The actor that owns an entry's state: takes events, carries out effects."""
+
+import logging
+import queue
+import threading
+from concurrent.futures import Future
+from typing import Any, NamedTuple
+
+import pykka
+from foxspring_link import Link, SendResult
+from foxspring_model import AnnounceBody, Clock, Outcome, RelayRequest, ReportBody
+
+from foxspring_entry._core import EntryCore
+from foxspring_entry._effects import (
+    AbortRequest,
+    CallTarget,
+    CloseConnections,
+    Effects,
+    ReplyToCaller,
+    SendMessage,
+    SendRequest,
+)
+from foxspring_entry._owner_requests import TargetOutcome
+from foxspring_entry._owner_targets import CallAnswer
+from foxspring_entry._status import EntryStatus, OutcomeCounters
+from foxspring_entry._status_of import status_of
+from foxspring_entry._target_client import TargetClient
+
+_LOG = logging.getLogger(__name__)
+
+
+class CallerReply(NamedTuple):
+    """The final outcome of a caller's request and the target that ran it."""
+
+    outcome: Outcome
+    target_id: str
+
+
+class Submit(NamedTuple):
+    """A caller's request; ``reply`` gets its :class:`CallerReply`."""
+
+    relay: RelayRequest
+    reply: "Future[CallerReply]"
+
+
+class Received(NamedTuple):
+    """A message that the link received."""
+
+    sender: str
+    message: Any
+
+
+class RequestDone(NamedTuple):
+    """What became of a request at a target."""
+
+    hold_id: str
+    result: TargetOutcome
+
+
+class CallDone(NamedTuple):
+    """What became of a call of the platform contract."""
+
+    call_id: int
+    answer: CallAnswer
+
+
+class Announced(NamedTuple):
+    """A target announced itself to this entry."""
+
+    body: AnnounceBody
+
+
+class Reported(NamedTuple):
+    """A target reported to this entry; answered with the acked tasks."""
+
+    report: ReportBody
+    raw: bytes
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class BeginDrain(NamedTuple):
+    """Turn unready and hand the targets over."""
+
+
+class IsIdle(NamedTuple):
+    """Asks whether nothing is owned, in flight, waiting or unsaid."""
+
+
+class AskStatus(NamedTuple):
+    """Asks for the :class:`EntryStatus`."""
+
+
+class EntryActor(pykka.ThreadingActor):
+    """Hands each event to the core and carries out what it decides."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, core: EntryCore, link: Link, client: TargetClient, clock: Clock
+    ) -> None:
+        super().__init__()
+        self.core = core
+        self._link = link
+        self._client = client
+        self._clock = clock
+        self._replies: dict[str, tuple[Future[CallerReply], int]] = {}
+        self.counters = OutcomeCounters()
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one event; answers only events that ask for something."""
+        now_ms = self._clock.monotonic_ms()
+        try:
+            return self._handle(message, now_ms)
+        except Exception:
+            _LOG.exception("event=event_failed kind=%s", type(message).__name__)
+            return None
+
+    def _handle(self, message: Any, now_ms: int) -> Any:
+        match message:
+            case Received(sender, received):
+                self._do(self.core.message(sender, received, now_ms))
+            case RequestDone(hold_id, result):
+                self._do(self.core.request_done(hold_id, result, now_ms))
+            case CallDone(call_id, answer):
+                self._do(self.core.call_done(call_id, answer, now_ms))
+            case Submit(relay, reply):
+                self._replies[relay.request_id] = (reply, now_ms)
+                self._do(self.core.submit(relay, now_ms))
+            case Tick():
+                self._do(self.core.tick(now_ms))
+            case Announced(body):
+                self._do(self.core.announce(body, now_ms))
+            case Reported(report, raw):
+                effects, acked = self.core.report(report, raw, now_ms)
+                self._do(effects)
+                return acked
+            case BeginDrain():
+                self._do(self.core.drain(now_ms))
+            case IsIdle():
+                return self.core.is_idle()
+            case AskStatus():
+                return self._status(now_ms)
+        return None
+
+    def _status(self, now_ms: int) -> EntryStatus:
+        return status_of(self.core, self.counters, now_ms)
+
+    def _do(self, effects: Effects) -> None:
+        waiting: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        for effect in effects:
+            waiting.put(effect)
+        while not waiting.empty():
+            for further in self._carry_out(waiting.get()):
+                waiting.put(further)
+
+    def _carry_out(self, effect: Any) -> Effects:
+        match effect:
+            case SendMessage(address, message):
+                return self._send(address, message)
+            case ReplyToCaller():
+                self._reply(effect)
+            case SendRequest():
+                self._client.send(effect)
+            case CallTarget():
+                self._client.call(effect)
+            case AbortRequest(hold_id):
+                self._client.abort(hold_id)
+            case CloseConnections(address):
+                self._client.pool.close_idle(address)
+        return []
+
+    def _send(self, address: str, message: Any) -> Effects:
+        if self._link.send(address, message) is SendResult.QUEUED:
+            return []
+        return self.core.not_sent(message, self._clock.monotonic_ms())
+
+    def _reply(self, effect: ReplyToCaller) -> None:
+        waiting = self._replies.pop(effect.request_id, None)
+        if waiting is None:
+            return
+        reply, begun_ms = waiting
+        reason = str(getattr(effect.outcome, "reason", ""))
+        took_ms = self._clock.monotonic_ms() - begun_ms
+        self.counters.note(str(effect.outcome.verdict), reason, took_ms)
+        reply.set_result(CallerReply(effect.outcome, effect.target_id))
+
+
+class Ticker:
+    """Tells an actor at a steady pace that time has passed."""
+
+    def __init__(self, actor: "pykka.ActorRef[EntryActor]", every_ms: int) -> None:
+        self._actor = actor
+        self._every_s = every_ms / 1_000
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="ticker", daemon=True)
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop ticking."""
+        self._stopping.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(self._every_s):
+            try:
+                self._actor.tell(Tick())
+            except pykka.ActorDeadError:
+                return
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_connections.py
@@ -0,0 +1,106 @@
+"""Connections to targets, kept for a short while and never trusted longer."""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from foxspring_model import Clock
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.util import wait_for_read
+
+
+class ConnectFailedError(Exception):
+    """No connection could be made, so no byte of a request has left."""
+
+
+class _Idle(NamedTuple):
+    connection: HTTPConnection
+    since_ms: int
+
+
+class ConnectionPool:
+    """Idle connections by address; safe to use from any thread.
+
+    A connection that was idle longer than ``idle_limit_ms`` is closed, because
+    something between the two ends may have lost track of it.
+    """
+
+    def __init__(self, clock: Clock, idle_limit_ms: int, connect_ms: int) -> None:
+        self._clock = clock
+        self._idle_limit_ms = idle_limit_ms
+        self._connect_ms = connect_ms
+        self._lock = threading.Lock()
+        self._idle: dict[str, list[_Idle]] = {}
+
+    def take(self, address: str) -> HTTPConnection:
+        """Return a connection that was used lately, else a new one.
+
+        Raises:
+            ConnectFailedError: no connection could be made.
+        """
+        now_ms = self._clock.monotonic_ms()
+        while True:
+            with self._lock:
+                kept = self._idle.get(address)
+                idle = kept.pop() if kept else None
+            if idle is None:
+                return self._connect(address)
+            if self._is_usable(idle, now_ms):
+                return idle.connection
+            idle.connection.close()
+
+    def put(self, address: str, connection: HTTPConnection) -> None:
+        """Keep a connection whose last answer was whole and its own."""
+        with self._lock:
+            kept = self._idle.setdefault(address, [])
+            kept.append(_Idle(connection, self._clock.monotonic_ms()))
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        with self._lock:
+            kept = self._idle.pop(address, [])
+        for idle in kept:
+            idle.connection.close()
+
+    def close_expired(self) -> None:
+        """Close connections that have been idle too long."""
+        now_ms = self._clock.monotonic_ms()
+        self._close_where(lambda idle: not self._is_young(idle, now_ms))
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        self._close_where(lambda idle: True)
+
+    def _close_where(self, matches: Callable[[_Idle], bool]) -> None:
+        closing: list[_Idle] = []
+        with self._lock:
+            for address, kept in list(self._idle.items()):
+                closing.extend(idle for idle in kept if matches(idle))
+                kept[:] = [idle for idle in kept if not matches(idle)]
+                if not kept:
+                    del self._idle[address]
+        for idle in closing:
+            idle.connection.close()
+
+    def _is_young(self, idle: _Idle, now_ms: int) -> bool:
+        return now_ms - idle.since_ms <= self._idle_limit_ms
+
+    def _is_usable(self, idle: _Idle, now_ms: int) -> bool:
+        socket = idle.connection.sock
+        if socket is None or not self._is_young(idle, now_ms):
+            return False
+        # Readable while idle means closed by the target, or an answer nobody
+        # asked for; neither may serve a request.
+        return not wait_for_read(socket, timeout=0.0)
+
+    def _connect(self, address: str) -> HTTPConnection:
+        host, _, port = address.rpartition(":")
+        timeout_s = self._connect_ms / 1_000
+        connection = HTTPConnection(host, int(port), timeout=timeout_s)
+        try:
+            connection.connect()
+        except (OSError, HTTPError) as error:
+            connection.close()
+            raise ConnectFailedError(f"cannot connect to {address}: {error}") from error
+        return connection
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_control_client.py
@@ -0,0 +1,205 @@
+"""Asks control to change or read the replicated state."""
+
+import json
+import queue
+import threading
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import msgspec
+from foxspring_model import (
+    Clock,
+    CommandResult,
+    Proposal,
+    ProposalResult,
+    Query,
+    QueryResult,
+    Verdict,
+)
+
+_TRY_MS = 1_000
+_PAUSE_MS = 50
+_MS_PER_S = 1_000
+
+Send = Callable[[str, Any], bool]
+Reply = ProposalResult | QueryResult
+
+
+@dataclass(frozen=True)
+class Applied:
+    """The command is committed and this is the state machine's answer."""
+
+    result: CommandResult
+    verdict: Verdict = Verdict.RAN
+
+
+@dataclass(frozen=True)
+class NotApplied:
+    """The command was surely not appended; it may be proposed again."""
+
+    detail: str
+    verdict: Verdict = Verdict.NOT_RUN
+
+
+@dataclass(frozen=True)
+class MayBeApplied:
+    """No answer came in time; propose it again with its change id."""
+
+    detail: str
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
+
+
+@dataclass(frozen=True)
+class QueryAnswered:
+    """What a query read, as decoded JSON."""
+
+    result: Any
+    verdict: Verdict = Verdict.RAN
+
+
+@dataclass(frozen=True)
+class QueryFailed:
+    """No control member could answer; a query may always be sent again."""
+
+    detail: str
+    verdict: Verdict = Verdict.NOT_RUN
+
+
+ProposalOutcome = Applied | NotApplied | MayBeApplied
+QueryOutcome = QueryAnswered | QueryFailed
+
+
+class _Waiter:
+    def __init__(self) -> None:
+        self._replies: queue.SimpleQueue[Reply] = queue.SimpleQueue()
+
+    def give(self, reply: Reply) -> None:
+        self._replies.put(reply)
+
+    def wait(self, timeout_ms: int) -> Reply | None:
+        try:
+            return self._replies.get(timeout=timeout_ms / _MS_PER_S)
+        except queue.Empty:
+            return None
+
+
+class _Asked(NamedTuple):
+    reply: Reply | None
+    maybe_received: bool
+
+
+class ControlClient:
+    """Proposes commands to control and reads its state; for any thread.
+
+    It tries the members in turn, follows their hints to the leader and keeps
+    one proposal id over its own retries. ``send(address, message)`` tells
+    whether the message may arrive.
+    """
+
+    def __init__(
+        self, addresses: tuple[str, ...], reply_to: str, send: Send, clock: Clock
+    ) -> None:
+        self._addresses = addresses
+        self._reply_to = reply_to
+        self._send = send
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._waiters: dict[str, _Waiter] = {}
+        self._members: dict[str, str] = {}
+        self._leader = ""
+
+    def propose(
+        self, command: Any, timeout_ms: int, proposal_id: str = ""
+    ) -> ProposalOutcome:
+        """Propose a command of ``foxspring_model.COMMANDS`` and wait for it.
+
+        Waits at most ``timeout_ms``. A command with a change id may be
+        proposed again after ``MayBeApplied`` without being applied twice.
+        """
+        proposal = Proposal(
+            proposal_id or uuid.uuid4().hex,
+            self._reply_to,
+            type(command).__name__,
+            msgspec.msgpack.encode(command),
+        )
+        asked = self._ask(proposal.proposal_id, proposal, timeout_ms)
+        if asked.reply is not None:
+            return Applied(json.loads(asked.reply.result))
+        if asked.maybe_received:
+            return MayBeApplied("control did not answer in time")
+        return NotApplied("no control member could be reached")
+
+    def query(
+        self, kind: str, arguments: dict[str, Any], timeout_ms: int
+    ) -> QueryOutcome:
+        """Read the replicated state at the leader; waits ``timeout_ms`` at most."""
+        query = Query(
+            uuid.uuid4().hex, self._reply_to, kind, json.dumps(arguments).encode()
+        )
+        asked = self._ask(query.query_id, query, timeout_ms)
+        if asked.reply is None:
+            return QueryFailed("no control leader answered in time")
+        return QueryAnswered(json.loads(asked.reply.result))
+
+    def on_reply(self, reply: Reply) -> None:
+        """Hand over a result that the link received; late ones are dropped."""
+        key = reply.proposal_id if isinstance(reply, ProposalResult) else reply.query_id
+        with self._lock:
+            waiter = self._waiters.get(key)
+        if waiter is not None:
+            waiter.give(reply)
+
+    def learn_member(self, member_id: str, address: str) -> None:
+        """Note where a member listens, so that hints can be followed."""
+        with self._lock:
+            self._members[member_id] = address
+
+    def learn_leader(self, member_id: str, address: str) -> None:
+        """Note which member granted a lease last."""
+        self.learn_member(member_id, address)
+        self._leader = address
+
+    def _ask(self, key: str, message: Any, timeout_ms: int) -> _Asked:
+        waiter = _Waiter()
+        with self._lock:
+            self._waiters[key] = waiter
+        try:
+            return self._try_members(waiter, message, timeout_ms)
+        finally:
+            with self._lock:
+                self._waiters.pop(key, None)
+
+    def _try_members(self, waiter: _Waiter, message: Any, timeout_ms: int) -> _Asked:
+        until_ms = self._clock.monotonic_ms() + timeout_ms
+        address = self._leader or self._next("")
+        maybe_received = False
+        while (left_ms := until_ms - self._clock.monotonic_ms()) > 0 and address:
+            reply = None
+            if self._send(address, message):
+                reply = waiter.wait(min(_TRY_MS, left_ms))
+                refused = reply is not None and reply.status == "not_leader"
+                maybe_received = maybe_received or not refused
+            if reply is not None and reply.status == "applied":
+                return _Asked(reply, maybe_received)
+            address = self._following(address, reply)
+        return _Asked(None, maybe_received)
+
+    def _following(self, address: str, reply: Reply | None) -> str:
+        hinted = ""
+        if reply is not None and reply.leader_id:
+            with self._lock:
+                hinted = self._members.get(reply.leader_id, "")
+        if hinted and hinted != address:
+            return hinted
+        threading.Event().wait(_PAUSE_MS / _MS_PER_S)
+        return self._next(address)
+
+    def _next(self, address: str) -> str:
+        if not self._addresses:
+            return ""
+        if address not in self._addresses:
+            return self._addresses[0]
+        number = self._addresses.index(address) + 1
+        return self._addresses[number % len(self._addresses)]
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_effects.py
@@ -0,0 +1,64 @@
+"""What a decision asks to be done outside of it."""
+
+from typing import Any, NamedTuple
+
+from foxspring_model import Outcome, RelayRequest
+
+
+class SendMessage(NamedTuple):
+    """Send ``message`` to the process that listens on ``address``."""
+
+    address: str
+    message: Any
+
+
+class ReplyToCaller(NamedTuple):
+    """Hand the final outcome to the caller that waits for ``request_id``."""
+
+    request_id: str
+    outcome: Outcome
+    target_id: str = ""
+
+
+class SendRequest(NamedTuple):
+    """Send a request to a target; it is held in the ledger as ``hold_id``."""
+
+    hold_id: str
+    target_id: str
+    address: str
+    relay: RelayRequest
+    deadline_ms: int
+
+
+class CallTarget(NamedTuple):
+    """Post ``body`` (JSON) to a path of the platform contract on a target."""
+
+    call_id: int
+    target_id: str
+    address: str
+    path: str
+    body: bytes
+    timeout_ms: int
+
+
+class AbortRequest(NamedTuple):
+    """Stop waiting for the answer to a request that was given up."""
+
+    hold_id: str
+
+
+class CloseConnections(NamedTuple):
+    """Close the idle connections to a target that is no longer owned."""
+
+    address: str
+
+
+Effect = (
+    SendMessage
+    | ReplyToCaller
+    | SendRequest
+    | CallTarget
+    | AbortRequest
+    | CloseConnections
+)
+Effects = list[Effect]
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -0,0 +1,245 @@
+"""An entry as one object: its front, link, actor and connections to targets."""
+
+import logging
+import random
+import threading
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import Any, cast
+
+from foxspring_link import Codec, Link, SendResult
+from foxspring_model import (
+    AnnounceBody,
+    Clock,
+    Configuration,
+    EntryLeaseGrant,
+    HeartbeatRejected,
+    Outcome,
+    ProposalResult,
+    QueryResult,
+    RelayRequest,
+    ReportBody,
+    Service,
+    Uncertain,
+)
+
+from foxspring_entry._actor import (
+    Announced,
+    AskStatus,
+    BeginDrain,
+    CallDone,
+    CallerReply,
+    EntryActor,
+    IsIdle,
+    Received,
+    Reported,
+    RequestDone,
+    Submit,
+    Ticker,
+)
+from foxspring_entry._control_client import ControlClient
+from foxspring_entry._core import EntryCore
+from foxspring_entry._front import Front
+from foxspring_entry._http import HttpRequest, HttpResponse, Role, Route
+from foxspring_entry._service_routes import service_routes
+from foxspring_entry._settings import EntrySettings
+from foxspring_entry._status import EntryStatus
+from foxspring_entry._target_client import TargetClient
+from foxspring_entry._target_routes import target_routes
+
+_LOG = logging.getLogger(__name__)
+_ASK_TIMEOUT_S = 5.0
+_REPLY_GRACE_MS = 2_000
+_POLL_S = 0.05
+_MS_PER_S = 1_000
+
+Routes = Callable[["Entry"], Sequence[Route]]
+Parse = Callable[[str], Configuration]
+
+
+class Entry:
+    """One entry: ``start`` it, ``drain`` it for a planned stop, or ``close`` it.
+
+    ``parse`` turns a configuration's INI text into its value and ``routes``
+    returns further HTTP routes; ``seed`` fixes the random choices.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        codec: Codec,
+        parse: Parse,
+        routes: Routes = lambda entry: (),
+        seed: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self._clock = clock
+        self._codec = codec
+        self._parse = parse
+        self._routes = routes
+        self._rng = random.Random(seed)
+        self._drain_lock = threading.Lock()
+        self._drained = False
+        self._closed = threading.Event()
+        self._live = False
+
+    def start(self) -> None:
+        """Bind both addresses and begin to serve.
+
+        Raises:
+            OSError: an address is in use; choose another in the settings.
+        """
+        self._link = Link(
+            self.settings.link_address,
+            self._codec,
+            self._on_message,
+            self._clock,
+            advertised_address=self.settings.advertised_link_address,
+        )
+        self.link_address = self._link.address
+        self.control = ControlClient(
+            self.settings.control_addresses,
+            self.link_address,
+            self._send_to_control,
+            self._clock,
+        )
+        self._front = Front(self.settings, self._all_routes())
+        self.http_address = self._front.bind()
+        self._start_actor()
+        self._link.start()
+        self._front.start()
+        self._ticker.start()
+        self._live = True
+        _LOG.info(
+            "event=entry_started entry=%s link=%s http=%s",
+            self.settings.entry_id,
+            self.link_address,
+            self.http_address,
+        )
+
+    def drain(self) -> None:
+        """Stop without cutting off a request; blocks until it is done.
+
+        Turns unready, waits for the balancer, hands the targets over, finishes
+        what is in flight, then closes. A second call waits for the first.
+        """
+        with self._drain_lock:
+            if self._drained:
+                return
+            self._actor.tell(BeginDrain())
+            grace_ms, limit_ms = (
+                self.settings.drain_grace_ms,
+                self.settings.drain_limit_ms,
+            )
+            begun_ms = self._clock.monotonic_ms()
+            while self._clock.monotonic_ms() - begun_ms < limit_ms:
+                waited_ms = self._clock.monotonic_ms() - begun_ms
+                if waited_ms >= grace_ms and self._is_idle():
+                    break
+                if self._closed.wait(_POLL_S):
+                    return
+            else:
+                _LOG.error("event=drain_limit_reached limit_ms=%d", limit_ms)
+            self._drained = True
+            self.close()
+
+    def close(self) -> None:
+        """Stop at once; what is in flight is cut off."""
+        if self._closed.is_set():
+            return
+        self._closed.set()
+        self._live = False
+        self._front.stop()
+        self._ticker.stop()
+        self._link.close()
+        self._client.close()
+        self._actor.stop()
+        _LOG.info("event=entry_stopped entry=%s", self.settings.entry_id)
+
+    def is_live(self) -> bool:
+        """Tell whether the entry has started and not been closed."""
+        return self._live
+
+    def status(self) -> EntryStatus:
+        """Return the entry's status now."""
+        return cast(EntryStatus, self._ask(AskStatus()))
+
+    def submit(self, relay: RelayRequest) -> tuple[Outcome, str]:
+        """Run a request and return its outcome and the target that ran it."""
+        reply: Future[CallerReply] = Future()
+        self._actor.tell(Submit(relay, reply))
+        try:
+            limit_s = (relay.remaining_ms + _REPLY_GRACE_MS) / _MS_PER_S
+            answered = reply.result(timeout=limit_s)
+        except FutureTimeoutError:
+            _LOG.error("event=reply_overdue request=%s", relay.request_id)
+            return Uncertain("the entry did not decide in time"), ""
+        return answered.outcome, answered.target_id
+
+    def _start_actor(self) -> None:
+        core = EntryCore(
+            self.settings, self.link_address, self.http_address, self._parse, self._rng
+        )
+        self._core = core
+        self._client = TargetClient(
+            self.settings,
+            self._clock,
+            lambda hold_id, result: self._tell(RequestDone(hold_id, result)),
+            lambda call_id, answer: self._tell(CallDone(call_id, answer)),
+        )
+        self._actor = EntryActor.start(core, self._link, self._client, self._clock)
+        self._ticker = Ticker(self._actor, self.settings.tick_ms)
+
+    def _ask(self, message: Any) -> Any:
+        return self._actor.ask(message, timeout=_ASK_TIMEOUT_S)
+
+    def _tell(self, message: Any) -> None:
+        if not self._closed.is_set():
+            self._actor.tell(message)
+
+    def _on_message(self, sender: str, message: Any) -> None:
+        if isinstance(message, ProposalResult | QueryResult):
+            self.control.on_reply(message)
+            return
+        if isinstance(message, EntryLeaseGrant):
+            self.control.learn_leader(message.leader_id, sender)
+        elif isinstance(message, HeartbeatRejected):
+            self.control.learn_member(message.member_id, sender)
+        self._tell(Received(sender, message))
+
+    def _send_to_control(self, address: str, message: Any) -> bool:
+        return self._link.send(address, message) is SendResult.QUEUED
+
+    def _all_routes(self) -> list[Route]:
+        return [
+            Route("GET", "/healthz", Role.ANYONE, self._healthz),
+            Route("GET", "/readyz", Role.ANYONE, self._readyz),
+            *target_routes(self._announced, self._reported),
+            *service_routes(
+                self.settings, self.control, self._clock, self._services, self.submit
+            ),
+            *self._routes(self),
+        ]
+
+    def _services(self) -> Mapping[str, Service]:
+        return self._core.requests.services
+
+    def _announced(self, body: AnnounceBody) -> None:
+        self._tell(Announced(body))
+
+    def _reported(self, report: ReportBody, raw: bytes) -> list[list[str | int]]:
+        message = Reported(report, raw)
+        return cast(list[list[str | int]], self._ask(message) or [])
+
+    def _healthz(self, _request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, b"live\n", (("Content-Type", "text/plain"),))
+
+    def _readyz(self, _request: HttpRequest) -> HttpResponse:
+        ready = self._live and self._core.is_ready(self._clock.monotonic_ms())
+        status, body = (200, b"ready\n") if ready else (503, b"not ready\n")
+        return HttpResponse(status, body, (("Content-Type", "text/plain"),))
+
+    def _is_idle(self) -> bool:
+        return bool(self._ask(IsIdle()))
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_exchange.py
@@ -0,0 +1,127 @@
+"""One HTTP exchange with a target: a whole answer, or an error."""
+
+import http.client
+from typing import NamedTuple
+
+from foxspring_model import HEADER_REQUEST_ID, Clock
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+_CHUNK_BYTES = 64 * 1024
+_BODILESS = frozenset({204, 304})
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+    }
+)
+
+HeaderPairs = tuple[tuple[str, str], ...]
+
+
+class CutAnswerError(Exception):
+    """Bytes of the request may have left and no whole answer came back."""
+
+
+class ExchangeRequest(NamedTuple):
+    """A request to a target; ``deadline_ms`` is of the clock handed along."""
+
+    method: str
+    path: str
+    headers: HeaderPairs
+    body: bytes
+    deadline_ms: int
+    max_answer_bytes: int
+    request_id: str = ""
+
+
+class ExchangeAnswer(NamedTuple):
+    """A whole answer; ``reusable`` if its connection may serve another one."""
+
+    status: int
+    headers: HeaderPairs
+    body: bytes
+    reusable: bool
+
+
+def end_to_end(headers: HeaderPairs) -> HeaderPairs:
+    """Return the headers that are not about one connection only."""
+    return tuple(pair for pair in headers if pair[0].lower() not in _HOP_BY_HOP)
+
+
+def exchange(
+    connection: HTTPConnection, request: ExchangeRequest, clock: Clock
+) -> ExchangeAnswer:
+    """Send a request and return the whole answer.
+
+    Raises:
+        CutAnswerError: it failed, took too long, was cut short, was too long,
+            or was the answer to another request.
+    """
+    try:
+        _set_timeout(connection, request, clock)
+        connection.request(
+            request.method,
+            request.path,
+            body=request.body or None,
+            headers=dict(request.headers),
+            preload_content=False,
+            decode_content=False,
+            enforce_content_length=True,
+        )
+        response = connection.getresponse()
+        body = _read_whole(connection, response, request, clock)
+    except (OSError, HTTPError, http.client.HTTPException, ValueError) as error:
+        raise CutAnswerError(f"{type(error).__name__}: {error}") from error
+    answered_id = response.headers.get(HEADER_REQUEST_ID)
+    if request.request_id and answered_id not in (None, request.request_id):
+        raise CutAnswerError("the answer carries another request's id")
+    headers = end_to_end(tuple(response.headers.iteritems()))
+    reusable = connection.sock is not None and (
+        not request.request_id or answered_id == request.request_id
+    )
+    return ExchangeAnswer(response.status, headers, body, reusable)
+
+
+def _read_whole(
+    connection: HTTPConnection,
+    response: BaseHTTPResponse,
+    request: ExchangeRequest,
+    clock: Clock,
+) -> bytes:
+    if request.method == "HEAD" or response.status in _BODILESS:
+        response.read()
+        return b""
+    length = response.headers.get("content-length")
+    coding = response.headers.get("transfer-encoding", "").lower()
+    if length is None and coding != "chunked":
+        raise ValueError("the answer has neither a length nor a terminal chunk")
+    chunks: list[bytes] = []
+    size = 0
+    for chunk in response.stream(_CHUNK_BYTES, decode_content=False):
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > request.max_answer_bytes:
+            raise ValueError(f"the answer is longer than {request.max_answer_bytes}")
+        _set_timeout(connection, request, clock)
+    return b"".join(chunks)
+
+
+def _set_timeout(
+    connection: HTTPConnection, request: ExchangeRequest, clock: Clock
+) -> None:
+    remaining_ms = request.deadline_ms - clock.monotonic_ms()
+    if remaining_ms <= 0:
+        raise TimeoutError("the deadline has passed")
+    if connection.sock is not None:
+        connection.sock.settimeout(remaining_ms / 1_000)
--- a/packages/foxspring-entry/foxspring_entry/_http.py
+++ b/packages/foxspring-entry/foxspring_entry/_http.py
@@ -17,7 +17,9 @@
 class HttpRequest(NamedTuple):
     """One request after its limits were checked and its token accepted.
 
-    ``path`` is without the query; header names are lower case.
+    ``path`` is without the query, which ``raw_query`` holds as it was sent;
+    header names are lower case. ``peer`` is the name that belongs to the token,
+    for ``ANYONE`` the remote address.
     """
 
     method: str
@@ -27,6 +29,7 @@
     body: bytes
     role: Role
     peer: str
+    raw_query: str = ""
 
 
 class HttpResponse(NamedTuple):
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_lease.py
@@ -0,0 +1,34 @@
+"""The lease under which an entry owns targets and admits requests."""
+
+from typing import NamedTuple
+
+from foxspring_model import EntryLeaseGrant
+
+
+class EntryLease(NamedTuple):
+    """The lease as its holder counts it, on its own clock.
+
+    ``until_ms`` is the first instant at which the lease is no longer held.
+    """
+
+    until_ms: int = 0
+    leader_id: str = ""
+    leader_address: str = ""
+    term: int = 0
+
+    def is_valid(self, now_ms: int) -> bool:
+        """Tell whether the entry may admit work at ``now_ms``."""
+        return now_ms < self.until_ms
+
+
+def renew(
+    lease: EntryLease, grant: EntryLeaseGrant, sender: str, now_ms: int
+) -> EntryLease:
+    """Return the lease after ``grant``, counted from when its heartbeat left.
+
+    A grant of an older term or one that would shorten the lease changes nothing.
+    """
+    if grant.term < lease.term or grant.heartbeat_sent_ms > now_ms:
+        return lease
+    until_ms = max(lease.until_ms, grant.heartbeat_sent_ms + grant.lease_ms)
+    return EntryLease(until_ms, grant.leader_id, sender, grant.term)
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_origin.py
@@ -0,0 +1,200 @@
+"""Requests at the entry that the callers reached."""
+
+import random
+from typing import NamedTuple
+
+from foxspring_model import (
+    Answered,
+    EntryInfo,
+    Outcome,
+    RefusalReason,
+    Refused,
+    RelayAnswer,
+    RelayRequest,
+    Uncertain,
+    Verdict,
+)
+
+from foxspring_entry._effects import Effects, ReplyToCaller, SendMessage
+from foxspring_entry._loads import Candidate, LoadBook, choose_owner
+from foxspring_entry._ownership import OwnershipTable
+from foxspring_entry._retries import RetryBudget, costs_budget, may_retry
+
+ANSWER_GRACE_MS = 30
+_NO_TARGET_RETRY_AFTER_MS = 1_000
+
+
+class Pending(NamedTuple):
+    """A request whose caller waits; the current attempt went to ``owner``."""
+
+    relay: RelayRequest
+    deadline_ms: int
+    owner: EntryInfo | None = None
+    tried: tuple[str, ...] = ()
+
+
+class Origin:
+    """Chooses owners for callers' requests and decides on further attempts."""
+
+    def __init__(
+        self,
+        own_id: str,
+        own_address: str,
+        failure_domain: str,
+        table: OwnershipTable,
+        loads: LoadBook,
+        budget: RetryBudget,
+        max_attempts: int,
+        rng: random.Random,
+    ) -> None:
+        self.own_id = own_id
+        self.own_address = own_address
+        self.failure_domain = failure_domain
+        self.table = table
+        self.loads = loads
+        self.budget = budget
+        self.max_attempts = max_attempts
+        self.rng = rng
+        self.pending: dict[str, Pending] = {}
+        self.late_answers = 0
+        self.retries = 0
+
+    def submit(self, relay: RelayRequest, now_ms: int) -> Effects:
+        """Start the first attempt of a caller's request."""
+        self.budget.note_request()
+        pending = Pending(relay, now_ms + relay.remaining_ms)
+        return self._attempt(pending, now_ms)
+
+    def refuse(self, relay: RelayRequest, answer: RelayAnswer) -> Effects:
+        """Refuse a caller's request before any attempt."""
+        return [ReplyToCaller(relay.request_id, outcome_of(answer))]
+
+    def answered(self, answer: RelayAnswer, now_ms: int) -> Effects:
+        """Take an owner's outcome: try again or give it to the caller."""
+        pending = self.pending.get(answer.request_id)
+        if pending is None or pending.relay.attempt != answer.attempt:
+            self.late_answers += 1
+            return []
+        if self._may_retry(pending, answer, now_ms):
+            self.retries += 1
+            return self._again(pending, answer, now_ms)
+        return [self._finish(pending, outcome_of(answer), answer.target_id)]
+
+    def not_sent(self, relay: RelayRequest, now_ms: int) -> Effects:
+        """Take note that an attempt did not leave for its owner."""
+        return self.answered(
+            RelayAnswer(
+                relay.request_id,
+                relay.attempt,
+                Verdict.NOT_RUN,
+                RefusalReason.LINK_DOWN,
+                "the owner could not be reached",
+            ),
+            now_ms,
+        )
+
+    def entries_changed(self, now_ms: int) -> Effects:
+        """End the attempts at owners that are gone or have started anew."""
+        effects: Effects = []
+        for pending in list(self.pending.values()):
+            if pending.owner is None or pending.owner.entry_id == self.own_id:
+                continue
+            current = self.table.entries.get(pending.owner.entry_id)
+            if current and current.incarnation == pending.owner.incarnation:
+                continue
+            effects.extend(self._lost(pending, now_ms))
+        return effects
+
+    def tick(self, now_ms: int) -> Effects:
+        """Answer requests whose owner has not answered in time."""
+        return [
+            self._finish(pending, Uncertain("no answer within the deadline"))
+            for pending in list(self.pending.values())
+            if pending.deadline_ms + ANSWER_GRACE_MS <= now_ms
+        ]
+
+    def _lost(self, pending: Pending, now_ms: int) -> Effects:
+        relay = pending.relay
+        answer = RelayAnswer(
+            relay.request_id,
+            relay.attempt,
+            Verdict.MAY_HAVE_RUN,
+            detail="the owner of the target went away",
+        )
+        return self.answered(answer, now_ms)
+
+    def _may_retry(self, pending: Pending, answer: RelayAnswer, now_ms: int) -> bool:
+        relay = pending.relay
+        left = self.max_attempts - relay.attempt
+        remaining = pending.deadline_ms - now_ms
+        if not may_retry(answer, relay.idempotent, remaining, left):
+            return False
+        if not self._candidates(pending, answer, now_ms):
+            return False
+        return not costs_budget(answer) or self.budget.spend()
+
+    def _again(self, pending: Pending, answer: RelayAnswer, now_ms: int) -> Effects:
+        relay = pending.relay
+        avoid = relay.avoid + ((answer.target_id,) if answer.target_id else ())
+        tried = pending.tried
+        if pending.owner is not None and not answer.target_id:
+            tried = (*tried, pending.owner.entry_id)
+        relay = relay._replace(attempt=relay.attempt + 1, avoid=avoid)
+        return self._attempt(pending._replace(relay=relay, tried=tried), now_ms)
+
+    def _attempt(self, pending: Pending, now_ms: int) -> Effects:
+        candidates = self._candidates(pending, None, now_ms)
+        if not candidates:
+            self.pending[pending.relay.request_id] = pending
+            refusal = Refused(
+                RefusalReason.NO_TARGET,
+                f"no target runs service {pending.relay.service!r}",
+                _NO_TARGET_RETRY_AFTER_MS,
+            )
+            return [self._finish(pending, refusal)]
+        chosen = choose_owner(candidates, self.rng)
+        owner = self.table.entries[chosen.entry_id]
+        remaining_ms = pending.deadline_ms - now_ms
+        relay = pending.relay._replace(remaining_ms=remaining_ms)
+        self.pending[relay.request_id] = pending._replace(relay=relay, owner=owner)
+        self.loads.note_send(owner.entry_id, relay.service)
+        address = self.own_address
+        if owner.entry_id != self.own_id:
+            address = owner.link_address
+        return [SendMessage(address, relay)]
+
+    def _candidates(
+        self, pending: Pending, answer: RelayAnswer | None, now_ms: int
+    ) -> list[Candidate]:
+        excluded = set(pending.tried)
+        if answer is not None and pending.owner is not None and not answer.target_id:
+            excluded.add(pending.owner.entry_id)
+        service = pending.relay.service
+        return [
+            self._candidate(entry_id, count, service, now_ms)
+            for entry_id, count in self.table.owners_of(service).items()
+            if entry_id not in excluded
+        ]
+
+    def _candidate(
+        self, entry_id: str, count: int, service: str, now_ms: int
+    ) -> Candidate:
+        figure = self.loads.figure(entry_id, service, now_ms)
+        domain = self.table.entries[entry_id].failure_domain
+        return Candidate(entry_id, count, figure, domain == self.failure_domain)
+
+    def _finish(
+        self, pending: Pending, outcome: Outcome, target_id: str = ""
+    ) -> ReplyToCaller:
+        self.pending.pop(pending.relay.request_id, None)
+        return ReplyToCaller(pending.relay.request_id, outcome, target_id)
+
+
+def outcome_of(answer: RelayAnswer) -> Outcome:
+    """Return the outcome that an owner's answer carries."""
+    if answer.verdict == Verdict.RAN:
+        return Answered(answer.status, answer.headers, answer.body)
+    if answer.verdict == Verdict.NOT_RUN:
+        reason = RefusalReason(answer.reason)
+        return Refused(reason, answer.detail, answer.retry_after_ms)
+    return Uncertain(answer.detail)
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_outbox.py
@@ -0,0 +1,46 @@
+"""Task events on their way to the replicated log."""
+
+from foxspring_model import TaskEvent, TaskEvents
+
+RESEND_MS = 400
+MAX_BATCH_EVENTS = 256
+
+
+class EventOutbox:
+    """Sends one batch at a time, again until it is acknowledged, in order."""
+
+    def __init__(self, entry_id: str, incarnation: int) -> None:
+        self.entry_id = entry_id
+        self.incarnation = incarnation
+        self.waiting: list[TaskEvent] = []
+        self.batch: TaskEvents | None = None
+        self._sent_ms = 0
+        self._batches = 0
+
+    def add(self, events: list[TaskEvent]) -> None:
+        """Append events."""
+        self.waiting.extend(events)
+
+    def due(self, now_ms: int) -> TaskEvents | None:
+        """Return the batch to send now, ``None`` if there is none."""
+        if self.batch is None and self.waiting:
+            self._batches += 1
+            batch_id = f"{self.entry_id}/{self.incarnation}/{self._batches}"
+            events = tuple(self.waiting[:MAX_BATCH_EVENTS])
+            del self.waiting[:MAX_BATCH_EVENTS]
+            self.batch = TaskEvents(batch_id, self.entry_id, events)
+        elif self.batch is None or now_ms - self._sent_ms < RESEND_MS:
+            return None
+        self._sent_ms = now_ms
+        return self.batch
+
+    def acknowledge(self, batch_id: str) -> tuple[TaskEvent, ...]:
+        """Return the events of a batch that is committed; empty if unknown."""
+        if self.batch is None or self.batch.batch_id != batch_id:
+            return ()
+        events, self.batch = self.batch.events, None
+        return events
+
+    def is_empty(self) -> bool:
+        """Tell whether every event is committed."""
+        return self.batch is None and not self.waiting
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_owner_requests.py
@@ -0,0 +1,305 @@
+"""Requests at the owner of the targets that run them."""
+
+import random
+from typing import NamedTuple
+
+from foxspring_model import (
+    CHECKS,
+    Answered,
+    Configuration,
+    Invariant,
+    Outcome,
+    RefusalReason,
+    Refused,
+    RelayAnswer,
+    RelayRequest,
+    Service,
+    Uncertain,
+    Verdict,
+)
+
+from foxspring_entry._effects import AbortRequest, Effects, SendMessage, SendRequest
+from foxspring_entry._health import may_eject
+from foxspring_entry._ledger import HoldKind
+from foxspring_entry._queue import FairQueue, Waiting, expected_wait_ms
+from foxspring_entry._target import ManagedTarget, choose_target
+
+SHORTEST_RETRY_AFTER_MS = 50
+LONGEST_RETRY_AFTER_MS = 5_000
+
+
+class Running(NamedTuple):
+    """A request that was sent to a target; ``answered`` once given up."""
+
+    item: Waiting
+    target: ManagedTarget
+    sent_ms: int
+    answered: bool = False
+
+
+class TargetOutcome(NamedTuple):
+    """What became of a request at a target; ``latency_us`` until its end."""
+
+    outcome: Outcome
+    latency_us: int = 0
+
+
+class OwnerRequests:
+    """Admits, queues, sends and answers the requests of owned targets."""
+
+    def __init__(self, silence_ms: int, rng: random.Random) -> None:
+        self.silence_ms = silence_ms
+        self.rng = rng
+        self.configuration = Configuration()
+        self.services: dict[str, Service] = {}
+        self.targets: dict[str, ManagedTarget] = {}
+        self.queues: dict[str, FairQueue] = {}
+        self.running: dict[str, Running] = {}
+        self.late_answers = 0
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the services of a new configuration."""
+        self.configuration = configuration
+        self.services = {service.name: service for service in configuration.services}
+
+    def request(self, relay: RelayRequest, reply_to: str, now_ms: int) -> Effects:
+        """Send a request to a target at once, queue it, or refuse it."""
+        item = Waiting(relay, reply_to, now_ms, now_ms + relay.remaining_ms)
+        service = self.services.get(relay.service)
+        if service is None:
+            detail = f"no service {relay.service!r} is configured"
+            return [_refuse(item, RefusalReason.UNKNOWN_SERVICE, detail)]
+        if relay.request_id in self.running:
+            return [_refuse(item, RefusalReason.NO_ROOM, "an attempt still runs here")]
+        queue = self.queues.setdefault(relay.service, FairQueue())
+        if queue.waiting == 0:
+            sent = self._dispatch(item, service, now_ms)
+            if sent is not None:
+                return [sent]
+        return self._enqueue(item, service, queue, now_ms)
+
+    def done(self, hold_id: str, result: TargetOutcome, now_ms: int) -> Effects:
+        """Take a target's answer, or that there is none."""
+        running = self.running.pop(hold_id, None)
+        if running is None:
+            return []
+        effects: Effects = []
+        self._settle(hold_id, running, result, now_ms)
+        if running.answered:
+            self.late_answers += 1
+        else:
+            target_id = running.target.target_id
+            effects.append(answer(running.item, result.outcome, target_id))
+        return effects
+
+    def tick(self, now_ms: int) -> Effects:
+        """Answer what has run out of time and fill freed room."""
+        effects = self.expire(now_ms)
+        for service in self.queues:
+            effects.extend(self.pump(service, now_ms))
+        effects.extend(self._refuse_without_targets())
+        return effects
+
+    def expire(self, now_ms: int) -> Effects:
+        """Answer what has run out of time."""
+        effects: Effects = []
+        for hold_id, running in list(self.running.items()):
+            if not running.answered and running.item.deadline_ms <= now_ms:
+                effects.extend(self._give_up(hold_id, running, now_ms))
+        detail = "no target had room in time"
+        for queue in self.queues.values():
+            for item in queue.expire(now_ms):
+                effects.append(_refuse(item, RefusalReason.DEADLINE, detail))
+        return effects
+
+    def pump(self, name: str, now_ms: int) -> Effects:
+        """Send queued requests of a service while there is room."""
+        queue, service = self.queues.get(name), self.services.get(name)
+        effects: Effects = []
+        while queue is not None and queue.waiting:
+            item = queue.pop()
+            if item is None:
+                break
+            if service is None:
+                detail = f"service {name!r} was removed"
+                effects.append(_refuse(item, RefusalReason.UNKNOWN_SERVICE, detail))
+                continue
+            sent = self._dispatch(item, service, now_ms)
+            if sent is None:
+                queue.push_back(item)
+                break
+            effects.append(sent)
+        return effects
+
+    def refuse_queued(self, reason: RefusalReason, detail: str) -> Effects:
+        """Refuse everything that waits, because nothing more may be sent."""
+        return [
+            _refuse(item, reason, detail)
+            for queue in self.queues.values()
+            for item in queue.drain()
+        ]
+
+    def free_and_queued(self, name: str, now_ms: int) -> tuple[int, int, int]:
+        """Return free room, queued requests and latency in microseconds."""
+        service = self.services.get(name)
+        queue = self.queues.get(name)
+        if service is None:
+            return 0, 0, 0
+        open_targets = self._open_targets(name, now_ms)
+        free = sum(
+            target.free_requests(name, service.per_request) for target in open_targets
+        )
+        latencies = [target.latency_us(name) for target in open_targets]
+        mean = sum(latencies) // len(latencies) if latencies else 0
+        return free, queue.waiting if queue else 0, mean
+
+    def _open_targets(self, name: str, now_ms: int) -> list[ManagedTarget]:
+        return [
+            target
+            for target in self.targets.values()
+            if name in target.owned.services
+            and not target.health.is_ejected(now_ms)
+            and not target.takes_new(self.silence_ms, now_ms)
+        ]
+
+    def _refuse_without_targets(self) -> Effects:
+        owned = {
+            service
+            for target in self.targets.values()
+            for service in target.owned.services
+        }
+        detail = "this entry no longer owns a target of the service"
+        return [
+            _refuse(item, RefusalReason.NO_TARGET, detail)
+            for service, queue in self.queues.items()
+            if service not in owned
+            for item in queue.drain()
+        ]
+
+    def _expects_target(self, name: str) -> bool:
+        return any(
+            name in target.owned.services and target.takeover is not None
+            for target in self.targets.values()
+        )
+
+    def _dispatch(
+        self, item: Waiting, service: Service, now_ms: int
+    ) -> SendRequest | None:
+        relay = item.relay
+        roomy = [
+            target
+            for target in self._open_targets(service.name, now_ms)
+            if target.has_room(service.name, service.per_request, now_ms)
+            and relay.request_id not in target.ledger.holds
+        ]
+        target = choose_target(
+            roomy, service.name, service.per_request, relay.avoid, self.rng
+        )
+        if target is None or not self._admit(item, service, target):
+            return None
+        self.running[relay.request_id] = Running(item, target, now_ms)
+        address = target.owned.info.address
+        return SendRequest(
+            relay.request_id, target.target_id, address, relay, item.deadline_ms
+        )
+
+    def _admit(self, item: Waiting, service: Service, target: ManagedTarget) -> bool:
+        leaving = target.owned.info.leaving
+        if not CHECKS.check(
+            Invariant.LEAVING_GETS_NOTHING, not leaving, f"target={target.target_id}"
+        ):
+            return False
+        admitted = target.ledger.admit(
+            item.relay.request_id, HoldKind.REQUEST, service.per_request
+        )
+        if admitted:
+            target.note_sent(service.name)
+        return admitted
+
+    def _enqueue(
+        self, item: Waiting, service: Service, queue: FairQueue, now_ms: int
+    ) -> Effects:
+        open_targets = self._open_targets(service.name, now_ms)
+        if not open_targets and not self._expects_target(service.name):
+            detail = "this entry owns no ready target of the service"
+            return [_refuse(item, RefusalReason.NO_TARGET, detail, 500)]
+        wait_ms = self._expected_wait_ms(service, queue, open_targets)
+        if wait_ms > item.relay.remaining_ms:
+            detail = f"expected wait of {wait_ms} ms is past the deadline"
+            return [_refuse(item, RefusalReason.OVERLOADED, detail, wait_ms)]
+        displaced = queue.push(item, service.queue_limit)
+        if displaced is None:
+            return []
+        detail = "the queue is full and this caller holds its share of it"
+        return [_refuse(displaced, RefusalReason.OVERLOADED, detail, wait_ms)]
+
+    def _expected_wait_ms(
+        self, service: Service, queue: FairQueue, targets: list[ManagedTarget]
+    ) -> int:
+        in_flight = sum(target.in_flight.get(service.name, 0) for target in targets)
+        free = sum(
+            target.free_requests(service.name, service.per_request)
+            for target in targets
+        )
+        latencies = [target.latency_us(service.name) for target in targets]
+        mean_us = sum(latencies) // max(1, len(latencies))
+        return expected_wait_ms(queue.waiting, in_flight, in_flight + free, mean_us)
+
+    def _settle(
+        self, hold_id: str, running: Running, result: TargetOutcome, now_ms: int
+    ) -> None:
+        target, service = running.target, running.item.relay.service
+        before = target.note_done(service) if not running.answered else 0
+        if isinstance(result.outcome, Uncertain):
+            target.ledger.give_up(hold_id, now_ms)
+        else:
+            target.ledger.release(hold_id)
+        if isinstance(result.outcome, Answered):
+            target.note_answer(service, result.latency_us, before)
+        elif not running.answered:
+            target.note_failure(now_ms, self._may_eject(service, now_ms))
+
+    def _give_up(self, hold_id: str, running: Running, now_ms: int) -> Effects:
+        target, service = running.target, running.item.relay.service
+        self.running[hold_id] = running._replace(answered=True)
+        target.note_done(service)
+        target.ledger.give_up(hold_id, now_ms)
+        target.note_failure(now_ms, self._may_eject(service, now_ms))
+        outcome = Uncertain("the target did not answer within the deadline")
+        return [
+            answer(running.item, outcome, target.target_id),
+            AbortRequest(hold_id),
+        ]
+
+    def _may_eject(self, service: str, now_ms: int) -> bool:
+        targets = [t for t in self.targets.values() if service in t.owned.services]
+        ejected = sum(1 for target in targets if target.health.is_ejected(now_ms))
+        return may_eject(ejected, len(targets))
+
+
+def answer(item: Waiting, outcome: Outcome, target_id: str = "") -> SendMessage:
+    """Return the message that carries an outcome back to the origin."""
+    relay = item.relay
+    message = RelayAnswer(relay.request_id, relay.attempt, outcome.verdict)
+    if isinstance(outcome, Answered):
+        message = message._replace(
+            status=outcome.status, headers=outcome.headers, body=outcome.body
+        )
+    elif isinstance(outcome, Refused):
+        message = message._replace(
+            reason=outcome.reason,
+            detail=outcome.detail,
+            retry_after_ms=outcome.retry_after_ms,
+        )
+    else:
+        message = message._replace(detail=outcome.detail)
+    return SendMessage(item.reply_to, message._replace(target_id=target_id))
+
+
+def _refuse(
+    item: Waiting, reason: RefusalReason, detail: str, retry_after_ms: int = 0
+) -> SendMessage:
+    after_ms = min(LONGEST_RETRY_AFTER_MS, max(SHORTEST_RETRY_AFTER_MS, retry_after_ms))
+    outcome = Refused(reason, detail, after_ms)
+    CHECKS.check(Invariant.NOT_RUN_IS_TRUE, outcome.verdict is Verdict.NOT_RUN)
+    return answer(item, outcome)
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -0,0 +1,271 @@
+"""Owned targets: takeover, reports, leases and task calls."""
+
+from typing import NamedTuple
+
+import msgspec
+from foxspring_model import (
+    OwnedTarget,
+    RenewAnswerBody,
+    RenewBody,
+    ReportBody,
+    Resources,
+    RunTask,
+    StopTask,
+    TaskEvent,
+    TaskStatusBody,
+    ThrottleTask,
+)
+
+from foxspring_entry._effects import CallTarget, CloseConnections, Effects
+from foxspring_entry._ledger import HoldKind
+from foxspring_entry._settings import EntrySettings
+from foxspring_entry._target import CONTROL_CONNECTIONS, ManagedTarget, Takeover
+from foxspring_entry._task_state import OwnedTask, TaskCall, TaskCallKind
+
+SETTLE_MS = 300
+_RENEW_PATH = "/v1/leases"
+_UNKNOWN_REQUEST = Resources(slots=1, connections=1)
+
+
+class CallAnswer(NamedTuple):
+    """What became of a call; ``status`` is ``None`` without a whole answer."""
+
+    status: int | None
+    body: bytes = b""
+    sent: bool = True
+
+
+class _Renewal(NamedTuple):
+    target: ManagedTarget
+    tasks: list[OwnedTask]
+    asked_ms: int
+
+
+class _TaskCallInFlight(NamedTuple):
+    target: ManagedTarget
+    call: TaskCall
+
+
+class OwnerTargets:
+    """The targets that this entry owns, and its calls to them."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.targets: dict[str, ManagedTarget] = {}
+        self._calls: dict[int, _Renewal | _TaskCallInFlight] = {}
+        self._next_call_id = 0
+
+    def assign(self, owned: OwnedTarget, now_ms: int) -> None:
+        """Begin or go on to own a target as the table now says."""
+        target = self.targets.get(owned.info.target_id)
+        if target is None or target.owned.owner_epoch != owned.owner_epoch:
+            self.targets[owned.info.target_id] = self._new(owned, now_ms)
+            return
+        if target.owned.info.incarnation != owned.info.incarnation:
+            self._replace(target, owned, now_ms)
+            return
+        target.owned = owned
+        target.ledger.capacity = owned.info.capacity
+
+    def give_away(self, target_id: str) -> Effects:
+        """Stop owning a target; what is in flight there finishes."""
+        target = self.targets.pop(target_id, None)
+        if target is None:
+            return []
+        return [CloseConnections(target.owned.info.address)]
+
+    def lease_lost(self, now_ms: int) -> Effects:
+        """Forget what is known of the targets, because another may own them."""
+        effects: Effects = []
+        for target in self.targets.values():
+            target.takeover = Takeover(now_ms)
+            effects.append(CloseConnections(target.owned.info.address))
+        return effects
+
+    def run(self, run: RunTask, now_ms: int) -> bool:
+        """Take on a placed task; false if this entry does not own its target."""
+        target = self._owned(run.target_id)
+        if target is None or run.owner_epoch != target.owned.owner_epoch:
+            return False
+        if target.takeover is not None and run.task_id not in target.tasks.tasks:
+            return False
+        refusal = target.takes_new(self.settings.target_silence_ms, now_ms)
+        target.tasks.offer(run, refusal, now_ms)
+        return True
+
+    def stop(self, stop: StopTask, now_ms: int) -> None:
+        """Begin to stop a task."""
+        target = self._owned(stop.target_id)
+        if target is not None:
+            target.tasks.stop(stop, target.takeover is None, now_ms)
+
+    def throttle(self, throttle: ThrottleTask) -> None:
+        """Set a task's processor share."""
+        target = self._owned(throttle.target_id)
+        if target is not None:
+            target.tasks.throttle(throttle)
+
+    def report(
+        self, report: ReportBody, now_ms: int
+    ) -> tuple[bool, list[list[str | int]]]:
+        """Take a report; return whether it is new, and the tasks it may forget."""
+        target = self._owned(report["target_id"])
+        if target is None or report["incarnation"] != target.owned.info.incarnation:
+            return False, []
+        acked = target.tasks.acknowledged(report["tasks"])
+        if report["sequence"] <= target.last_sequence:
+            return False, acked
+        target.last_sequence = report["sequence"]
+        target.heard_ms = now_ms
+        target.clock = target.clock.newer(report["target_ms"], now_ms)
+        self._settle_takeover(target, report, now_ms)
+        target.ledger.note_running(report["target_ms"], frozenset(report["requests"]))
+        target.tasks.on_report(report["tasks"], report["target_ms"], now_ms)
+        newer = report["measured_ms"] > target.last_measured_ms
+        target.last_measured_ms = max(target.last_measured_ms, report["measured_ms"])
+        return newer, target.tasks.acknowledged(report["tasks"])
+
+    def call_done(self, call_id: int, answer: CallAnswer, now_ms: int) -> None:
+        """Take the answer to a call made before."""
+        made = self._calls.pop(call_id, None)
+        if isinstance(made, _Renewal):
+            self._renewal_done(made, answer, now_ms)
+        elif made is not None:
+            self._task_call_done(made, answer, now_ms)
+
+    def tick(self, lease_valid: bool, now_ms: int) -> Effects:
+        """Renew leases, make due task calls and end what has expired."""
+        effects: Effects = []
+        for target in self.targets.values():
+            target.tasks.expire(now_ms)
+            if not lease_valid:
+                continue
+            effects.extend(self._renew(target, now_ms))
+            effects.extend(self._task_calls(target, now_ms))
+        return effects
+
+    def take_events(self) -> list[TaskEvent]:
+        """Return the task events since the last call."""
+        return [
+            event
+            for target in self.targets.values()
+            for event in target.tasks.take_events()
+        ]
+
+    def commit(self, events: tuple[TaskEvent, ...]) -> None:
+        """Note that the replicated log has these events."""
+        for event in events:
+            target = self.targets.get(event.target_id)
+            if target is not None:
+                target.tasks.commit(event)
+
+    def _new(self, owned: OwnedTarget, now_ms: int) -> ManagedTarget:
+        return ManagedTarget(owned, self.settings.task_lease_ms, now_ms)
+
+    def _replace(self, old: ManagedTarget, owned: OwnedTarget, now_ms: int) -> None:
+        old.tasks.end_all("target's process started anew", now_ms)
+        target = self._new(owned, now_ms)
+        target.tasks.ended = old.tasks.ended
+        target.tasks.events = old.tasks.events
+        self.targets[owned.info.target_id] = target
+
+    def _owned(self, target_id: str) -> ManagedTarget | None:
+        return self.targets.get(target_id)
+
+    def _settle_takeover(
+        self, target: ManagedTarget, report: ReportBody, now_ms: int
+    ) -> None:
+        takeover = target.takeover
+        if takeover is None or takeover.fence_ms is None:
+            return
+        if report["target_ms"] < takeover.fence_ms:
+            return
+        for request_id in report["requests"]:
+            if request_id not in target.ledger.holds:
+                target.ledger.inherit(request_id, HoldKind.REQUEST, _UNKNOWN_REQUEST)
+                target.ledger.give_up(request_id, now_ms)
+        target.takeover = None
+
+    def _renew(self, target: ManagedTarget, now_ms: int) -> Effects:
+        unsure = target.takeover is not None or bool(target.ledger.given_up())
+        every_ms = SETTLE_MS if unsure else self.settings.renew_interval_ms
+        if target.renewing or now_ms - target.renewed_ms < every_ms:
+            return []
+        if target.takeover and now_ms - target.takeover.since_ms < SETTLE_MS:
+            return []
+        tasks = target.tasks.renewals(now_ms)
+        end_ms = target.clock.lease_end_ms(self.settings.task_lease_ms)
+        target.tasks.note_renewal_sent(tasks, end_ms)
+        target.renewing, target.renewed_ms = True, now_ms
+        body = RenewBody(
+            lease_until_ms=target.clock.reading_ms + self.settings.task_lease_ms,
+            tasks=[[task.task_id, task.epoch] for task in tasks],
+        )
+        made = _Renewal(target, tasks, now_ms)
+        timeout_ms = self.settings.task_call_timeout_ms
+        return [self._call(made, _RENEW_PATH, msgspec.json.encode(body), timeout_ms)]
+
+    def _task_calls(self, target: ManagedTarget, now_ms: int) -> Effects:
+        if target.takeover is not None:
+            return []
+        room = CONTROL_CONNECTIONS - 1 - target.task_calls
+        calls = target.tasks.next_calls(target.clock, room, now_ms)
+        target.task_calls += len(calls)
+        return [self._task_call(target, call) for call in calls]
+
+    def _task_call(self, target: ManagedTarget, call: TaskCall) -> CallTarget:
+        timeout_ms = self.settings.task_call_timeout_ms
+        if call.kind is TaskCallKind.STOP:
+            timeout_ms = self.settings.stop_timeout_ms
+        made = _TaskCallInFlight(target, call)
+        return self._call(made, call.kind, call.body, timeout_ms)
+
+    def _call(
+        self,
+        made: _Renewal | _TaskCallInFlight,
+        path: str,
+        body: bytes,
+        timeout_ms: int,
+    ) -> CallTarget:
+        self._next_call_id += 1
+        self._calls[self._next_call_id] = made
+        info = made.target.owned.info
+        return CallTarget(
+            self._next_call_id, info.target_id, info.address, path, body, timeout_ms
+        )
+
+    def _renewal_done(self, made: _Renewal, answer: CallAnswer, now_ms: int) -> None:
+        target = made.target
+        target.renewing = False
+        if answer.status != 200:
+            return
+        try:
+            renewed = msgspec.json.decode(answer.body, type=RenewAnswerBody)
+        except msgspec.MsgspecError:
+            return
+        reading_ms = renewed["target_ms"]
+        target.clock = target.clock.newer(reading_ms, now_ms)
+        target.heard_ms = now_ms
+        target.ledger.note_reading(made.asked_ms, reading_ms, SETTLE_MS)
+        target.fence_takeover(made.asked_ms, reading_ms, SETTLE_MS)
+        for task_id, epoch in renewed["unknown"]:
+            target.tasks.note_unknown(str(task_id), int(epoch), reading_ms)
+
+    def _task_call_done(
+        self, made: _TaskCallInFlight, answer: CallAnswer, now_ms: int
+    ) -> None:
+        made.target.task_calls -= 1
+        tasks, call = made.target.tasks, made.call
+        if call.kind is TaskCallKind.START:
+            tasks.on_start(call, answer.status, answer.sent, now_ms)
+        elif call.kind is TaskCallKind.STOP:
+            tasks.on_stop(call, _status_of(answer), now_ms)
+
+
+def _status_of(answer: CallAnswer) -> TaskStatusBody | None:
+    if answer.status != 200:
+        return None
+    try:
+        return msgspec.json.decode(answer.body, type=TaskStatusBody)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_ownership.py
@@ -0,0 +1,76 @@
+"""The table of entries and targets as control last told it."""
+
+from typing import NamedTuple
+
+from foxspring_model import EntryInfo, OwnedTarget, OwnershipUpdate
+
+
+class OwnershipChange(NamedTuple):
+    """What one update changed: targets in their new form, and those removed."""
+
+    changed: tuple[OwnedTarget, ...] = ()
+    removed: tuple[OwnedTarget, ...] = ()
+    entries_changed: bool = False
+
+
+class OwnershipTable:
+    """Which entry owns which target; an aggregate with one rule: versions grow."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.entries: dict[str, EntryInfo] = {}
+        self.targets: dict[str, OwnedTarget] = {}
+        self._owners: dict[str, dict[str, int]] = {}
+
+    def apply(self, update: OwnershipUpdate) -> OwnershipChange:
+        """Apply an update; one that is old or leaves a gap changes nothing."""
+        if update.version < self.version:
+            return OwnershipChange()
+        if not update.full and update.from_version != self.version:
+            return OwnershipChange()
+        entries = {entry.entry_id: entry for entry in update.entries}
+        entries_changed = entries != self.entries
+        self.entries = entries
+        changed = self._store(update.targets)
+        removed = self._remove(update)
+        self.version = update.version
+        self._index()
+        return OwnershipChange(changed, removed, entries_changed)
+
+    def owner_of(self, target_id: str) -> EntryInfo | None:
+        """Return the entry that owns a target, ``None`` if none is known."""
+        target = self.targets.get(target_id)
+        return self.entries.get(target.owner) if target else None
+
+    def owners_of(self, service: str) -> dict[str, int]:
+        """Return how many targets of ``service`` each owning entry has."""
+        return self._owners.get(service, {})
+
+    def _store(self, targets: tuple[OwnedTarget, ...]) -> tuple[OwnedTarget, ...]:
+        changed = tuple(
+            target
+            for target in targets
+            if self.targets.get(target.info.target_id) != target
+        )
+        for target in changed:
+            self.targets[target.info.target_id] = target
+        return changed
+
+    def _remove(self, update: OwnershipUpdate) -> tuple[OwnedTarget, ...]:
+        gone = set(update.removed)
+        if update.full:
+            gone |= set(self.targets) - {t.info.target_id for t in update.targets}
+        return tuple(
+            self.targets.pop(target_id)
+            for target_id in sorted(gone)
+            if target_id in self.targets
+        )
+
+    def _index(self) -> None:
+        self._owners = {}
+        for target in self.targets.values():
+            if target.owner not in self.entries or target.info.leaving:
+                continue
+            for service in target.services:
+                counts = self._owners.setdefault(service, {})
+                counts[target.owner] = counts.get(target.owner, 0) + 1
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_relay_headers.py
@@ -0,0 +1,30 @@
+"""Which of a caller's headers go along to the target."""
+
+_NOT_FORWARDED = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "cookie2",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_OWN_PREFIX = "foxspring-"
+
+
+def forwarded(headers: dict[str, str]) -> tuple[tuple[str, str], ...]:
+    """Return the end-to-end headers of a caller, without its token."""
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name not in _NOT_FORWARDED and not name.startswith(_OWN_PREFIX)
+    )
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_reports.py
@@ -0,0 +1,117 @@
+"""Bodies that targets send, checked, and as the model's values."""
+
+from typing import Any, TypeVar
+
+import msgspec
+from foxspring_model import (
+    AnnounceBody,
+    ReportBody,
+    Resources,
+    ResourcesBody,
+    TargetInfo,
+    UsageSample,
+)
+
+MAX_NAME_CHARS = 128
+_T = TypeVar("_T")
+
+
+class MalformedBodyError(ValueError):
+    """A body is not what docs/PLATFORM.md asks for; the message says where."""
+
+
+def decode_announcement(body: bytes) -> AnnounceBody:
+    """Return a checked announcement.
+
+    Raises:
+        MalformedBodyError: it is not JSON, lacks a field or has a bad value.
+    """
+    announcement: AnnounceBody = _decode(body, AnnounceBody)
+    _check_name("target_id", announcement["target_id"])
+    _check_name("failure_domain", announcement["failure_domain"])
+    _check_name("rack", announcement["rack"])
+    host, _, port = announcement["address"].rpartition(":")
+    if not host or not port.isdigit():
+        raise MalformedBodyError("address must be host:port")
+    _check_amounts(announcement["capacity"])
+    _check_count("incarnation", announcement["incarnation"])
+    return announcement
+
+
+def decode_report(body: bytes) -> ReportBody:
+    """Return a checked report.
+
+    Raises:
+        MalformedBodyError: it is not JSON, lacks a field or has a bad value.
+    """
+    report: ReportBody = _decode(body, ReportBody)
+    _check_name("target_id", report["target_id"])
+    for name in ("incarnation", "sequence", "measured_ms", "target_ms"):
+        _check_count(name, report[name])
+    for status in report["tasks"]:
+        if status["state"] not in (
+            "running",
+            "finished",
+            "failed",
+            "stopped",
+            "expired",
+        ):
+            raise MalformedBodyError(f"unknown task state {status['state']!r}")
+    return report
+
+
+def target_info(body: AnnounceBody) -> TargetInfo:
+    """Return what an announcement says as the model's value."""
+    return TargetInfo(
+        target_id=body["target_id"],
+        incarnation=body["incarnation"],
+        address=body["address"],
+        failure_domain=body["failure_domain"],
+        rack=body["rack"],
+        capacity=Resources(**body["capacity"]),
+        leaving=body["leaving"],
+    )
+
+
+def usage_sample(report: ReportBody) -> UsageSample:
+    """Return a report's measurements as the model's value."""
+    return UsageSample(
+        target_id=report["target_id"],
+        incarnation=report["incarnation"],
+        measured_ms=report["measured_ms"],
+        cores_milli=report["cores_milli"],
+        memory_mb=report["memory_mb"],
+        latencies=tuple(
+            (entry["service"], entry["p50_us"], entry["p99_us"], entry["count"])
+            for entry in report["latencies"]
+        ),
+        running=tuple(
+            (status["task_id"], status["epoch"])
+            for status in report["tasks"]
+            if status["state"] == "running"
+        ),
+    )
+
+
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise MalformedBodyError(str(error)) from error
+
+
+def _check_name(field: str, name: str) -> None:
+    if not 0 < len(name) <= MAX_NAME_CHARS or not name.isprintable():
+        raise MalformedBodyError(
+            f"{field} must be 1 to {MAX_NAME_CHARS} printable characters"
+        )
+
+
+def _check_count(field: str, value: int) -> None:
+    if value < 0:
+        raise MalformedBodyError(f"{field} must not be negative")
+
+
+def _check_amounts(amounts: ResourcesBody) -> None:
+    for name, value in amounts.items():
+        _check_count(f"capacity.{name}", int(str(value)))
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_service_routes.py
@@ -0,0 +1,117 @@
+"""Routes for callers: requests to services."""
+
+import uuid
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
+
+from foxspring_model import (
+    HEADER_DEADLINE_MS,
+    HEADER_KEY,
+    Clock,
+    Outcome,
+    RelayRequest,
+    Service,
+)
+
+from foxspring_entry._control_client import ControlClient
+from foxspring_entry._http import HttpRequest, HttpResponse, Role, Route
+from foxspring_entry._keys import MAX_KEY_CHARS, Claimant, KeyedRequest, run_with_key
+from foxspring_entry._relay_headers import forwarded
+from foxspring_entry._reports import MAX_NAME_CHARS
+from foxspring_entry._responses import malformed, response_of
+from foxspring_entry._retries import IDEMPOTENT_METHODS, is_idempotent
+from foxspring_entry._settings import EntrySettings
+
+_PREFIX = "/services/"
+_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+HEADER_IDEMPOTENT = "foxspring-idempotent"
+
+Submit = Callable[[RelayRequest], tuple[Outcome, str]]
+Services = Callable[[], Mapping[str, Service]]
+
+
+class _MalformedError(ValueError):
+    pass
+
+
+class ServicePath(NamedTuple):
+    """A service's name and the rest of the path with its query."""
+
+    service: str
+    rest: str
+
+
+def service_routes(
+    settings: EntrySettings,
+    control: ControlClient,
+    clock: Clock,
+    services: Services,
+    submit: Submit,
+) -> Sequence[Route]:
+    """Return the routes; ``submit`` blocks until the final outcome."""
+    claimant = Claimant(settings.entry_id, settings.incarnation)
+
+    def handle(request: HttpRequest) -> HttpResponse:
+        try:
+            relay = _relay_of(request, settings, services())
+            key = _key_of(request)
+        except _MalformedError as error:
+            return malformed(str(error))
+        if not key or request.method in IDEMPOTENT_METHODS:
+            outcome, target_id = submit(relay)
+            return response_of(outcome, relay.request_id, target_id)
+        deadline_ms = clock.monotonic_ms() + relay.remaining_ms
+        keyed = KeyedRequest(key, relay, deadline_ms)
+        outcome, target_id = run_with_key(keyed, claimant, control, clock, submit)
+        return response_of(outcome, relay.request_id, target_id)
+
+    return [Route(method, _PREFIX, Role.CALLER, handle) for method in _METHODS]
+
+
+def _relay_of(
+    request: HttpRequest, settings: EntrySettings, services: Mapping[str, Service]
+) -> RelayRequest:
+    parts = _split(request)
+    declared = request.headers.get(HEADER_IDEMPOTENT, "").lower() == "true"
+    return RelayRequest(
+        request_id=uuid.uuid4().hex,
+        origin=settings.entry_id,
+        service=parts.service,
+        method=request.method,
+        path=parts.rest,
+        headers=forwarded(request.headers),
+        body=request.body,
+        idempotent=is_idempotent(request.method, declared),
+        caller=request.peer,
+        remaining_ms=_deadline_ms(request, settings, services.get(parts.service)),
+        attempt=1,
+    )
+
+
+def _split(request: HttpRequest) -> ServicePath:
+    name, slash, rest = request.path.removeprefix(_PREFIX).partition("/")
+    if not 0 < len(name) <= MAX_NAME_CHARS:
+        raise _MalformedError(f"a service's name has 1 to {MAX_NAME_CHARS} characters")
+    if not all(c.isalnum() or c in "-_." for c in name):
+        raise _MalformedError("a service's name has letters, digits, '-', '_' and '.'")
+    query = f"?{request.raw_query}" if request.raw_query else ""
+    return ServicePath(name, f"{slash}{rest}{query}")
+
+
+def _deadline_ms(
+    request: HttpRequest, settings: EntrySettings, service: Service | None
+) -> int:
+    usual = service.timeout_ms if service else settings.default_deadline_ms
+    asked = request.headers.get(HEADER_DEADLINE_MS.lower())
+    if asked is None:
+        return min(usual, settings.max_deadline_ms)
+    if not asked.isascii() or not asked.isdigit() or not 0 < len(asked) < 10:
+        raise _MalformedError(f"{HEADER_DEADLINE_MS} must be milliseconds from now")
+    return max(1, min(int(asked), settings.max_deadline_ms))
+
+
+def _key_of(request: HttpRequest) -> str:
+    key = request.headers.get(HEADER_KEY.lower(), "")
+    if len(key) > MAX_KEY_CHARS or not key.isprintable():
+        raise _MalformedError(f"{HEADER_KEY} has at most {MAX_KEY_CHARS} characters")
+    return key
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_status.py
@@ -0,0 +1,76 @@
+"""What an entry tells of itself to operators and metrics."""
+
+from typing import NamedTuple
+
+from foxspring_model import Resources
+
+LATENCY_BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000)
+
+
+class TargetStatus(NamedTuple):
+    """One owned target; ``waits`` says why it takes nothing new, if so."""
+
+    target_id: str
+    owner_epoch: int
+    incarnation: int
+    capacity: Resources
+    held: Resources
+    requests: int
+    given_up: int
+    tasks: int
+    ejected: bool
+    latency_us: tuple[tuple[str, int], ...]
+    waits: str
+
+
+class EntryStatus(NamedTuple):
+    """An entry at one moment.
+
+    ``outcomes`` counts final answers to callers by verdict and reason;
+    ``latency_buckets`` counts them by upper bound in milliseconds, the last
+    one without a bound. ``latency_sum_ms`` is their sum.
+    """
+
+    entry_id: str
+    incarnation: int
+    ready: bool
+    draining: bool
+    lease_valid: bool
+    leader_id: str
+    revision: int
+    ownership_version: int
+    targets: tuple[TargetStatus, ...]
+    in_flight: int
+    queued: int
+    pending: int
+    events_waiting: int
+    retries: int
+    late_answers: int
+    outcomes: tuple[tuple[str, str, int], ...]
+    latency_buckets: tuple[tuple[int, int], ...]
+    latency_sum_ms: int
+
+
+class OutcomeCounters:
+    """Counts of final answers to callers."""
+
+    def __init__(self) -> None:
+        self.by_outcome: dict[tuple[str, str], int] = {}
+        self.buckets = [0] * (len(LATENCY_BUCKETS_MS) + 1)
+        self.sum_ms = 0
+
+    def note(self, verdict: str, reason: str, latency_ms: int) -> None:
+        """Count one answer."""
+        key = (verdict, reason)
+        self.by_outcome[key] = self.by_outcome.get(key, 0) + 1
+        self.sum_ms += latency_ms
+        for number, bound in enumerate(LATENCY_BUCKETS_MS):
+            if latency_ms <= bound:
+                self.buckets[number] += 1
+                return
+        self.buckets[-1] += 1
+
+    def latency_buckets(self) -> tuple[tuple[int, int], ...]:
+        """Return pairs of an upper bound (0: none) and its own count."""
+        bounds = (*LATENCY_BUCKETS_MS, 0)
+        return tuple(zip(bounds, self.buckets, strict=True))
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_status_of.py
@@ -0,0 +1,57 @@
+"""The status of an entry, read from its core."""
+
+from foxspring_entry._core import EntryCore
+from foxspring_entry._ledger import HoldKind
+from foxspring_entry._status import EntryStatus, OutcomeCounters, TargetStatus
+from foxspring_entry._target import ManagedTarget
+
+
+def status_of(core: EntryCore, counters: OutcomeCounters, now_ms: int) -> EntryStatus:
+    """Return what operators and metrics are told at ``now_ms``."""
+    outcomes = tuple(
+        (verdict, reason, count)
+        for (verdict, reason), count in sorted(counters.by_outcome.items())
+    )
+    silence_ms = core.settings.target_silence_ms
+    return EntryStatus(
+        entry_id=core.info.entry_id,
+        incarnation=core.info.incarnation,
+        ready=core.is_ready(now_ms),
+        draining=core.info.draining,
+        lease_valid=core.lease.is_valid(now_ms),
+        leader_id=core.lease.leader_id,
+        revision=core.revision,
+        ownership_version=core.table.version,
+        targets=tuple(
+            _target_status(target, silence_ms, now_ms)
+            for target in core.targets.targets.values()
+        ),
+        in_flight=len(core.requests.running),
+        queued=sum(queue.waiting for queue in core.requests.queues.values()),
+        pending=len(core.origin.pending),
+        events_waiting=len(core.outbox.waiting),
+        retries=core.origin.retries,
+        late_answers=core.origin.late_answers + core.requests.late_answers,
+        outcomes=outcomes,
+        latency_buckets=counters.latency_buckets(),
+        latency_sum_ms=counters.sum_ms,
+    )
+
+
+def _target_status(target: ManagedTarget, silence_ms: int, now_ms: int) -> TargetStatus:
+    return TargetStatus(
+        target_id=target.target_id,
+        owner_epoch=target.owned.owner_epoch,
+        incarnation=target.owned.info.incarnation,
+        capacity=target.ledger.capacity,
+        held=target.ledger.held,
+        requests=target.ledger.count(HoldKind.REQUEST),
+        given_up=len(target.ledger.given_up()),
+        tasks=target.ledger.count(HoldKind.TASK),
+        ejected=target.health.is_ejected(now_ms),
+        latency_us=tuple(
+            (service, int(limit.latency_us))
+            for service, limit in sorted(target.limits.items())
+        ),
+        waits=target.takes_new(silence_ms, now_ms),
+    )
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_target.py
@@ -0,0 +1,149 @@
+"""A target that this entry owns."""
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from foxspring_model import OwnedTarget, Resources
+
+from foxspring_entry._health import Health, after_failure, after_success
+from foxspring_entry._ledger import HoldKind, TargetLedger
+from foxspring_entry._limiter import Limit, after_sample
+from foxspring_entry._task_state import TargetClock
+from foxspring_entry._tasks import TargetTasks
+
+CONTROL_CONNECTIONS = 4
+CONTROL_HOLD = "control"
+
+
+class Takeover(NamedTuple):
+    """What is not known yet of the work that an earlier owner left.
+
+    ``since_ms`` is when ownership began here; ``fence_ms`` is the first reading
+    of the target's clock known to be later.
+    """
+
+    since_ms: int
+    fence_ms: int | None = None
+
+
+class ManagedTarget:
+    """Everything the owner keeps of one target.
+
+    Until ``takeover`` is ``None`` nothing is admitted, because work of an
+    earlier owner may still run.
+    """
+
+    def __init__(self, owned: OwnedTarget, task_lease_ms: int, now_ms: int) -> None:
+        self.owned = owned
+        self.ledger = TargetLedger(owned.info.target_id, owned.info.capacity)
+        self.tasks = TargetTasks(self.ledger, task_lease_ms)
+        self.takeover: Takeover | None = Takeover(now_ms)
+        self.clock = TargetClock()
+        self.health = Health()
+        self.limits: dict[str, Limit] = {}
+        self.in_flight: dict[str, int] = {}
+        self.last_sequence = -1
+        self.last_measured_ms = -1
+        self.heard_ms = now_ms
+        self.renewed_ms = 0
+        self.renewing = False
+        self.task_calls = 0
+        connections = min(CONTROL_CONNECTIONS, owned.info.capacity.connections)
+        self.ledger.admit(
+            CONTROL_HOLD, HoldKind.CONTROL, Resources(connections=connections)
+        )
+
+    @property
+    def target_id(self) -> str:
+        """Return the target's name."""
+        return self.owned.info.target_id
+
+    def fence_takeover(self, asked_ms: int, reading_ms: int, settle_ms: int) -> None:
+        """Note the first reading known to be later than the takeover."""
+        takeover = self.takeover
+        if takeover is None or takeover.fence_ms is not None:
+            return
+        if takeover.since_ms + settle_ms <= asked_ms:
+            self.takeover = takeover._replace(fence_ms=reading_ms)
+
+    def takes_new(self, silence_ms: int, now_ms: int) -> str:
+        """Return why the target takes nothing new, empty if it does."""
+        if self.owned.info.leaving:
+            return "target is leaving"
+        if self.takeover is not None:
+            return "work of the last owner is not known yet"
+        if now_ms - self.heard_ms > silence_ms:
+            return "target is silent"
+        return ""
+
+    def has_room(self, service: str, need: Resources, now_ms: int) -> bool:
+        """Tell whether one more request of ``service`` may be sent."""
+        in_flight = self.in_flight.get(service, 0)
+        if self.health.is_on_probation(now_ms) and in_flight > 0:
+            return False
+        if in_flight >= self.limits.get(service, Limit()).slots:
+            return False
+        return need.fits_in(self.ledger.free)
+
+    def free_requests(self, service: str, need: Resources) -> int:
+        """Return how many more requests of ``service`` fit now."""
+        limit = self.limits.get(service, Limit()).slots
+        free = limit - self.in_flight.get(service, 0)
+        for have, each in zip(self.ledger.free, need, strict=True):
+            if each > 0:
+                free = min(free, have // each)
+        return max(0, free)
+
+    def note_sent(self, service: str) -> None:
+        """Count a request that leaves for the target."""
+        self.in_flight[service] = self.in_flight.get(service, 0) + 1
+
+    def note_done(self, service: str) -> int:
+        """Count a request that is no longer waited for; return how many were."""
+        before = self.in_flight.get(service, 0)
+        self.in_flight[service] = max(0, before - 1)
+        return before
+
+    def note_answer(self, service: str, latency_us: int, in_flight: int) -> None:
+        """Learn from a whole answer."""
+        limit = self.limits.get(service, Limit())
+        ceiling = max(1, self.owned.info.capacity.slots)
+        self.limits[service] = after_sample(limit, latency_us, in_flight, ceiling)
+        self.health = after_success(self.health)
+
+    def note_failure(self, now_ms: int, may_eject: bool) -> None:
+        """Learn from a request without a whole answer."""
+        self.health = after_failure(self.health, now_ms, may_eject)
+
+    def latency_us(self, service: str) -> int:
+        """Return the smoothed latency of a service here."""
+        return int(self.limits.get(service, Limit()).latency_us)
+
+
+def choose_target(
+    targets: Sequence[ManagedTarget],
+    service: str,
+    need: Resources,
+    avoid: Iterable[str],
+    rng: random.Random,
+) -> ManagedTarget | None:
+    """Return the better of two targets with room, drawn at random.
+
+    The better one has the lower expected time: its latency times the share of
+    its slots that one more request would fill. Targets in ``avoid`` are taken
+    only when no other has room.
+    """
+    avoided = frozenset(avoid)
+    preferred = [target for target in targets if target.target_id not in avoided]
+    drawn = preferred or list(targets)
+    if not drawn:
+        return None
+    pair = rng.sample(drawn, min(2, len(drawn)))
+    return min(pair, key=lambda target: _expected_us(target, service, need))
+
+
+def _expected_us(target: ManagedTarget, service: str, need: Resources) -> float:
+    in_flight = target.in_flight.get(service, 0)
+    free = target.free_requests(service, need)
+    return max(1, target.latency_us(service)) * (in_flight + 1) / (in_flight + free + 1)
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_target_client.py
@@ -0,0 +1,176 @@
+"""Carries out requests and calls to targets on a pool of threads."""
+
+import logging
+import socket
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from urllib.parse import quote
+
+from foxspring_model import (
+    HEADER_REQUEST_ID,
+    Answered,
+    Clock,
+    RefusalReason,
+    Refused,
+    Uncertain,
+)
+from urllib3.connection import HTTPConnection
+
+from foxspring_entry._connections import ConnectFailedError, ConnectionPool
+from foxspring_entry._effects import CallTarget, SendRequest
+from foxspring_entry._exchange import (
+    CutAnswerError,
+    ExchangeAnswer,
+    ExchangeRequest,
+    end_to_end,
+    exchange,
+)
+from foxspring_entry._owner_requests import TargetOutcome
+from foxspring_entry._owner_targets import CallAnswer
+from foxspring_entry._settings import EntrySettings
+
+_LOG = logging.getLogger(__name__)
+_MAX_THREADS = 512
+_MAX_CALL_ANSWER_BYTES = 1024 * 1024
+_NS_PER_US = 1_000
+
+RequestDone = Callable[[str, TargetOutcome], None]
+CallDone = Callable[[int, CallAnswer], None]
+
+
+class TargetClient:
+    """Sends to targets what the ledger has admitted, and nothing else."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        on_request_done: RequestDone,
+        on_call_done: CallDone,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._on_request_done = on_request_done
+        self._on_call_done = on_call_done
+        self._lock = threading.Lock()
+        self._active: dict[str, HTTPConnection] = {}
+        self._threads = ThreadPoolExecutor(_MAX_THREADS, "target")
+        self.pool = ConnectionPool(
+            clock, settings.idle_connection_ms, settings.connect_timeout_ms
+        )
+
+    def send(self, effect: SendRequest) -> None:
+        """Send a request; its outcome goes to ``on_request_done``."""
+        self._threads.submit(self._send, effect)
+
+    def call(self, effect: CallTarget) -> None:
+        """Make a call of the platform contract; see ``on_call_done``."""
+        self._threads.submit(self._call, effect)
+
+    def abort(self, hold_id: str) -> None:
+        """Stop waiting for a request's answer."""
+        with self._lock:
+            connection = self._active.get(hold_id)
+            handle = connection.sock if connection is not None else None
+        if handle is None:
+            return
+        try:
+            handle.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            _LOG.debug("event=abort_after_close hold=%s", hold_id)
+
+    def close(self) -> None:
+        """Close idle connections and let the threads end."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+        self.pool.close()
+
+    def _send(self, effect: SendRequest) -> None:
+        try:
+            result = self._request(effect)
+        except Exception as error:
+            _LOG.exception("event=send_failed target=%s", effect.target_id)
+            result = TargetOutcome(Uncertain(str(error)))
+        self._on_request_done(effect.hold_id, result)
+
+    def _request(self, effect: SendRequest) -> TargetOutcome:
+        try:
+            connection = self.pool.take(effect.address)
+        except ConnectFailedError as error:
+            return TargetOutcome(Refused(RefusalReason.TARGET_UNREACHABLE, str(error)))
+        with self._lock:
+            self._active[effect.hold_id] = connection
+        begun_ns = time.perf_counter_ns()
+        try:
+            answer = exchange(connection, self._exchange_of(effect), self._clock)
+        except CutAnswerError as error:
+            connection.close()
+            return TargetOutcome(Uncertain(str(error)))
+        finally:
+            with self._lock:
+                self._active.pop(effect.hold_id, None)
+        latency_us = (time.perf_counter_ns() - begun_ns) // _NS_PER_US
+        self._keep(effect.address, connection, answer)
+        outcome = Answered(answer.status, answer.headers, answer.body)
+        return TargetOutcome(outcome, latency_us)
+
+    def _call(self, effect: CallTarget) -> None:
+        try:
+            answer = self._post(effect)
+        except Exception:
+            _LOG.exception("event=call_failed target=%s", effect.target_id)
+            answer = CallAnswer(None)
+        self._on_call_done(effect.call_id, answer)
+
+    def _post(self, effect: CallTarget) -> CallAnswer:
+        try:
+            connection = self.pool.take(effect.address)
+        except ConnectFailedError:
+            return CallAnswer(None, sent=False)
+        request = ExchangeRequest(
+            "POST",
+            effect.path,
+            (("Content-Type", "application/json"),),
+            effect.body,
+            self._clock.monotonic_ms() + effect.timeout_ms,
+            _MAX_CALL_ANSWER_BYTES,
+        )
+        try:
+            answer = exchange(connection, request, self._clock)
+        except CutAnswerError as error:
+            connection.close()
+            _LOG.info(
+                "event=call_unanswered target=%s path=%s reason=%r",
+                effect.target_id,
+                effect.path,
+                str(error),
+            )
+            return CallAnswer(None)
+        connection.close()
+        return CallAnswer(answer.status, answer.body)
+
+    def _exchange_of(self, effect: SendRequest) -> ExchangeRequest:
+        relay = effect.relay
+        service = quote(relay.service, safe="")
+        headers = (
+            *end_to_end(relay.headers),
+            (HEADER_REQUEST_ID, relay.request_id),
+        )
+        return ExchangeRequest(
+            relay.method,
+            f"/services/{service}{relay.path}",
+            headers,
+            relay.body,
+            effect.deadline_ms,
+            self._settings.max_answer_bytes,
+            relay.request_id,
+        )
+
+    def _keep(
+        self, address: str, connection: HTTPConnection, answer: ExchangeAnswer
+    ) -> None:
+        if answer.reusable:
+            self.pool.put(address, connection)
+        else:
+            connection.close()
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_task_state.py
@@ -0,0 +1,93 @@
+"""A task as the owner of its target knows it."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from foxspring_model import NOTHING, Resources, RunTask, TaskEvent
+
+
+class TaskPhase(StrEnum):
+    """What the owner is doing with a task."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class OwnedTask(NamedTuple):
+    """A task that holds a part of the target.
+
+    ``run`` is ``None`` while only a report has told of the task. The lease has
+    surely ended at ``lease_end_ms`` on the owner's clock; ``maybe_sent`` is set
+    once a byte of a start may have reached the target. ``stop_by_ms`` ends the
+    renewals of a task that does not stop. ``missing_ms`` is the target's reading
+    at which it answered not to run the task; a later report tells what became
+    of it.
+    """
+
+    task_id: str
+    epoch: int
+    phase: TaskPhase
+    resources: Resources = NOTHING
+    run: RunTask | None = None
+    lease_end_ms: int = 0
+    next_call_ms: int = 0
+    calling: bool = False
+    maybe_sent: bool = False
+    checkpoint: str = ""
+    save_checkpoint: bool = False
+    stop_by_ms: int = 0
+    missing_ms: int | None = None
+
+
+class EndedTask(NamedTuple):
+    """The last event of a task, kept so that nothing starts its epoch again.
+
+    ``committed`` is set once the replicated log has the event.
+    """
+
+    event: TaskEvent
+    ended_ms: int
+    committed: bool = False
+
+
+class TaskCallKind(StrEnum):
+    """The call of the platform contract that a task needs."""
+
+    START = "/v1/tasks"
+    STOP = "/v1/tasks/stop"
+    THROTTLE = "/v1/tasks/throttle"
+
+
+class TaskCall(NamedTuple):
+    """One call to make and its JSON body."""
+
+    kind: TaskCallKind
+    task_id: str
+    epoch: int
+    body: bytes
+
+
+class TargetClock(NamedTuple):
+    """The newest reading of a target's clock and when it was received."""
+
+    reading_ms: int = 0
+    received_ms: int = 0
+
+    def newer(self, reading_ms: int, received_ms: int) -> "TargetClock":
+        """Return the newer of this reading and another."""
+        if reading_ms <= self.reading_ms:
+            return self
+        return TargetClock(reading_ms, received_ms)
+
+    def is_fresh(self, now_ms: int, max_age_ms: int) -> bool:
+        """Tell whether there is a reading not older than ``max_age_ms``."""
+        return self.reading_ms > 0 and now_ms - self.received_ms <= max_age_ms
+
+    def lease_end_ms(self, lease_ms: int) -> int:
+        """Return when a lease from this reading has surely ended here.
+
+        The reading was taken before it was received, and the two clocks differ
+        in rate by less than a tenth.
+        """
+        return self.received_ms + lease_ms + lease_ms // 10 + 1
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_tokens.py
@@ -0,0 +1,35 @@
+"""Whose token a request carries, compared in constant time."""
+
+import hmac
+
+from foxspring_entry._http import Role
+from foxspring_entry._settings import EntrySettings, Token
+
+_SCHEME = "bearer"
+
+
+class TokenBook:
+    """The tokens of each role; secrets are never logged or returned."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._tokens: dict[Role, tuple[Token, ...]] = {
+            Role.CALLER: settings.caller_tokens,
+            Role.OPERATOR: settings.operator_tokens,
+            Role.TARGET: settings.target_tokens,
+        }
+
+    def name_of(self, role: Role, authorization: str) -> str | None:
+        """Return whose token an ``Authorization`` header carries.
+
+        ``None`` if it carries none of the role. Every token is compared, so
+        the time taken does not tell which one was close.
+        """
+        scheme, _, secret = authorization.partition(" ")
+        if scheme.lower() != _SCHEME or not secret:
+            return None
+        offered = secret.strip().encode()
+        found = None
+        for name, known in self._tokens.get(role, ()):
+            if known and hmac.compare_digest(offered, known.encode()):
+                found = name
+        return found
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/tests/builders.py
@@ -0,0 +1,404 @@
+"""Test data and small fakes: a control leader, a target, an entry under test."""
+
+import json
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import urllib3
+from foxspring_link import Codec, Link, SystemClock
+from foxspring_model import (
+    HEADER_REQUEST_ID,
+    MESSAGES,
+    Configuration,
+    ConfigurationPush,
+    EntryHeartbeat,
+    EntryInfo,
+    EntryLeaseGrant,
+    OwnedTarget,
+    OwnershipUpdate,
+    Proposal,
+    ProposalResult,
+    RelayRequest,
+    ReportBody,
+    Resources,
+    Service,
+    TargetInfo,
+    TargetSeen,
+    TaskEvents,
+    TaskEventsAck,
+    TaskStatusBody,
+)
+
+from foxspring_entry import ENTRY_MESSAGES, Entry, EntrySettings
+from foxspring_entry._front import Front
+from foxspring_entry._http import HttpRequest, HttpResponse, Role, Route
+
+DEADLINE_S = 20.0
+CALLER = "caller-secret"
+OPERATOR = "operator-secret"
+TARGET = "target-secret"
+CAPACITY = Resources(8, 64, 64_000, 250_000, 0)
+_HTTP = urllib3.PoolManager(retries=False, maxsize=32)
+
+
+def codec() -> Codec:
+    """Return the codec that every process of a test shares."""
+    return Codec(b"test-secret", (*MESSAGES, *ENTRY_MESSAGES))
+
+
+def configuration(_text: str = "") -> Configuration:
+    """Return a configuration with one service."""
+    service = Service("register", "pipes", timeout_ms=5_000)
+    return Configuration(services=(service,), revision=1)
+
+
+def settings(entry_id: str, control_address: str, **changes: Any) -> EntrySettings:
+    """Return settings of an entry on loopback."""
+    return EntrySettings(
+        entry_id=entry_id,
+        failure_domain="fd-1",
+        link_address="127.0.0.1:0",
+        http_address="127.0.0.1:0",
+        control_addresses=(control_address,),
+        caller_tokens=(("alice", CALLER),),
+        operator_tokens=(("olga", OPERATOR),),
+        target_tokens=(("targets", TARGET),),
+        worker_threads=48,
+        drain_grace_ms=100,
+    )._replace(**changes)
+
+
+def target_info(target_id: str = "t-1", **changes: Any) -> TargetInfo:
+    """Return a target's announcement as a value."""
+    info = TargetInfo(target_id, 1, "127.0.0.1:1", "fd-1", "rack-1", CAPACITY)
+    return info._replace(**changes)
+
+
+def owned(target_id: str = "t-1", owner: str = "e-1", **changes: Any) -> OwnedTarget:
+    """Return a target owned by ``owner`` that runs the service."""
+    return OwnedTarget(target_info(target_id), owner, 1, ("register",))._replace(
+        **changes
+    )
+
+
+def entry_info(entry_id: str = "e-1", **changes: Any) -> EntryInfo:
+    """Return an entry whose link address is its name."""
+    info = EntryInfo(entry_id, 1, f"{entry_id}:link", f"{entry_id}:http", "fd-1")
+    return info._replace(**changes)
+
+
+def relay(request_id: str = "r-1", **changes: Any) -> RelayRequest:
+    """Return a request of one caller on its way to an owner."""
+    request = RelayRequest(
+        request_id, "e-1", "register", "GET", "/x", (), b"", True, "alice", 1_000, 1
+    )
+    return request._replace(**changes)
+
+
+def report(target_id: str = "t-1", sequence: int = 1, **changes: Any) -> ReportBody:
+    """Return a report of an idle target."""
+    body = ReportBody(
+        target_id=target_id,
+        incarnation=1,
+        sequence=sequence,
+        measured_ms=sequence * 1_000,
+        target_ms=sequence * 1_000,
+        cores_milli=0,
+        memory_mb=0,
+        latencies=[],
+        tasks=[],
+        requests=[],
+    )
+    body.update(changes)  # type: ignore[typeddict-item]
+    return body
+
+
+def task_status(task_id: str, epoch: int = 1, **changes: Any) -> TaskStatusBody:
+    """Return a running task as its target reports it."""
+    status = TaskStatusBody(
+        task_id=task_id,
+        epoch=epoch,
+        state="running",
+        checkpoint="",
+        result="",
+        detail="",
+        cores_milli=100,
+        memory_mb=100,
+    )
+    status.update(changes)  # type: ignore[typeddict-item]
+    return status
+
+
+def wait_until(holds: Callable[[], bool], what: str) -> None:
+    """Wait until a condition holds; fail after a generous deadline."""
+    until_s = time.monotonic() + DEADLINE_S
+    while not holds():
+        if time.monotonic() > until_s:
+            raise AssertionError(f"not in time: {what}")
+        time.sleep(0.01)
+
+
+def call(
+    entry: Entry, method: str, path: str, token: str = CALLER, **named: Any
+) -> urllib3.BaseHTTPResponse:
+    """Send one HTTP request to an entry."""
+    headers = {"Authorization": f"Bearer {token}", **named.pop("headers", {})}
+    return _HTTP.request(
+        method,
+        f"http://{entry.http_address}{path}",
+        headers=headers,
+        timeout=DEADLINE_S,
+        **named,
+    )
+
+
+class FakeControl:
+    """A control leader that grants leases, tells the table and keeps keys.
+
+    It gives every announced target to ``owner_of(target_id)``.
+    """
+
+    def __init__(self, lease_ms: int = 2_000) -> None:
+        self.lease_ms = lease_ms
+        self.granting = True
+        self.owner_of: Callable[[str], str] = lambda target_id: "e-1"
+        self.entries: dict[str, EntryInfo] = {}
+        self.targets: dict[str, OwnedTarget] = {}
+        self.events: list[Any] = []
+        self.keys: dict[str, dict[str, Any]] = {}
+        self.version = 1
+        self._lock = threading.RLock()
+        self.link = Link("127.0.0.1:0", codec(), self._on_message, SystemClock())
+        self.link.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.link.close()
+
+    def give(self, target_id: str, owner: str) -> None:
+        """Make another entry the owner of a target."""
+        with self._lock:
+            held = self.targets[target_id]
+            if held.owner != owner:
+                self._store(
+                    held._replace(owner=owner, owner_epoch=held.owner_epoch + 1)
+                )
+
+    def leave(self, target_id: str) -> None:
+        """Mark a target as leaving."""
+        with self._lock:
+            held = self.targets[target_id]
+            self._store(held._replace(info=held.info._replace(leaving=True)))
+
+    def send(self, entry_id: str, message: Any) -> None:
+        """Send a message to an entry."""
+        self.link.send(self.entries[entry_id].link_address, message)
+
+    def _store(self, target: OwnedTarget) -> None:
+        self.targets[target.info.target_id] = target
+        self.version += 1
+        for entry in self.entries.values():
+            self.link.send(entry.link_address, self._table())
+
+    def _table(self) -> OwnershipUpdate:
+        return OwnershipUpdate(
+            True,
+            0,
+            self.version,
+            tuple(self.entries.values()),
+            tuple(self.targets.values()),
+            (),
+        )
+
+    def _on_message(self, sender: str, message: Any) -> None:
+        with self._lock:
+            if isinstance(message, EntryHeartbeat):
+                self._heartbeat(sender, message)
+            elif isinstance(message, TargetSeen):
+                self._seen(message.info)
+            elif isinstance(message, TaskEvents):
+                self.events.extend(message.events)
+                self.link.send(sender, TaskEventsAck(message.batch_id))
+            elif isinstance(message, Proposal):
+                result = self._apply(message)
+                answer = ProposalResult(
+                    message.proposal_id, "applied", "c-1", json.dumps(result).encode()
+                )
+                self.link.send(message.reply_to, answer)
+
+    def _heartbeat(self, sender: str, heartbeat: EntryHeartbeat) -> None:
+        if not self.granting:
+            return
+        if self.entries.get(heartbeat.entry.entry_id) != heartbeat.entry:
+            self.entries[heartbeat.entry.entry_id] = heartbeat.entry
+            self.version += 1
+            if heartbeat.entry.draining:
+                self._hand_over(heartbeat.entry.entry_id)
+        grant = EntryLeaseGrant(
+            "c-1", 1, heartbeat.heartbeat_sent_ms, self.lease_ms, 1, self.version
+        )
+        self.link.send(sender, grant)
+        if heartbeat.confirmed_revision < 1:
+            self.link.send(sender, ConfigurationPush(1, "text"))
+        if heartbeat.ownership_version < self.version:
+            self.link.send(sender, self._table())
+
+    def _hand_over(self, entry_id: str) -> None:
+        others = [e for e in self.entries.values() if not e.draining]
+        for target in list(self.targets.values()):
+            if target.owner == entry_id:
+                self.give(target.info.target_id, others[0].entry_id if others else "")
+
+    def _seen(self, info: TargetInfo) -> None:
+        held = self.targets.get(info.target_id)
+        if held is None:
+            owner = self.owner_of(info.target_id)
+            self._store(OwnedTarget(info, owner, 1, ("register",)))
+        elif held.info != info:
+            self._store(held._replace(info=info))
+
+    def _apply(self, proposal: Proposal) -> dict[str, Any]:
+        command = msgspec.msgpack.decode(proposal.body)
+        if proposal.kind == "ClaimKey":
+            key, print_, entry_id, _ = command
+            held = self.keys.get(key)
+            if held is None:
+                self.keys[key] = {"print": print_, "owner": entry_id}
+                return {"status": "ok", "key_state": "claimed"}
+            if held["print"] != print_:
+                return {"status": "ok", "key_state": "mismatch"}
+            if "done" in held:
+                return {"status": "ok", "key_state": "done", **held["done"]}
+            return {"status": "ok", "key_state": "pending"}
+        key, entry_id, _, verdict, status, headers, body = command
+        held = self.keys.get(key)
+        if held is not None and held["owner"] == entry_id and "done" not in held:
+            if verdict == "not_run":
+                del self.keys[key]
+            else:
+                held["done"] = {
+                    "key_verdict": verdict,
+                    "key_status": status,
+                    "key_headers": headers,
+                    "key_body": msgspec.to_builtins(body),
+                }
+        return {"status": "ok"}
+
+
+class FakeTarget:
+    """A tiny target on HTTP: counts its requests and runs tasks by name.
+
+    ``work`` is called for each request and returns the response.
+    """
+
+    def __init__(self, target_id: str, entries: list[Entry]) -> None:
+        self.info = target_info(target_id)
+        self.entries = entries
+        self.started: list[str] = []
+        self.running: list[str] = []
+        self.most_running = 0
+        self.tasks: dict[tuple[str, int], TaskStatusBody] = {}
+        self.renewed: list[Any] = []
+        self.leaving = False
+        self.incarnation = 1
+        self.work: Callable[[HttpRequest], HttpResponse] = lambda request: HttpResponse(
+            200, b"answer to " + request.headers[HEADER_REQUEST_ID.lower()].encode()
+        )
+        self._lock = threading.Lock()
+        self._sequence = 0
+        self._stopping = threading.Event()
+        methods = ("GET", "POST")
+        routes = [Route(m, "/services/", Role.ANYONE, self._request) for m in methods]
+        routes += [Route("POST", "/v1/", Role.ANYONE, self._platform)]
+        self.front = Front(settings(target_id, "127.0.0.1:1"), routes)
+        self.address = self.front.bind()
+        self.front.start()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop."""
+        self._stopping.set()
+        self._thread.join()
+        self.front.stop()
+
+    def now_ms(self) -> int:
+        """Return the target's own clock, far from the machine's."""
+        return SystemClock().monotonic_ms() + 7_000_000
+
+    def _run(self) -> None:
+        turn = 0
+        while not self._stopping.wait(0.1):
+            live = [entry for entry in self.entries if entry.is_live()]
+            if not live:
+                continue
+            turn += 1
+            entry = live[turn % len(live)]
+            try:
+                self._announce(entry)
+                self._report(entry)
+            except urllib3.exceptions.HTTPError:
+                continue
+
+    def _announce(self, entry: Entry) -> None:
+        info = self.info._replace(
+            address=self.address, leaving=self.leaving, incarnation=self.incarnation
+        )
+        body = {**info._asdict(), "capacity": info.capacity._asdict()}
+        call(entry, "POST", "/v1/targets/announce", TARGET, body=json.dumps(body))
+
+    def _report(self, entry: Entry) -> None:
+        with self._lock:
+            self._sequence += 1
+            body = report(
+                self.info.target_id,
+                self._sequence,
+                incarnation=self.incarnation,
+                measured_ms=self.now_ms(),
+                target_ms=self.now_ms(),
+                tasks=list(self.tasks.values()),
+                requests=list(self.running),
+            )
+        path = f"/v1/targets/{self.info.target_id}/report"
+        answer = call(entry, "POST", path, TARGET, body=json.dumps(body))
+        if answer.status == 200:
+            for task_id, epoch in answer.json()["acked"]:
+                self.tasks.pop((task_id, epoch), None)
+
+    def _request(self, request: HttpRequest) -> HttpResponse:
+        request_id = request.headers[HEADER_REQUEST_ID.lower()]
+        with self._lock:
+            self.started.append(request_id)
+            self.running.append(request_id)
+            self.most_running = max(self.most_running, len(self.running))
+        try:
+            response = self.work(request)
+        finally:
+            with self._lock:
+                self.running.remove(request_id)
+        echo = (HEADER_REQUEST_ID, request_id)
+        return response._replace(headers=(*response.headers, echo))
+
+    def _platform(self, request: HttpRequest) -> HttpResponse:
+        body = json.loads(request.body)
+        if request.path == "/v1/leases":
+            self.renewed.append(body)
+            running = [
+                [task_id, epoch]
+                for (task_id, epoch), status in self.tasks.items()
+                if status["state"] == "running"
+            ]
+            unknown = [pair for pair in body["tasks"] if pair not in running]
+            answer = {"unknown": unknown, "target_ms": self.now_ms()}
+            return HttpResponse(200, json.dumps(answer).encode())
+        key = (body["task_id"], body["epoch"])
+        if request.path == "/v1/tasks":
+            self.tasks.setdefault(key, task_status(*key))
+        elif key not in self.tasks:
+            return HttpResponse(404, b"{}")
+        elif request.path == "/v1/tasks/stop":
+            self.tasks[key] = task_status(*key, state="stopped", checkpoint="cp-9")
+        return HttpResponse(200, json.dumps(self.tasks[key]).encode())
