--- a/packages/foxspring-entry/foxspring_entry/_front.py
+++ b/packages/foxspring-entry/foxspring_entry/_front.py
@@ -111,9 +111,9 @@
         path = urlsplit(uri).path
         route = self._route(method, path)
         headers = _headers(environ)
-        peer = self._authenticate(route, headers, environ)
+        principal = self._authenticate(route, headers)
         if route.role is not Role.CALLER:
-            return self._handle(route, environ, uri, headers, peer)
+            return self._handle(route, environ, uri, headers, principal)
         if not self._callers.acquire(blocking=False):
             raise _RefusedError(
                 error_response(
@@ -125,7 +125,7 @@
                 )
             )
         try:
-            return self._handle(route, environ, uri, headers, peer)
+            return self._handle(route, environ, uri, headers, principal)
         finally:
             self._callers.release()
 
@@ -135,7 +135,7 @@
         environ: Environ,
         uri: str,
         headers: dict[str, str],
-        peer: str,
+        principal: str,
     ) -> HttpResponse:
         parts = urlsplit(uri)
         request = HttpRequest(
@@ -145,7 +145,8 @@
             headers=headers,
             body=self._body(environ, headers),
             role=route.role,
-            peer=peer,
+            peer=str(environ.get("REMOTE_ADDR", "")),
+            principal=principal,
             raw_query=parts.query,
         )
         return route.handler(request)
@@ -160,11 +161,9 @@
                 return route
         raise _RefusedError(malformed(f"{method} is not allowed here", 405))
 
-    def _authenticate(
-        self, route: Route, headers: dict[str, str], environ: Environ
-    ) -> str:
+    def _authenticate(self, route: Route, headers: dict[str, str]) -> str:
         if route.role is Role.ANYONE:
-            return str(environ.get("REMOTE_ADDR", ""))
+            return ""
         name = self._tokens.name_of(route.role, headers.get("authorization", ""))
         if name is None:
             detail = f"send Authorization: Bearer with a token of a {route.role}"
--- a/packages/foxspring-entry/foxspring_entry/_http.py
+++ b/packages/foxspring-entry/foxspring_entry/_http.py
@@ -18,8 +18,8 @@
     """One request after its limits were checked and its token accepted.
 
     ``path`` is without the query, which ``raw_query`` holds as it was sent;
-    header names are lower case. ``peer`` is the name that belongs to the token,
-    for ``ANYONE`` the remote address.
+    header names are lower case. ``principal`` is the name that the settings give
+    to the token.
     """
 
     method: str
@@ -29,6 +29,7 @@
     body: bytes
     role: Role
     peer: str
+    principal: str = ""
     raw_query: str = ""
 
 
--- a/packages/foxspring-entry/foxspring_entry/_keys.py
+++ b/packages/foxspring-entry/foxspring_entry/_keys.py
@@ -109,6 +109,7 @@
         fingerprint(keyed.relay),
         claimant.entry_id,
         claimant.incarnation,
+        keyed.relay.request_id,
     )
     remaining_ms = max(1, keyed.deadline_ms - clock.monotonic_ms())
     outcome = control.propose(command, remaining_ms)
--- a/packages/foxspring-entry/foxspring_entry/_reports.py
+++ b/packages/foxspring-entry/foxspring_entry/_reports.py
@@ -90,6 +90,11 @@
             for status in report["tasks"]
             if status["state"] == "running"
         ),
+        task_usage=tuple(
+            (status["task_id"], status["cores_milli"], status["memory_mb"])
+            for status in report["tasks"]
+            if status["state"] == "running"
+        ),
     )
 
 
--- a/packages/foxspring-entry/foxspring_entry/_service_routes.py
+++ b/packages/foxspring-entry/foxspring_entry/_service_routes.py
@@ -82,7 +82,7 @@
         headers=forwarded(request.headers),
         body=request.body,
         idempotent=is_idempotent(request.method, declared),
-        caller=request.peer,
+        caller=request.principal,
         remaining_ms=_deadline_ms(request, settings, services.get(parts.service)),
         attempt=1,
     )
--- a/packages/foxspring-entry/foxspring_entry/tests/builders.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/builders.py
@@ -263,15 +263,17 @@
     def _apply(self, proposal: Proposal) -> dict[str, Any]:
         command = msgspec.msgpack.decode(proposal.body)
         if proposal.kind == "ClaimKey":
-            key, print_, entry_id, _ = command
+            key, print_, entry_id, _, claim_id = command
             held = self.keys.get(key)
             if held is None:
-                self.keys[key] = {"print": print_, "owner": entry_id}
+                self.keys[key] = {"print": print_, "owner": entry_id, "claim": claim_id}
                 return {"status": "ok", "key_state": "claimed"}
             if held["print"] != print_:
                 return {"status": "ok", "key_state": "mismatch"}
             if "done" in held:
                 return {"status": "ok", "key_state": "done", **held["done"]}
+            if held["claim"] == claim_id:
+                return {"status": "ok", "key_state": "claimed"}
             return {"status": "ok", "key_state": "pending"}
         key, entry_id, _, verdict, status, headers, body = command
         held = self.keys.get(key)
