Wire the daemon: both roles, signals, operators' routes and metrics

Cause: the parts had no process to run in. Change: foxspringd starts an entry or a control member from its settings file; SIGTERM drains once, SIGHUP takes over log level and tokens; operators' HTTP is commands and queries to control; an entry renders metrics, also of members. Conclusion: the control role loads no HTTP stack.

--- a/packages/foxspring-config/foxspring_config/_settings.py
+++ b/packages/foxspring-config/foxspring_config/_settings.py
@@ -70,7 +70,6 @@
     failure_domain: Name
     data_folder: str = ""
     log_level: Annotated[LogLevel, Meta(extra=_RELOADABLE)] = LogLevel.INFO
-    metrics_listen: OptionalAddress = ""
 
 
 class LinkSection(NamedTuple):
@@ -94,7 +93,7 @@
     members: str
     join: bool = False
     election_timeout_ms: Annotated[int, _ms(100, 30_000)] = 600
-    heartbeat_ms: Annotated[int, _ms(10, 5_000)] = 100
+    heartbeat_ms: Annotated[int, _ms(10, 5_000)] = 200
     snapshot_every_entries: Annotated[
         int, Meta(ge=100, le=1_000_000, extra={"unit": "entries"})
     ] = 5_000
@@ -113,9 +112,6 @@
     max_header_bytes: Annotated[
         int, Meta(ge=1_024, le=1024 * 1024, extra={"unit": "bytes"})
     ] = 32 * 1024
-    queue_limit: Annotated[int, Meta(ge=0, le=100_000, extra={"unit": "requests"})] = (
-        256
-    )
     drain_grace_ms: Annotated[int, _ms(0, 600_000)] = 3_000
 
 
@@ -272,10 +268,6 @@
     _check_address(settings.link.listen, "link", "listen", source)
     if settings.entry is not None:
         _check_address(settings.entry.http_listen, "entry", "http_listen", source)
-    if settings.daemon.metrics_listen:
-        _check_address(
-            settings.daemon.metrics_listen, "daemon", "metrics_listen", source
-        )
     if settings.daemon.role is DaemonRole.CONTROL:
         _check_control(settings, source)
     if settings.link.silence_limit_ms <= settings.link.ping_interval_ms:
--- /dev/null
+++ b/packages/foxspring-daemon/foxspring_daemon/_metrics_routes.py
@@ -0,0 +1,157 @@
+"""Metrics of an entry, and of control members, in the exposition format.
+
+A control member does not load an HTTP stack; any entry asks it for its figures
+and renders them under ``/metrics/MEMBER_ID``.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, Protocol
+
+from aioprometheus import histogram
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+from foxspring_entry import (
+    EntryStatus,
+    HttpRequest,
+    HttpResponse,
+    QueryAnswered,
+    Role,
+    Route,
+)
+from foxspring_model import CHECKS, Verdict
+
+from foxspring_daemon._operator_routes import ControlPort, error_response
+
+PREFIX = "foxspring"
+QUERY_TIMEOUT_MS = 2_000
+_MS_PER_S = 1_000
+_NO_BOUND = 0
+
+
+class EntryPort(Protocol):
+    """What the metrics need of an entry."""
+
+    @property
+    def control(self) -> ControlPort:
+        """Return the way to control."""
+
+    def status(self) -> EntryStatus:
+        """Return the entry's figures."""
+
+
+def metrics_routes(entry: EntryPort) -> tuple[Route, ...]:
+    """Return the routes of metrics; a scraper needs an operator's token."""
+
+    def own(_request: HttpRequest) -> HttpResponse:
+        return _exposed(entry_registry(entry.status()))
+
+    def of_member(request: HttpRequest) -> HttpResponse:
+        member_id = request.path.removeprefix("/metrics/")
+        outcome = entry.control.query(
+            "member_metrics", {"member_id": member_id}, QUERY_TIMEOUT_MS
+        )
+        if not isinstance(outcome, QueryAnswered):
+            return error_response(
+                503, Verdict.NOT_RUN, "no_control", "no control member answered"
+            )
+        return _exposed(member_registry(outcome.result))
+
+    return (
+        Route("GET", "/metrics", Role.OPERATOR, own),
+        Route("GET", "/metrics/", Role.OPERATOR, of_member),
+    )
+
+
+def entry_registry(status: EntryStatus) -> Registry:
+    """Return the metrics of one entry."""
+    registry = Registry()
+    for name, doc, value in _entry_gauges(status):
+        _gauge(registry, name, doc, {}, value)
+    outcomes = Counter(
+        f"{PREFIX}_requests_total", "Final answers to callers.", registry=registry
+    )
+    for verdict, reason, count in status.outcomes:
+        outcomes.set({"verdict": verdict, "reason": reason}, count)
+    _add_latency(registry, status)
+    _add_targets(registry, status)
+    _add_checks(registry, CHECKS.checked, CHECKS.violated)
+    return registry
+
+
+def member_registry(figures: Mapping[str, Any]) -> Registry:
+    """Return the metrics of one control member from its named figures."""
+    registry = Registry()
+    for name, value in sorted(figures.items()):
+        if isinstance(value, int | float):
+            label = name.replace("_", " ")
+            _gauge(registry, f"control_{name}", f"Control: {label}.", {}, value)
+    return registry
+
+
+def _entry_gauges(status: EntryStatus) -> Iterable[tuple[str, str, float]]:
+    return (
+        ("ready", "1 if the balancer may send requests.", status.ready),
+        ("draining", "1 while the entry is being stopped.", status.draining),
+        ("lease_valid", "1 while the entry's lease runs.", status.lease_valid),
+        ("configuration_revision", "Revision in force here.", status.revision),
+        ("ownership_version", "Ownership table held.", status.ownership_version),
+        ("owned_targets", "Targets owned.", len(status.targets)),
+        ("requests_in_flight", "Requests at owned targets.", status.in_flight),
+        ("requests_queued", "Requests waiting for room.", status.queued),
+        ("requests_pending", "Callers waiting here.", status.pending),
+        ("task_events_waiting", "Events not acknowledged.", status.events_waiting),
+        ("retries_total", "Further attempts of requests.", status.retries),
+        ("late_answers_total", "Answers dropped as late.", status.late_answers),
+    )
+
+
+def _gauge(
+    registry: Registry, name: str, doc: str, labels: dict[str, str], value: float
+) -> None:
+    Gauge(f"{PREFIX}_{name}", doc, registry=registry).set(labels, float(value))
+
+
+def _add_latency(registry: Registry, status: EntryStatus) -> None:
+    bounds = [bound / _MS_PER_S for bound, _ in status.latency_buckets if bound]
+    counted = histogram.Histogram(*bounds)
+    within = 0
+    for bound, count in status.latency_buckets:
+        within += count
+        if bound != _NO_BOUND:
+            counted.buckets[bound / _MS_PER_S] = within
+    counted.observations = within
+    counted.sum = status.latency_sum_ms / _MS_PER_S
+    name = f"{PREFIX}_request_seconds"
+    latency = Histogram(
+        name, "Time to the final answer.", registry=registry, buckets=bounds
+    )
+    latency.set_value({}, counted)
+
+
+def _add_targets(registry: Registry, status: EntryStatus) -> None:
+    held = Gauge(f"{PREFIX}_target_held", "Held on a target.", registry=registry)
+    free = Gauge(f"{PREFIX}_target_capacity", "Room of a target.", registry=registry)
+    for target in status.targets:
+        for resource, amount in target.held._asdict().items():
+            labels = {"target": target.target_id, "resource": resource}
+            held.set(labels, amount)
+            free.set(labels, getattr(target.capacity, resource))
+
+
+def _add_checks(
+    registry: Registry, checked: Mapping[Any, int], violated: Mapping[Any, int]
+) -> None:
+    checks = Counter(
+        f"{PREFIX}_invariant_checks_total", "Checks of a promise.", registry=registry
+    )
+    violations = Counter(
+        f"{PREFIX}_violations_total", "Promises found broken.", registry=registry
+    )
+    for invariant, count in sorted(checked.items()):
+        checks.set({"invariant": invariant.value}, count)
+        violations.set({"invariant": invariant.value}, violated.get(invariant, 0))
+
+
+def _exposed(registry: Registry) -> HttpResponse:
+    body, headers = render(registry, [])
+    return HttpResponse(200, body, tuple(headers.items()))
--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -158,6 +158,10 @@
         self._actor.stop()
         _LOG.info("event=entry_stopped entry=%s", self.settings.entry_id)
 
+    def set_tokens(self, settings: EntrySettings) -> None:
+        """Accept the tokens of ``settings`` from now on, and no others."""
+        self._front.set_tokens(settings)
+
     def is_live(self) -> bool:
         """Tell whether the entry has started and not been closed."""
         return self._live
--- a/packages/foxspring-entry/foxspring_entry/_front.py
+++ b/packages/foxspring-entry/foxspring_entry/_front.py
@@ -73,6 +73,10 @@
         self.address = f"{host}:{port}"
         return self.address
 
+    def set_tokens(self, settings: EntrySettings) -> None:
+        """Accept the tokens of ``settings`` from now on, and no others."""
+        self._tokens = TokenBook(settings)
+
     def start(self) -> None:
         """Begin to serve on an own thread."""
         self._thread.start()
