Name the operator in the audit by the token's name

Cause: the audit showed the remote address as who, since the front now gives the token's name as principal. Change: operators' routes read principal.

--- a/packages/foxspring-daemon/foxspring_daemon/_operator_routes.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_operator_routes.py
@@ -132,7 +132,7 @@
     parse_configuration(text)
     command = ApplyConfiguration(
         _change_id(request),
-        request.peer,
+        request.principal,
         _whole_number(request.headers.get("foxspring-base-revision", ""), "base"),
         text,
     )
@@ -141,7 +141,7 @@
 
 def _submit(control: ControlPort, request: HttpRequest) -> HttpResponse:
     spec = parse_job(request.body)
-    return _propose(control, SubmitJob(_change_id(request), request.peer, spec))
+    return _propose(control, SubmitJob(_change_id(request), request.principal, spec))
 
 
 def _cancel(control: ControlPort, request: HttpRequest) -> HttpResponse:
@@ -151,14 +151,14 @@
         raise BadRequestError(f"job_ids: give 1 to {MAX_IDS} ids")
     for job_id in job_ids:
         _check_id(job_id, "job id")
-    return _propose(control, CancelJobs(_change_id(request), request.peer, job_ids))
+    return _propose(control, CancelJobs(_change_id(request), request.principal, job_ids))
 
 
 def _drain(control: ControlPort, request: HttpRequest) -> HttpResponse:
     body = msgspec.json.decode(request.body, type=_DrainBody)
     _check_id(body["target_id"], "target id")
     command = DrainTarget(
-        _change_id(request), request.peer, body["target_id"], body["draining"]
+        _change_id(request), request.principal, body["target_id"], body["draining"]
     )
     return _propose(control, command)
 
@@ -175,7 +175,7 @@
     if body.get("action") not in ("add", "remove"):
         raise BadRequestError("action: give add or remove")
     _check_id(body.get("member_id", ""), "member id")
-    arguments: dict[str, Any] = {"who": request.peer, **body}
+    arguments: dict[str, Any] = {"who": request.principal, **body}
     return _respond(control.query("change_members", arguments, TIMEOUT_MS))
 
 
