Take the log's own leadership change and let operators change members

Cause: the daemon's wiring needs settings without a member id and a query that adds and removes control members; freeing an idempotency key was not tied to one claim, so a second arrival at the same entry could free the key of a running request. Change: ServiceSettings(entry_lease_ms, task_lease_ms), change_members with an audit record, "unknown" answers for what does not exist, CompleteKey.claim_id. Conclusion: the entry has to send one claim_id with the claims and the completion of each arrival; without it a not_run completion frees nothing.

--- a/packages/foxspring-control/foxspring_control/service/__init__.py
+++ b/packages/foxspring-control/foxspring_control/service/__init__.py
@@ -1,6 +1,6 @@
 """The leader's duties: leases, ownership, placement and answers to entries."""
 
-from foxspring_control.service._messages import Leadership, LogHandle, SendMessage
+from foxspring_control.service._messages import LogHandle, SendMessage
 from foxspring_control.service._scheduling import (
     MakeScheduler,
     SchedulerHandle,
@@ -11,7 +11,6 @@
 
 __all__ = [
     "ControlService",
-    "Leadership",
     "LogHandle",
     "MakeScheduler",
     "SchedulerHandle",
--- a/packages/foxspring-control/foxspring_control/service/_core.py
+++ b/packages/foxspring-control/foxspring_control/service/_core.py
@@ -13,15 +13,16 @@
     QueryResult,
 )
 
+from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._leader import Leader
-from foxspring_control.service._messages import Leadership, LogHandle, Post, SendMessage
+from foxspring_control.service._messages import LogHandle, Post, SendMessage
 from foxspring_control.service._scheduling import MakeScheduler
 from foxspring_control.service._settings import ServiceSettings
 from foxspring_control.state import ControlState, StateChanges
 
 _LOG = logging.getLogger(__name__)
 
-NO_LEADER = Leadership(False, 0, "", "")
+NO_LEADER = LeadershipChange(False, 0, "", "")
 
 
 class ServiceCore:
@@ -47,7 +48,7 @@
         self.leadership = NO_LEADER
         self.leader: Leader | None = None
 
-    def on_leadership(self, leadership: Leadership) -> None:
+    def on_leadership(self, leadership: LeadershipChange) -> None:
         """Begin or end the leader's duties."""
         self.leadership = leadership
         self.leader = None
@@ -98,7 +99,7 @@
     def _declined(self, message: Any) -> Any:
         leader_id = self.leadership.leader_id
         if isinstance(message, EntryHeartbeat):
-            return HeartbeatRejected(self.settings.member_id, leader_id)
+            return HeartbeatRejected(self.log.status().member_id, leader_id)
         if isinstance(message, Proposal):
             return ProposalResult(message.proposal_id, "not_leader", leader_id)
         if isinstance(message, Query):
--- a/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
@@ -12,6 +12,7 @@
 )
 
 from foxspring_control._replication import ProposeOutcome
+from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._leases import EntryLeases
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._ownership import Candidates, plan_owners
@@ -29,14 +30,14 @@
     def __init__(
         self,
         settings: ServiceSettings,
-        term: int,
+        leadership: LeadershipChange,
         view: LeaderView,
         proposer: Proposer,
         send: SendMessage,
         now_ms: int,
     ) -> None:
         self.settings = settings
-        self.term = term
+        self.leadership = leadership
         self.view = view
         self.proposer = proposer
         self.send = send
@@ -127,10 +128,10 @@
             return
         self.leases.grant(entry.entry_id, self.proposer.clock.monotonic_ms())
         grant = EntryLeaseGrant(
-            leader_id=self.settings.member_id,
-            term=self.term,
+            leader_id=self.leadership.leader_id,
+            term=self.leadership.term,
             heartbeat_sent_ms=heartbeat.heartbeat_sent_ms,
-            lease_ms=self.settings.lease_ms,
+            lease_ms=self.settings.entry_lease_ms,
             revision=self.view.revision,
             ownership_version=self.view.ownership_version,
         )
--- a/packages/foxspring-control/foxspring_control/service/_leader.py
+++ b/packages/foxspring-control/foxspring_control/service/_leader.py
@@ -18,10 +18,12 @@
 )
 
 from foxspring_control._replication import ProposeOutcome
+from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._entry_keeper import EntryKeeper
-from foxspring_control.service._messages import Leadership, LogHandle, Post, SendMessage
+from foxspring_control.service._member_changes import CHANGE_MEMBERS, MemberChanges
+from foxspring_control.service._messages import LogHandle, Post, SendMessage
 from foxspring_control.service._proposer import Proposer
-from foxspring_control.service._queries import QUERIES, QueryError
+from foxspring_control.service._queries import QUERIES, QueryError, UnknownError
 from foxspring_control.service._scheduling import SchedulerHandle
 from foxspring_control.service._settings import ServiceSettings
 from foxspring_control.service._target_keeper import TargetKeeper
@@ -38,7 +40,7 @@
     def __init__(
         self,
         settings: ServiceSettings,
-        leadership: Leadership,
+        leadership: LeadershipChange,
         log: LogHandle,
         state: ControlState,
         send: SendMessage,
@@ -57,12 +59,13 @@
         self.proposer = Proposer(log, post, clock, settings.proposal_timeout_ms)
         self.view = LeaderView(state, now_ms)
         self.entries = EntryKeeper(
-            settings, leadership.term, self.view, self.proposer, send, now_ms
+            settings, leadership, self.view, self.proposer, send, now_ms
         )
         self.targets = TargetKeeper(settings, self.view, self.proposer, now_ms)
         self.tasks = TaskKeeper(
             settings, self.view, self.proposer, send, scheduler, now_ms
         )
+        self.members = MemberChanges(log, self.proposer, send)
         self._handlers: dict[type, Callable[[str, Any, int], None]] = {
             EntryHeartbeat: self.entries.heartbeat,
             TargetSeen: lambda _, message, now: self.targets.seen(message, now),
@@ -111,6 +114,9 @@
         def confirmed(outcome: ProposeOutcome) -> None:
             self.post(lambda: self._answer(query, outcome))
 
+        if query.kind == CHANGE_MEMBERS:
+            self.members.change(query)
+            return
         self.log.read_barrier(confirmed)
 
     def _answer(self, query: Query, outcome: ProposeOutcome) -> None:
@@ -126,6 +132,8 @@
             return msgspec.json.encode({"status": "rejected", "reason": reason})
         try:
             return run(self, query.arguments)
+        except UnknownError as error:
+            return msgspec.json.encode({"status": "unknown", "reason": str(error)})
         except (QueryError, msgspec.DecodeError) as error:
             return msgspec.json.encode({"status": "rejected", "reason": str(error)})
 
--- a/packages/foxspring-control/foxspring_control/service/_messages.py
+++ b/packages/foxspring-control/foxspring_control/service/_messages.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from foxspring_control._replication import ProposeCallback
+from foxspring_control.raft import Member, RaftStatus
 from foxspring_control.state import StateChanges
 
 SendMessage = Callable[[str, Any], Any]
@@ -19,17 +20,14 @@
     def read_barrier(self, on_done: ProposeCallback) -> None:
         """Call back with ``applied`` if this member surely leads."""
 
-    def status(self) -> Any:
-        """Return the member's ``RaftStatus``."""
+    def add_member(self, member: Member, on_done: ProposeCallback) -> None:
+        """Add a member as a learner; it votes once it is caught up."""
 
+    def remove_member(self, member_id: str, on_done: ProposeCallback) -> None:
+        """Remove a member for good."""
 
-class Leadership(NamedTuple):
-    """Who leads; ``leader_id`` may be empty."""
-
-    is_leader: bool
-    term: int
-    leader_id: str
-    leader_address: str
+    def status(self) -> RaftStatus:
+        """Return the member's state."""
 
 
 class Received(NamedTuple):
--- a/packages/foxspring-control/foxspring_control/service/_queries.py
+++ b/packages/foxspring-control/foxspring_control/service/_queries.py
@@ -25,6 +25,10 @@
 
 
 class QueryError(ValueError):
+    """A query that can't be run as it stands; the text says why."""
+
+
+class UnknownError(QueryError):
     """A query names something that does not exist; the text says what."""
 
 
@@ -70,7 +74,7 @@
         current = tables.configurations.current()
         record = tables.configurations.get(revision) if revision else current
     if record is None:
-        raise QueryError(
+        raise UnknownError(
             f"revision {revision} is not kept; the one in force is {current.revision}"
         )
     return _encode(
@@ -113,7 +117,7 @@
     with leader.state.reading() as tables:
         job = tables.jobs.get(job_id)
         if job is None:
-            raise QueryError(f"job {job_id!r} is not known; list the jobs")
+            raise UnknownError(f"job {job_id!r} is not known; list the jobs")
         records = tables.tasks.of_job(job_id)
         row = _job_row(tables, job)
     row["tasks"] = [task_view(record.task) for record in records]
@@ -209,7 +213,7 @@
         tasks = tables.tasks.count_by_state()
     return _encode(
         {
-            "leader": leader.settings.member_id,
+            "leader": leader.leadership.leader_id,
             "term": leader.leadership.term,
             "applied_index": log.applied_index,
             "commit_index": log.commit_index,
--- a/packages/foxspring-control/foxspring_control/service/_service.py
+++ b/packages/foxspring-control/foxspring_control/service/_service.py
@@ -1,15 +1,15 @@
 """The actor that runs a control member's service on a thread of its own."""
 
 import logging
-from typing import Any, Protocol
+from typing import Any
 
 import pykka
 from foxspring_model import Clock
 
+from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._core import ServiceCore
 from foxspring_control.service._messages import (
     Call,
-    Leadership,
     LogHandle,
     Received,
     SendMessage,
@@ -23,26 +23,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-class LeadershipLike(Protocol):
-    """The fields of the log's ``LeadershipChange``."""
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this member leads."""
-
-    @property
-    def term(self) -> int:
-        """The leader's term."""
-
-    @property
-    def leader_id(self) -> str:
-        """The leader's member id, empty if unknown."""
-
-    @property
-    def leader_address(self) -> str:
-        """The leader's link address."""
-
-
 class _ServiceActor(pykka.ThreadingActor):
     def __init__(self, core: ServiceCore) -> None:
         super().__init__()
@@ -62,7 +42,7 @@
             self._core.state_changed(message.changes)
         elif isinstance(message, Call):
             message.function()
-        elif isinstance(message, Leadership):
+        elif isinstance(message, LeadershipChange):
             self._core.on_leadership(message)
         elif isinstance(message, Tick):
             self._core.tick()
@@ -95,13 +75,9 @@
         """Handle a message of an entry; replies go to ``sender``."""
         self._tell(Received(sender, message))
 
-    def on_leadership(self, change: LeadershipLike) -> None:
+    def on_leadership(self, change: LeadershipChange) -> None:
         """Take a change of who leads."""
-        self._tell(
-            Leadership(
-                change.is_leader, change.term, change.leader_id, change.leader_address
-            )
-        )
+        self._tell(change)
 
     def tick(self) -> None:
         """Do what is due."""
--- a/packages/foxspring-control/foxspring_control/service/_settings.py
+++ b/packages/foxspring-control/foxspring_control/service/_settings.py
@@ -6,16 +6,15 @@
 class ServiceSettings(NamedTuple):
     """Settings of one control member's service; times are milliseconds.
 
-    ``lease_ms`` is an entry's lease and ``task_lease_ms`` a task's; both are
-    stretched by ``drift_percent`` and ``margin_ms`` before they count as
+    ``entry_lease_ms`` is an entry's lease and ``task_lease_ms`` a task's; both
+    are stretched by ``drift_percent`` and ``margin_ms`` before they count as
     surely ended. A target is silent after ``target_silence_ms`` without an
     announcement or a usage sample. An entry must have held its lease for
     ``stable_ms`` before targets are moved to it; that time doubles with each
     loss of its lease within ``flap_memory_ms``, up to ``stable_most_ms``.
     """
 
-    member_id: str
-    lease_ms: int = 2_000
+    entry_lease_ms: int = 2_000
     task_lease_ms: int = 5_000
     drift_percent: int = 10
     margin_ms: int = 200
@@ -36,7 +35,7 @@
 
     def entry_lease_surely_ms(self) -> int:
         """Return after how long a granted entry lease has surely ended."""
-        return self._surely(self.lease_ms)
+        return self._surely(self.entry_lease_ms)
 
     def target_leases_surely_ms(self) -> int:
         """Return after how long without an owner no task lease can be left.
--- a/packages/foxspring-control/foxspring_control/service/tests/builders.py
+++ b/packages/foxspring-control/foxspring_control/service/tests/builders.py
@@ -26,7 +26,8 @@
     ProposeCallback,
     ProposeOutcome,
 )
-from foxspring_control.service import Leadership, ServiceSettings
+from foxspring_control.raft import LeadershipChange, Member, RaftStatus
+from foxspring_control.service import ServiceSettings
 from foxspring_control.service._core import ServiceCore
 from foxspring_control.service._leader import Leader
 from foxspring_control.state import ControlState
@@ -69,9 +70,36 @@
         """Answer as a leader under a valid lease, or not."""
         on_done(ProposeOutcome("applied" if self.leads else "not_leader"))
 
-    def status(self) -> Any:
-        """Return nothing; no test here asks for members."""
-        return None
+    def add_member(self, member: Member, on_done: ProposeCallback) -> None:
+        """Refuse; a fake log has no group."""
+        on_done(ProposeOutcome("rejected", "", b"a fake log has one member"))
+
+    def remove_member(self, member_id: str, on_done: ProposeCallback) -> None:
+        """Refuse; a fake log has no group."""
+        on_done(ProposeOutcome("rejected", "", b"a fake log has one member"))
+
+    def status(self) -> RaftStatus:
+        """Return the status of a group of one."""
+        last = len(self.driver.log)
+        role = "leader" if self.leads else "follower"
+        return RaftStatus(
+            "control-1",
+            role,
+            1,
+            "control-1",
+            "127.0.0.1:1",
+            last,
+            last,
+            last,
+            0,
+            1,
+            (),
+            self.leads,
+            0,
+            0,
+            0,
+            "",
+        )
 
     def _commit(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
         log = self.driver.log
@@ -95,7 +123,7 @@
     """A leader with stand-in entries whose messages the test sends."""
 
     def __init__(self, settings: ServiceSettings | None = None) -> None:
-        self.settings = settings or ServiceSettings("control-1")
+        self.settings = settings or ServiceSettings()
         self.driver = StateDriver()
         self.clock = PausedClock()
         self.log = FakeLog(self.driver, self.clock)
@@ -125,7 +153,9 @@
     def elect(self, term: int = 1) -> None:
         """Begin a new leader's duties, with nothing kept in memory."""
         self.core = self._core()
-        self.core.on_leadership(Leadership(True, term, "control-1", "127.0.0.1:1"))
+        self.core.on_leadership(
+            LeadershipChange(True, term, "control-1", "127.0.0.1:1")
+        )
 
     def start(self, entries: int = 2, targets: int = 2, settle_ms: int = 9_000) -> None:
         """Elect a leader, start entries and targets, and let them settle."""
--- a/packages/foxspring-control/foxspring_control/state/_key_rules.py
+++ b/packages/foxspring-control/foxspring_control/state/_key_rules.py
@@ -26,12 +26,17 @@
     """Tell whether ``completion`` is by the holder of an open claim.
 
     The holder may also replace the "may have run" of a claim that was given
-    up after its entry's lease ended.
+    up after its entry's lease ended. Freeing a key needs the claim's own id,
+    since another arrival at the same entry may be running the request.
     """
     if record is None or record.entry_id != completion.entry_id:
         return False
     if record.incarnation != completion.incarnation:
         return False
+    if completion.claim_id and completion.claim_id != record.claim_id:
+        return False
+    if completion.verdict == Verdict.NOT_RUN and not completion.claim_id:
+        return False
     return not record.done or record.verdict == Verdict.MAY_HAVE_RUN
 
 
--- a/packages/foxspring-control/foxspring_control/state/_machine.py
+++ b/packages/foxspring-control/foxspring_control/state/_machine.py
@@ -41,6 +41,7 @@
     "SubmitJob": answered_once(operators.submit_job),
     "CancelJobs": answered_once(operators.cancel_jobs),
     "DrainTarget": answered_once(operators.drain_target),
+    "RecordMemberChange": operators.record_member_change,
     "RegisterTarget": fleet.register_target,
     "RemoveTarget": fleet.remove_target,
     "RegisterEntry": fleet.register_entry,
--- a/packages/foxspring-control/foxspring_control/state/_operator_commands.py
+++ b/packages/foxspring-control/foxspring_control/state/_operator_commands.py
@@ -9,6 +9,7 @@
     Configuration,
     DrainTarget,
     Invariant,
+    RecordMemberChange,
     Resources,
     SubmitJob,
     TaskState,
@@ -103,6 +104,24 @@
     return answer
 
 
+def record_member_change(
+    work: Work, command: RecordMemberChange, moment: Moment
+) -> CommandResult:
+    """Note a change of the control group in the audit."""
+    record = AuditRecord(
+        index=moment.log_index,
+        at_ms=moment.at_ms,
+        who=command.operator,
+        change_id="",
+        action=f"{command.action}_member",
+        before="",
+        after=f"member={command.member_id}",
+        outcome=command.outcome,
+    )
+    work.tables.audit.add(record)
+    return CommandResult(status="ok")
+
+
 def _accept_configuration(
     work: Work,
     command: ApplyConfiguration,
--- a/packages/foxspring-model/foxspring_model/_commands.py
+++ b/packages/foxspring-model/foxspring_model/_commands.py
@@ -147,7 +147,8 @@
 class CompleteKey(NamedTuple):
     """Record the outcome of a claimed key.
 
-    ``verdict`` of ``not_run`` frees the key.
+    ``verdict`` of ``not_run`` frees the key, if ``claim_id`` is that of the
+    claim: another arrival at the same entry may be the one that runs.
     """
 
     key: str
@@ -157,6 +158,16 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    claim_id: str = ""
+
+
+class RecordMemberChange(NamedTuple):
+    """Note in the audit that a person added or removed a control member."""
+
+    operator: str
+    action: str
+    member_id: str
+    outcome: str
 
 
 COMMANDS = (
@@ -175,4 +186,5 @@
     EndTasks,
     ClaimKey,
     CompleteKey,
+    RecordMemberChange,
 )
