--- a/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
@@ -86,9 +86,9 @@
             self._push_from(entry_id, entry.link_address, *held, now_ms)
 
     def tick(self, unassignable: frozenset[str], now_ms: int) -> None:
-        """Remove entries whose lease has surely ended and assign owners."""
+        """Remove entries that are gone and assign owners."""
         for entry_id, entry in self.view.entries.items():
-            if self.leases.has_surely_ended(entry_id, now_ms):
+            if self.leases.is_gone(entry_id, now_ms):
                 command = RemoveEntry(entry_id, entry.incarnation)
                 self.proposer.propose(f"entry/{entry_id}", command)
         if now_ms >= self.next_plan_ms:
--- a/packages/foxspring-control/foxspring_control/service/_leases.py
+++ b/packages/foxspring-control/foxspring_control/service/_leases.py
@@ -13,6 +13,7 @@
     """
 
     incarnation: int
+    heard_ms: int = 0
     until_ms: int = 0
     held_since_ms: int = 0
     confirmed_revision: int = 0
@@ -48,7 +49,9 @@
         elif lease.incarnation != incarnation:
             lease = self._lost(lease, now_ms)._replace(incarnation=incarnation)
         self.by_entry[entry_id] = lease._replace(
-            confirmed_revision=revision, ownership_version=ownership_version
+            heard_ms=now_ms,
+            confirmed_revision=revision,
+            ownership_version=ownership_version,
         )
 
     def grant(self, entry_id: str, now_ms: int) -> None:
@@ -68,6 +71,14 @@
         """Tell whether the entry surely holds no lease of any leader."""
         return now_ms >= self.unknown_until_ms and not self.is_live(entry_id, now_ms)
 
+    def is_gone(self, entry_id: str, now_ms: int) -> bool:
+        """Tell whether the entry holds no lease and asks for none."""
+        if not self.has_surely_ended(entry_id, now_ms):
+            return False
+        lease = self.by_entry.get(entry_id)
+        quiet_ms = self.settings.entry_lease_surely_ms()
+        return lease is None or now_ms - lease.heard_ms >= quiet_ms
+
     def has_flapped(self, entry_id: str, now_ms: int) -> bool:
         """Tell whether the entry lost a lease or restarted of late."""
         lease = self.by_entry.get(entry_id)
--- a/packages/foxspring-control/foxspring_control/service/_settings.py
+++ b/packages/foxspring-control/foxspring_control/service/_settings.py
@@ -12,11 +12,12 @@
     announcement or a usage sample. An entry must have held its lease for
     ``stable_ms`` before targets are moved to it; that time doubles with each
     loss of its lease within ``flap_memory_ms``, up to ``stable_most_ms``.
+    ``drift_percent`` covers two clocks that are each 10% off, in opposite ways.
     """
 
     entry_lease_ms: int = 2_000
     task_lease_ms: int = 5_000
-    drift_percent: int = 10
+    drift_percent: int = 25
     margin_ms: int = 200
     target_silence_ms: int = 8_000
     stable_ms: int = 5_000
@@ -29,6 +30,7 @@
     resend_interval_ms: int = 1_000
     resends_a_tick: int = 256
     unconfirmed_ms: int = 15_000
+    replica_check_ms: int = 2_000
     push_interval_ms: int = 300
     placements_a_command: int = 64
     events_a_command: int = 256
--- a/packages/foxspring-control/foxspring_control/service/_task_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -12,12 +12,15 @@
     TaskEventsAck,
     TaskState,
     UsageBatch,
+    UsageSample,
 )
 
 from foxspring_control._replication import ProposeOutcome
 from foxspring_control.service._duties import Duties, duty_of
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._proposer import Proposer
+from foxspring_control.service._replica_updates import next_replacements
+from foxspring_control.service._running_check import RunningCheck
 from foxspring_control.service._scheduling import SchedulerHandle
 from foxspring_control.service._settings import ServiceSettings
 from foxspring_control.service._view import LeaderView
@@ -57,6 +60,9 @@
         self.send = send
         self.scheduler = scheduler
         self.duties = Duties()
+        self.running_check = RunningCheck(settings.unconfirmed_ms)
+        self._replicas_outdated = True
+        self._next_replica_check_ms = now_ms
         self._proposal_number = 0
         self._load(now_ms)
 
@@ -69,12 +75,14 @@
         """Take what a batch of entries changed."""
         with self.state.reading() as tables:
             if changes.configuration:
+                self._replicas_outdated = True
                 self.scheduler.set_configuration(self.state.configuration(tables))
             for target_id in changes.targets:
                 self._take_target(target_id)
             for task_id in changes.tasks:
                 self._take_task(tables, task_id, now_ms)
             for target_id in self.view.take_owner_changed():
+                self.running_check.begin(target_id, now_ms)
                 for record in tables.tasks.on_target(target_id):
                     self._set_duty(tables, record)
 
@@ -94,6 +102,8 @@
         """Let the scheduler learn from measurements."""
         for sample in batch.samples:
             self.scheduler.record_sample(sample, now_ms)
+            if self.running_check.is_open(sample.target_id):
+                self._check_running(sample, now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Propose what the scheduler decides and send open duties."""
@@ -108,12 +118,15 @@
         for throttle in decisions.throttles:
             self._send_to_owner(throttle.target_id, throttle)
         self._send_duties(now_ms)
+        if self._replicas_outdated and now_ms >= self._next_replica_check_ms:
+            self._replace_replicas(now_ms)
 
     def _load(self, now_ms: int) -> None:
         with self.state.reading() as tables:
             self.scheduler.set_configuration(self.state.configuration(tables))
             for target_id in self.view.targets:
                 self._take_target(target_id)
+                self.running_check.begin(target_id, now_ms)
             for record in _open_tasks(tables):
                 self.scheduler.upsert_task(record.task, now_ms)
                 self._set_duty(tables, record)
@@ -123,6 +136,7 @@
         record = self.view.targets.get(target_id)
         if record is None:
             self.scheduler.remove_target(target_id)
+            self.running_check.forget(target_id)
             return
         self.scheduler.upsert_target(record.info, record.draining)
 
@@ -148,6 +162,26 @@
         keep = record.intent is StopIntent.REQUEUE
         self.duties.set(task.task_id, duty_of(task, spec, owner_epoch, keep))
 
+    def _check_running(self, sample: UsageSample, now_ms: int) -> None:
+        with self.state.reading() as tables:
+            placed = tables.tasks.on_target(sample.target_id)
+        findings = self.running_check.compare(sample, placed, now_ms)
+        if findings.missing:
+            self._propose(EvictTasks(findings.missing))
+        for stop in findings.strays:
+            self._send_to_owner(stop.target_id, stop)
+
+    def _replace_replicas(self, now_ms: int) -> None:
+        self._next_replica_check_ms = now_ms + self.settings.replica_check_ms
+        with self.state.reading() as tables:
+            services = self.state.configuration(tables).services
+            sizes = {service.name: service.replica for service in services}
+            replicas = tables.tasks.replicas()
+        evictions, left = next_replacements(replicas, sizes)
+        self._replicas_outdated = left
+        if evictions:
+            self._propose(EvictTasks(evictions))
+
     def _note_refusals(self, batch: TaskEvents) -> None:
         now_ms = self.proposer.clock.monotonic_ms()
         for event in batch.events:
--- a/packages/foxspring-control/foxspring_control/state/_key_commands.py
+++ b/packages/foxspring-control/foxspring_control/state/_key_commands.py
@@ -55,7 +55,10 @@
     if record is None:
         return None
     age_ms = moment.at_ms - record.claimed_ms
-    return record if age_ms <= work.settings.key_retention_ms else None
+    if age_ms <= work.settings.key_retention_ms:
+        return record
+    work.tables.keys.delete(key)
+    return None
 
 
 def _refusal(work: Work, command: ClaimKey) -> str:
