Follow the renamed service settings in the daemon

Cause: ServiceSettings has entry_lease_ms and no member id any more. Change: the daemon's wiring follows.

--- a/packages/foxspring-daemon/foxspring_daemon/_control_process.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_control_process.py
@@ -127,8 +127,7 @@
 def service_settings(settings: Settings) -> ServiceSettings:
     """Return what the leader's service is told, from a daemon's settings."""
     return ServiceSettings(
-        member_id=settings.daemon.id,
-        lease_ms=settings.control.entry_lease_ms,
+        entry_lease_ms=settings.control.entry_lease_ms,
         task_lease_ms=settings.control.task_lease_ms,
     )
 
