--- a/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
@@ -12,6 +12,7 @@
 )
 
 from foxspring_control._replication import ProposeOutcome
+from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._leases import EntryLeases
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._ownership import Candidates, plan_owners
@@ -29,14 +30,14 @@
     def __init__(
         self,
         settings: ServiceSettings,
-        term: int,
+        leadership: LeadershipChange,
         view: LeaderView,
         proposer: Proposer,
         send: SendMessage,
         now_ms: int,
     ) -> None:
         self.settings = settings
-        self.term = term
+        self.leadership = leadership
         self.view = view
         self.proposer = proposer
         self.send = send
@@ -85,9 +86,9 @@
             self._push_from(entry_id, entry.link_address, *held, now_ms)
 
     def tick(self, unassignable: frozenset[str], now_ms: int) -> None:
-        """Remove entries whose lease has surely ended and assign owners."""
+        """Remove entries that are gone and assign owners."""
         for entry_id, entry in self.view.entries.items():
-            if self.leases.has_surely_ended(entry_id, now_ms):
+            if self.leases.is_gone(entry_id, now_ms):
                 command = RemoveEntry(entry_id, entry.incarnation)
                 self.proposer.propose(f"entry/{entry_id}", command)
         if now_ms >= self.next_plan_ms:
@@ -127,10 +128,10 @@
             return
         self.leases.grant(entry.entry_id, self.proposer.clock.monotonic_ms())
         grant = EntryLeaseGrant(
-            leader_id=self.settings.member_id,
-            term=self.term,
+            leader_id=self.leadership.leader_id,
+            term=self.leadership.term,
             heartbeat_sent_ms=heartbeat.heartbeat_sent_ms,
-            lease_ms=self.settings.lease_ms,
+            lease_ms=self.settings.entry_lease_ms,
             revision=self.view.revision,
             ownership_version=self.view.ownership_version,
         )
