Divide the entry's core and tasks into smaller modules

Change: heartbeats, task calls and ended tasks have modules of their own; a start that cannot be made in 10 s is refused or stopped.

--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -10,7 +10,6 @@
     AnnounceBody,
     Configuration,
     ConfigurationPush,
-    EntryHeartbeat,
     EntryInfo,
     EntryLeaseGrant,
     EntryLoad,
@@ -28,11 +27,11 @@
     TaskEventsAck,
     ThrottleTask,
     UsageBatch,
-    UsageSample,
     Verdict,
 )
 
 from foxspring_entry._effects import Effects, SendMessage
+from foxspring_entry._heartbeats import Heartbeats, LoadReports, UsageSamples
 from foxspring_entry._lease import EntryLease, renew
 from foxspring_entry._loads import LoadBook
 from foxspring_entry._messages import ReportAcks
@@ -51,8 +50,6 @@
 from foxspring_entry._settings import EntrySettings
 
 _LOG = logging.getLogger(__name__)
-_USAGE_INTERVAL_MS = 1_000
-_LOAD_REFRESH_MS = 600
 
 Parse = Callable[[str], Configuration]
 
@@ -101,12 +98,10 @@
             rng,
         )
         self.acks: dict[str, tuple[tuple[str, int], ...]] = {}
-        self._samples: list[UsageSample] = []
+        self.heartbeats = Heartbeats(settings)
+        self.load_reports = LoadReports(settings)
+        self.usage = UsageSamples()
         self._seen: dict[str, tuple[AnnounceBody, int]] = {}
-        self._sequence = 0
-        self._last_load: tuple[tuple[str, int, int, int], ...] = ()
-        self._sent_ms = dict.fromkeys(("heartbeat", "load", "usage"), -1_000_000)
-        self._granted_ms = -1_000_000
 
     def is_ready(self, now_ms: int) -> bool:
         """Tell whether callers should be sent here."""
@@ -119,15 +114,7 @@
     def submit(self, relay: RelayRequest, now_ms: int) -> Effects:
         """Take a caller's request; its outcome comes as ``ReplyToCaller``."""
         if not self.lease.is_valid(now_ms):
-            refusal = RelayAnswer(
-                relay.request_id,
-                relay.attempt,
-                Verdict.NOT_RUN,
-                RefusalReason.LEASE_EXPIRED,
-                "this entry has no lease from control; use another entry",
-                self.settings.heartbeat_ms,
-            )
-            return self.origin.refuse(relay, refusal)
+            return self.origin.refuse(relay, self._lease_refusal(relay))
         return self._own(self.origin.submit(relay, now_ms), now_ms)
 
     def message(self, sender: str, message: Any, now_ms: int) -> Effects:
@@ -209,7 +196,7 @@
     def drain(self, now_ms: int) -> Effects:
         """Turn unready and ask control to give the targets to others."""
         self.info = self.info._replace(draining=True)
-        self._sent_ms["heartbeat"] = -1_000_000
+        self.heartbeats.pace.hurry()
         return self._heartbeat(now_ms)
 
     def is_idle(self) -> bool:
@@ -224,7 +211,7 @@
     def _handlers(self) -> dict[type, Callable[[str, Any, int], Effects]]:
         return {
             EntryLeaseGrant: self._on_grant,
-            HeartbeatRejected: self._on_rejected,
+            HeartbeatRejected: lambda *_: [],
             ConfigurationPush: self._on_configuration,
             OwnershipUpdate: self._on_ownership,
             RelayRequest: self._on_relay,
@@ -255,12 +242,7 @@
     def _on_grant(self, sender: str, grant: EntryLeaseGrant, now_ms: int) -> Effects:
         self.lease = renew(self.lease, grant, sender, now_ms)
         if self.lease.leader_address == sender:
-            self._granted_ms = now_ms
-        return []
-
-    def _on_rejected(
-        self, _sender: str, _message: HeartbeatRejected, _now_ms: int
-    ) -> Effects:
+            self.heartbeats.granted_ms = now_ms
         return []
 
     def _on_configuration(
@@ -276,7 +258,7 @@
         CHECKS.check(Invariant.REVISION_NEVER_FALLS, push.revision > self.revision)
         self.revision = push.revision
         self.requests.configure(configuration)
-        self._sent_ms["heartbeat"] = -1_000_000
+        self.heartbeats.pace.hurry()
         return self._heartbeat(now_ms)
 
     def _on_ownership(
@@ -302,15 +284,17 @@
     def _on_relay(self, sender: str, relay: RelayRequest, now_ms: int) -> Effects:
         if self.lease.is_valid(now_ms):
             return self.requests.request(relay, sender, now_ms)
-        answer = RelayAnswer(
+        return [SendMessage(sender, self._lease_refusal(relay))]
+
+    def _lease_refusal(self, relay: RelayRequest) -> RelayAnswer:
+        return RelayAnswer(
             relay.request_id,
             relay.attempt,
             Verdict.NOT_RUN,
             RefusalReason.LEASE_EXPIRED,
-            "the owner has no lease from control",
+            f"entry {self.info.entry_id} has no lease from control; use another",
             self.settings.heartbeat_ms,
         )
-        return [SendMessage(sender, answer)]
 
     def _on_load(self, _sender: str, load: EntryLoad, now_ms: int) -> Effects:
         self.loads.store(load, now_ms)
@@ -347,9 +331,7 @@
             self.targets.stop(stop, now_ms)
         return self._send_events(now_ms)
 
-    def _on_throttle(
-        self, _sender: str, throttle: ThrottleTask, _now_ms: int
-    ) -> Effects:
+    def _on_throttle(self, _sender: str, throttle: ThrottleTask, _ms: int) -> Effects:
         self.targets.throttle(throttle)
         return []
 
@@ -360,7 +342,7 @@
     def _take_report(self, report: ReportBody, now_ms: int) -> list[list[str | int]]:
         newer, acked = self.targets.report(report, now_ms)
         if newer:
-            self._samples.append(usage_sample(report))
+            self.usage.waiting.append(usage_sample(report))
         return acked
 
     def _lease_lost(self, now_ms: int) -> Effects:
@@ -371,19 +353,20 @@
         return effects + self.targets.lease_lost(now_ms)
 
     def _heartbeat(self, now_ms: int) -> Effects:
-        if not self._is_due("heartbeat", self.settings.heartbeat_ms, now_ms):
+        due = self.heartbeats.due(
+            self.info,
+            self.revision,
+            self.table.version,
+            self.lease.leader_address,
+            now_ms,
+        )
+        if due is None:
             return []
-        heartbeat = EntryHeartbeat(self.info, now_ms, self.revision, self.table.version)
-        fresh = now_ms - self._granted_ms <= 2 * self.settings.heartbeat_ms
-        if fresh and self.lease.leader_address:
-            return [SendMessage(self.lease.leader_address, heartbeat)]
-        return [
-            SendMessage(address, heartbeat)
-            for address in self.settings.control_addresses
-        ]
+        receivers, heartbeat = due
+        return [SendMessage(address, heartbeat) for address in receivers]
 
     def _load(self, now_ms: int) -> Effects:
-        if not self._is_due("load", self.settings.load_interval_ms, now_ms):
+        if not self.load_reports.pace.is_due(now_ms):
             return []
         names = sorted(
             {name for t in self.targets.targets.values() for name in t.owned.services}
@@ -391,15 +374,10 @@
         services = tuple(
             (name, *self.requests.free_and_queued(name, now_ms)) for name in names
         )
-        self._sequence += 1
-        load = EntryLoad(
-            self.info.entry_id, self.info.incarnation, self._sequence, services
-        )
+        load = self.load_reports.next(services)
         self.loads.store(load, now_ms)
-        refresh = self._sequence % (_LOAD_REFRESH_MS // self.settings.load_interval_ms)
-        if services == self._last_load and refresh:
+        if not self.load_reports.is_news(services, now_ms):
             return []
-        self._last_load = services
         return [
             SendMessage(entry.link_address, load)
             for entry in self.table.entries.values()
@@ -407,9 +385,9 @@
         ]
 
     def _usage(self, now_ms: int) -> Effects:
-        if not self._is_due("usage", _USAGE_INTERVAL_MS, now_ms) or not self._samples:
+        samples = self.usage.take_due(now_ms)
+        if not samples:
             return []
-        samples, self._samples = tuple(self._samples), []
         return self._to_leader(UsageBatch(self.info.entry_id, samples))
 
     def _send_events(self, now_ms: int) -> Effects:
@@ -423,9 +401,3 @@
         if not self.lease.leader_address:
             return []
         return [SendMessage(self.lease.leader_address, message)]
-
-    def _is_due(self, name: str, every_ms: int, now_ms: int) -> bool:
-        if now_ms - self._sent_ms[name] < every_ms:
-            return False
-        self._sent_ms[name] = now_ms
-        return True
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_ended_tasks.py
@@ -0,0 +1,52 @@
+"""The last events of ended tasks, until nothing can start their epochs again."""
+
+from typing import NamedTuple
+
+from foxspring_model import TaskEvent, TaskStatusBody
+
+KEPT_MS = 120_000
+
+
+class EndedTask(NamedTuple):
+    """A task's last event; ``committed`` once the replicated log has it."""
+
+    event: TaskEvent
+    ended_ms: int
+    committed: bool = False
+
+
+class EndedTasks:
+    """Ended tasks of one target by task id, each at its newest epoch."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, EndedTask] = {}
+
+    def add(self, event: TaskEvent, now_ms: int) -> None:
+        """Keep an ending unless one of a newer epoch is held."""
+        held = self._tasks.get(event.task_id)
+        if held is None or held.event.epoch <= event.epoch:
+            self._tasks[event.task_id] = EndedTask(event, now_ms)
+
+    def at_or_after(self, task_id: str, epoch: int) -> TaskEvent | None:
+        """Return the ending that keeps ``epoch`` from starting, if one does."""
+        held = self._tasks.get(task_id)
+        return held.event if held and held.event.epoch >= epoch else None
+
+    def commit(self, event: TaskEvent) -> None:
+        """Note that the replicated log has an event."""
+        held = self._tasks.get(event.task_id)
+        if held is not None and held.event == event:
+            self._tasks[event.task_id] = held._replace(committed=True)
+
+    def is_committed(self, status: TaskStatusBody) -> bool:
+        """Tell whether a reported ending may be forgotten by its target."""
+        held = self._tasks.get(status["task_id"])
+        if held is None or held.event.epoch < status["epoch"]:
+            return False
+        return held.committed or held.event.epoch > status["epoch"]
+
+    def prune(self, now_ms: int) -> None:
+        """Forget committed endings that are old."""
+        for task_id, held in list(self._tasks.items()):
+            if held.committed and now_ms - held.ended_ms > KEPT_MS:
+                del self._tasks[task_id]
--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -157,7 +157,7 @@
         for event in events:
             target = self.targets.get(event.target_id)
             if target is not None:
-                target.tasks.commit(event)
+                target.tasks.ended.commit(event)
 
     def _new(self, owned: OwnedTarget, now_ms: int) -> ManagedTarget:
         return ManagedTarget(owned, self.settings.task_lease_ms, now_ms)
--- a/packages/foxspring-entry/foxspring_entry/_task_state.py
+++ b/packages/foxspring-entry/foxspring_entry/_task_state.py
@@ -3,7 +3,24 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from foxspring_model import NOTHING, Resources, RunTask, TaskEvent
+from foxspring_model import NOTHING, Resources, RunTask
+
+RETRY_CALL_MS = 300
+START_LIMIT_MS = 10_000
+STOP_LIMIT_MS = 60_000
+READING_MAX_AGE_MS = 2_500
+
+EVENT_OF_STATE = {
+    "finished": "finished",
+    "failed": "failed",
+    "stopped": "stopped",
+    "expired": "lost",
+}
+
+
+def hold_id(task_id: str) -> str:
+    """Return the ledger's id of a task."""
+    return f"task:{task_id}"
 
 
 class TaskPhase(StrEnum):
@@ -32,6 +49,7 @@
     run: RunTask | None = None
     lease_end_ms: int = 0
     next_call_ms: int = 0
+    offered_ms: int = 0
     calling: bool = False
     maybe_sent: bool = False
     checkpoint: str = ""
@@ -40,17 +58,6 @@
     missing_ms: int | None = None
 
 
-class EndedTask(NamedTuple):
-    """The last event of a task, kept so that nothing starts its epoch again.
-
-    ``committed`` is set once the replicated log has the event.
-    """
-
-    event: TaskEvent
-    ended_ms: int
-    committed: bool = False
-
-
 class TaskCallKind(StrEnum):
     """The call of the platform contract that a task needs."""
 
--- a/packages/foxspring-entry/foxspring_entry/_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/_tasks.py
@@ -1,48 +1,32 @@
 """The tasks of one owned target: starts, leases, stops and what became of them."""
 
-import msgspec
 from foxspring_model import (
     CHECKS,
     Invariant,
     Resources,
-    ResourcesBody,
     RunTask,
-    StartTaskBody,
     StopTask,
-    StopTaskBody,
     TaskEvent,
     TaskStatusBody,
-    ThrottleBody,
     ThrottleTask,
 )
 
+from foxspring_entry._ended_tasks import EndedTasks
 from foxspring_entry._ledger import HoldKind, TargetLedger
+from foxspring_entry._task_calls import start_call, stop_call, throttle_call
 from foxspring_entry._task_state import (
-    EndedTask,
+    EVENT_OF_STATE,
+    READING_MAX_AGE_MS,
+    RETRY_CALL_MS,
+    START_LIMIT_MS,
+    STOP_LIMIT_MS,
     OwnedTask,
     TargetClock,
     TaskCall,
-    TaskCallKind,
     TaskPhase,
+    hold_id,
 )
 
-RETRY_CALL_MS = 300
-STOP_LIMIT_MS = 60_000
-ENDED_KEPT_MS = 120_000
-READING_MAX_AGE_MS = 2_500
-
-_EVENT_OF_STATE = {
-    "finished": "finished",
-    "failed": "failed",
-    "stopped": "stopped",
-    "expired": "lost",
-}
-
-
-def hold_id(task_id: str) -> str:
-    """Return the ledger's id of a task."""
-    return f"task:{task_id}"
-
 
 class TargetTasks:
     """Tasks that hold a part of one target, and those that ended lately.
@@ -55,7 +39,7 @@
         self.ledger = ledger
         self.lease_ms = lease_ms
         self.tasks: dict[str, OwnedTask] = {}
-        self.ended: dict[str, EndedTask] = {}
+        self.ended = EndedTasks()
         self.events: list[TaskEvent] = []
         self.strays: dict[str, int] = {}
         self.throttles: dict[str, ThrottleTask] = {}
@@ -84,6 +68,7 @@
             run.resources,
             run,
             next_call_ms=now_ms,
+            offered_ms=now_ms,
             checkpoint=run.checkpoint,
         )
 
@@ -93,10 +78,9 @@
         if task is not None and task.epoch == stop.epoch:
             self._begin_stop(task, stop, now_ms)
             return
-        ended = self.ended.get(stop.task_id)
-        if ended is not None and ended.event.epoch >= stop.epoch:
-            if ended.event.epoch == stop.epoch:
-                self.events.append(ended.event)
+        ended = self.ended.at_or_after(stop.task_id, stop.epoch)
+        if ended is not None:
+            self._repeat(ended, stop.epoch)
             return
         if surely_absent and task is None:
             self._end(stop.task_id, stop.epoch, "stopped", now_ms)
@@ -148,8 +132,6 @@
 
     def on_stop(self, call: TaskCall, status: TaskStatusBody | None, now: int) -> None:
         """Take the answer to a stop: the task's last status, or ``None``."""
-        if self.strays.get(call.task_id) == call.epoch:
-            del self.strays[call.task_id]
         task = self._current(call)
         if task is None:
             return
@@ -206,27 +188,19 @@
         for task in list(self.tasks.values()):
             if task.lease_end_ms and now_ms >= task.lease_end_ms:
                 self._end(task.task_id, task.epoch, "lost", now_ms, "lease ended")
-        for task_id, ended in list(self.ended.items()):
-            if ended.committed and now_ms - ended.ended_ms > ENDED_KEPT_MS:
-                del self.ended[task_id]
+        self.ended.prune(now_ms)
 
     def end_all(self, detail: str, now_ms: int) -> None:
         """End every task because the target's process has started anew."""
         for task in list(self.tasks.values()):
             self._end(task.task_id, task.epoch, "lost", now_ms, detail)
 
-    def commit(self, event: TaskEvent) -> None:
-        """Note that the replicated log has an event."""
-        ended = self.ended.get(event.task_id)
-        if ended is not None and ended.event == event:
-            self.ended[event.task_id] = ended._replace(committed=True)
-
     def acknowledged(self, statuses: list[TaskStatusBody]) -> list[list[str | int]]:
         """Return the reported endings that the target may forget."""
         return [
             [status["task_id"], status["epoch"]]
             for status in statuses
-            if status["state"] != "running" and self._is_committed(status)
+            if status["state"] != "running" and self.ended.is_committed(status)
         ]
 
     def take_events(self) -> list[TaskEvent]:
@@ -235,10 +209,9 @@
         return events
 
     def _answer_again(self, run: RunTask, now_ms: int) -> bool:
-        ended = self.ended.get(run.task_id)
-        if ended is not None and ended.event.epoch >= run.epoch:
-            if ended.event.epoch == run.epoch:
-                self.events.append(ended.event)
+        ended = self.ended.at_or_after(run.task_id, run.epoch)
+        if ended is not None:
+            self._repeat(ended, run.epoch)
             return True
         task = self.tasks.get(run.task_id)
         if task is None:
@@ -246,7 +219,7 @@
         if task.epoch < run.epoch:
             detail = f"epoch {task.epoch} still holds its place"
             event = self._emit(run.task_id, run.epoch, "refused", detail=detail)
-            self.ended[run.task_id] = EndedTask(event, now_ms)
+            self.ended.add(event, now_ms)
         elif task.epoch == run.epoch:
             self._know_again(task, run)
         return True
@@ -279,48 +252,35 @@
             return self._start_call(task, clock, now_ms)
         if task.phase is TaskPhase.STOPPING:
             self.tasks[task.task_id] = task._replace(calling=True)
-            body = StopTaskBody(
-                task_id=task.task_id,
-                epoch=task.epoch,
-                checkpoint=task.save_checkpoint,
-            )
-            return _call(TaskCallKind.STOP, task, body)
+            return stop_call(task.task_id, task.epoch, task.save_checkpoint)
         throttle = self.throttles.pop(task.task_id, None)
-        if throttle is None:
-            return None
-        share = ThrottleBody(
-            task_id=task.task_id, epoch=task.epoch, percent=throttle.percent
-        )
-        return _call(TaskCallKind.THROTTLE, task, share)
+        return throttle_call(throttle) if throttle is not None else None
 
     def _start_call(
         self, task: OwnedTask, clock: TargetClock, now_ms: int
     ) -> TaskCall | None:
+        if now_ms - task.offered_ms > START_LIMIT_MS:
+            self._end_start(task, now_ms)
+            return None
         if task.run is None or not clock.is_fresh(now_ms, READING_MAX_AGE_MS):
             return None
-        end_ms = clock.lease_end_ms(self.lease_ms)
-        self.tasks[task.task_id] = task._replace(
-            calling=True, lease_end_ms=max(task.lease_end_ms, end_ms)
-        )
-        body = StartTaskBody(
-            task_id=task.task_id,
-            epoch=task.epoch,
-            lease_until_ms=clock.reading_ms + self.lease_ms,
-            service=task.run.service,
-            resources=_resources_body(task.resources),
-            payload=task.run.payload,
-            checkpoint=task.run.checkpoint,
-        )
-        return _call(TaskCallKind.START, task, body)
+        end_ms = max(task.lease_end_ms, clock.lease_end_ms(self.lease_ms))
+        self.tasks[task.task_id] = task._replace(calling=True, lease_end_ms=end_ms)
+        return start_call(task.run, clock.reading_ms + self.lease_ms)
+
+    def _end_start(self, task: OwnedTask, now_ms: int) -> None:
+        if not task.maybe_sent:
+            detail = "the target could not be asked in time"
+            self._end(task.task_id, task.epoch, "refused", now_ms, detail)
+            return
+        stop = StopTask(task.task_id, task.epoch, self.ledger.target_id, False)
+        self._begin_stop(task, stop, now_ms)
 
     def _stray_calls(self, room: int) -> list[TaskCall]:
-        calls = []
-        for task_id, epoch in list(self.strays.items())[: max(0, room)]:
-            body = StopTaskBody(task_id=task_id, epoch=epoch, checkpoint=False)
-            encoded = msgspec.json.encode(body)
-            calls.append(TaskCall(TaskCallKind.STOP, task_id, epoch, encoded))
+        strays = list(self.strays.items())[: max(0, room)]
+        for task_id, _ in strays:
             del self.strays[task_id]
-        return calls
+        return [stop_call(task_id, epoch, False) for task_id, epoch in strays]
 
     def _apply_status(self, status: TaskStatusBody, now_ms: int) -> None:
         task = self.tasks.get(status["task_id"])
@@ -342,38 +302,32 @@
             if checkpoint != task.checkpoint:
                 self._note_checkpoint(task.task_id, checkpoint)
             return
-        kind = _EVENT_OF_STATE[status["state"]]
-        self._end(
-            task.task_id,
-            task.epoch,
-            kind,
-            now_ms,
-            status["detail"],
-            checkpoint,
-            status["result"],
-        )
+        self._end_as_reported(status, checkpoint, now_ms)
 
     def _apply_unknown(self, status: TaskStatusBody, now_ms: int) -> None:
         task_id, epoch = status["task_id"], status["epoch"]
-        ended = self.ended.get(task_id)
-        if ended is not None and ended.event.epoch >= epoch:
+        if self.ended.at_or_after(task_id, epoch) is not None:
             if status["state"] == "running":
                 self.strays[task_id] = epoch
             return
         if status["state"] != "running":
-            kind = _EVENT_OF_STATE[status["state"]]
-            self._end(
-                task_id,
-                epoch,
-                kind,
-                now_ms,
-                status["detail"],
-                status["checkpoint"],
-                status["result"],
-            )
+            self._end_as_reported(status, status["checkpoint"], now_ms)
             return
         self._adopt(status, now_ms)
 
+    def _end_as_reported(
+        self, status: TaskStatusBody, checkpoint: str, now_ms: int
+    ) -> None:
+        self._end(
+            status["task_id"],
+            status["epoch"],
+            EVENT_OF_STATE[status["state"]],
+            now_ms,
+            status["detail"],
+            checkpoint,
+            status["result"],
+        )
+
     def _adopt(self, status: TaskStatusBody, now_ms: int) -> None:
         used = Resources(
             cores_milli=status["cores_milli"], memory_mb=status["memory_mb"]
@@ -405,13 +359,9 @@
         task = self.tasks.get(call.task_id)
         return task if task is not None and task.epoch == call.epoch else None
 
-    def _is_committed(self, status: TaskStatusBody) -> bool:
-        ended = self.ended.get(status["task_id"])
-        if ended is None:
-            return False
-        if ended.event.epoch > status["epoch"]:
-            return True
-        return ended.committed and ended.event.epoch == status["epoch"]
+    def _repeat(self, event: TaskEvent, epoch: int) -> None:
+        if event.epoch == epoch:
+            self.events.append(event)
 
     def _end(
         self,
@@ -428,9 +378,7 @@
         self.ledger.release(hold_id(task_id))
         self.throttles.pop(task_id, None)
         event = self._emit(task_id, epoch, kind, checkpoint or last, result, detail)
-        earlier = self.ended.get(task_id)
-        if earlier is None or earlier.event.epoch <= epoch:
-            self.ended[task_id] = EndedTask(event, now_ms)
+        self.ended.add(event, now_ms)
         CHECKS.check(
             Invariant.ONE_PLACE,
             hold_id(task_id) not in self.ledger.holds,
@@ -451,21 +399,3 @@
         )
         self.events.append(event)
         return event
-
-
-def _call(
-    kind: TaskCallKind,
-    task: OwnedTask,
-    body: StopTaskBody | ThrottleBody | StartTaskBody,
-) -> TaskCall:
-    return TaskCall(kind, task.task_id, task.epoch, msgspec.json.encode(body))
-
-
-def _resources_body(amount: Resources) -> ResourcesBody:
-    return ResourcesBody(
-        slots=amount.slots,
-        connections=amount.connections,
-        cores_milli=amount.cores_milli,
-        memory_mb=amount.memory_mb,
-        accelerators=amount.accelerators,
-    )
