--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_ledger.py
@@ -0,0 +1,103 @@
+"""The ledger of one target, with a random walk against a plain account."""
+
+import random
+import unittest
+
+from foxspring_model import CHECKS, Invariant, Resources
+
+from foxspring_entry._ledger import HoldKind, TargetLedger
+
+_ONE = Resources(slots=1, connections=1)
+_SETTLE_MS = 300
+
+
+class LedgerTest(unittest.TestCase):
+    def test_admits_only_what_fits(self) -> None:
+        cases = {
+            "fits": (Resources(2, 2, 100, 100, 1), True),
+            "one slot too many": (Resources(slots=3), False),
+            "one connection too many": (Resources(connections=3), False),
+            "too many cores": (Resources(cores_milli=101), False),
+            "too much memory": (Resources(memory_mb=101), False),
+            "no second accelerator": (Resources(accelerators=2), False),
+        }
+        for name, (need, admitted) in cases.items():
+            with self.subTest(name):
+                ledger = TargetLedger("t-1", Resources(2, 2, 100, 100, 1))
+                self.assertIs(ledger.admit("a", HoldKind.TASK, need), admitted)
+
+    def test_an_id_is_held_once(self) -> None:
+        ledger = TargetLedger("t-1", Resources(slots=8, connections=8))
+        self.assertTrue(ledger.admit("a", HoldKind.REQUEST, _ONE))
+        self.assertFalse(ledger.admit("a", HoldKind.REQUEST, _ONE))
+        ledger.release("a")
+        ledger.release("a")
+        self.assertEqual(ledger.free, ledger.capacity)
+
+    def test_given_up_work_is_freed_by_a_later_report_only(self) -> None:
+        # Columns: reading asked at, reading, report taken at, listed, freed.
+        cases = (
+            ("no reading yet", None, 0, 900, False, False),
+            ("reading too soon after", 1_200, 500, 900, False, False),
+            ("report before the reading", 1_300, 500, 499, False, False),
+            ("report still lists it", 1_300, 500, 500, True, False),
+            ("later report without it", 1_300, 500, 500, False, True),
+        )
+        for name, asked_ms, reading_ms, taken_ms, listed, freed in cases:
+            with self.subTest(name):
+                ledger = TargetLedger("t-1", _ONE)
+                ledger.admit("a", HoldKind.REQUEST, _ONE)
+                ledger.give_up("a", 1_000)
+                if asked_ms is not None:
+                    ledger.note_reading(asked_ms, reading_ms, _SETTLE_MS)
+                running = frozenset({"a"} if listed else ())
+                ledger.note_running(taken_ms, running)
+                self.assertIs("a" not in ledger.holds, freed)
+
+    def test_a_report_never_frees_what_was_not_given_up(self) -> None:
+        ledger = TargetLedger("t-1", _ONE)
+        ledger.admit("a", HoldKind.REQUEST, _ONE)
+        ledger.note_reading(5_000, 500, _SETTLE_MS)
+        ledger.note_running(10_000, frozenset())
+        self.assertIn("a", ledger.holds)
+
+    def test_random_walk_keeps_the_account(self) -> None:
+        rng = random.Random(7)
+        before = CHECKS.violated[Invariant.CAPACITY]
+        for _ in range(200):
+            ledger = TargetLedger("t-1", Resources(8, 16, 1_000, 1_000, 2))
+            plain: dict[str, Resources] = {}
+            for step in range(60):
+                self._step(ledger, plain, rng, step)
+                total = Resources(*(sum(a) for a in zip(*plain.values(), strict=True)))
+                self.assertEqual(ledger.held, total if plain else Resources())
+                self.assertFalse(ledger.free.is_negative())
+        self.assertEqual(CHECKS.violated[Invariant.CAPACITY], before)
+
+    def _step(
+        self,
+        ledger: TargetLedger,
+        plain: dict[str, Resources],
+        rng: random.Random,
+        step: int,
+    ) -> None:
+        hold_id = f"h-{rng.randrange(12)}"
+        if rng.random() < 0.6:
+            need = Resources(
+                rng.randrange(4), rng.randrange(4), rng.randrange(400), 0, 0
+            )
+            if ledger.admit(hold_id, HoldKind.REQUEST, need):
+                self.assertNotIn(hold_id, plain)
+                plain[hold_id] = need
+        elif rng.random() < 0.5:
+            ledger.release(hold_id)
+            plain.pop(hold_id, None)
+        else:
+            ledger.give_up(hold_id, step)
+            ledger.note_reading(step + _SETTLE_MS, step, _SETTLE_MS)
+            for freed in ledger.note_running(step, frozenset()):
+                plain.pop(freed)
+
+
+if __name__ == "__main__":
+    unittest.main()
