Test tasks and owners on a paused clock, with a random run

Cause: takeovers, late reports and uncertain answers had no tests. Change: table tests of task leases, starts, stops, acks and takeovers; a random run of an owner against the targets' own account.

--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
@@ -0,0 +1,282 @@
+"""The owner's requests and takeovers on a paused clock, and a random run."""
+
+import random
+import unittest
+
+import msgspec
+from foxspring_model import (
+    CHECKS,
+    Answered,
+    RefusalReason,
+    Refused,
+    RelayAnswer,
+    RelayRequest,
+    RenewAnswerBody,
+    Resources,
+    Uncertain,
+    Verdict,
+)
+
+from foxspring_entry._effects import (
+    AbortRequest,
+    CallTarget,
+    Effects,
+    SendMessage,
+    SendRequest,
+)
+from foxspring_entry._owner_requests import OwnerRequests, TargetOutcome
+from foxspring_entry._owner_targets import CallAnswer, OwnerTargets
+from foxspring_entry.tests import builders
+
+_TARGET_AHEAD_MS = 500_000
+_WHOLE = TargetOutcome(Answered(200, (), b"ok"), 10_000)
+_CUT = TargetOutcome(Uncertain("cut"))
+
+
+class OwnerCase(unittest.TestCase):
+    """An owner of targets that a test answers for by hand."""
+
+    def setUp(self) -> None:
+        self.now_ms = 10_000
+        settings = builders.settings("e-1", "c:1")
+        self.targets = OwnerTargets(settings)
+        self.requests = OwnerRequests(settings.target_silence_ms, random.Random(1))
+        self.requests.targets = self.targets.targets
+        self.requests.configure(builders.configuration())
+        self.sequence = 0
+
+    def assign(self, *names: str, epoch: int = 1, slots: int = 8) -> None:
+        for name in names:
+            capacity = Resources(slots, 64, 64_000, 250_000, 0)
+            info = builders.target_info(name, capacity=capacity)
+            owned = builders.owned(name, info=info, owner_epoch=epoch)
+            self.targets.assign(owned, self.now_ms)
+
+    def report(self, name: str, running: tuple[str, ...] = (), age_ms: int = 0) -> None:
+        self.sequence += 1
+        taken_ms = self.now_ms + _TARGET_AHEAD_MS - age_ms
+        body = builders.report(
+            name, self.sequence, target_ms=taken_ms, requests=list(running)
+        )
+        self.targets.report(body, self.now_ms)
+
+    def renew(self) -> None:
+        """Answer every renewal that is due."""
+        for effect in self.targets.tick(True, self.now_ms):
+            assert isinstance(effect, CallTarget)
+            reading = self.now_ms + _TARGET_AHEAD_MS
+            body = msgspec.json.encode(RenewAnswerBody(unknown=[], target_ms=reading))
+            self.targets.call_done(effect.call_id, CallAnswer(200, body), self.now_ms)
+
+    def open(self, *names: str, slots: int = 8) -> None:
+        """Assign targets and bring them through the takeover."""
+        self.assign(*names, slots=slots)
+        self.now_ms += 300
+        self.renew()
+        for name in names:
+            self.report(name)
+
+    def send(self, relay: RelayRequest) -> Effects:
+        return self.requests.request(relay, "e-9:link", self.now_ms)
+
+    def answers(self, effects: Effects) -> list[RelayAnswer]:
+        return [e.message for e in effects if isinstance(e, SendMessage)]
+
+
+class OwnerTest(OwnerCase):
+    def test_sends_at_once_queues_then_refuses(self) -> None:
+        self.open("t-1", slots=2)
+        for number in range(2):
+            (sent,) = self.send(builders.relay(f"r-{number}"))
+            self.assertIsInstance(sent, SendRequest)
+        self.assertEqual(self.send(builders.relay("r-2")), [])
+        done = self.requests.done("r-0", _WHOLE, self.now_ms)
+        self.assertEqual(self.answers(done)[0].verdict, Verdict.RAN)
+        (sent,) = self.requests.pump("register", self.now_ms)
+        assert isinstance(sent, SendRequest)
+        self.assertEqual(sent.hold_id, "r-2")
+
+    def test_what_cannot_finish_in_time_is_refused_at_once(self) -> None:
+        self.open("t-1", slots=1)
+        self.send(builders.relay("r-0"))
+        self.requests.done("r-0", TargetOutcome(_WHOLE.outcome, 400_000), self.now_ms)
+        self.send(builders.relay("r-1"))
+        self.assertEqual(self.send(builders.relay("r-2", remaining_ms=5_000)), [])
+        refused = self.answers(self.send(builders.relay("r-3", remaining_ms=300)))[0]
+        self.assertEqual(
+            (refused.verdict, refused.reason),
+            (Verdict.NOT_RUN, RefusalReason.OVERLOADED),
+        )
+        self.assertGreater(refused.retry_after_ms, 300)
+
+    def test_queued_request_past_its_deadline_did_not_run(self) -> None:
+        self.open("t-1", slots=1)
+        self.send(builders.relay("r-0", remaining_ms=9_000))
+        self.send(builders.relay("r-1", remaining_ms=1_000))
+        self.now_ms += 1_000
+        (answer,) = self.answers(self.requests.tick(self.now_ms))
+        self.assertEqual(
+            (answer.request_id, answer.reason), ("r-1", RefusalReason.DEADLINE)
+        )
+
+    def test_given_up_request_is_answered_and_holds_its_slot(self) -> None:
+        self.open("t-1", slots=1)
+        self.send(builders.relay("r-0"))
+        self.now_ms += 1_000
+        effects = self.requests.tick(self.now_ms)
+        self.assertEqual(self.answers(effects)[0].verdict, Verdict.MAY_HAVE_RUN)
+        self.assertIn(AbortRequest("r-0"), effects)
+        self.requests.done("r-0", _CUT, self.now_ms)
+        self.assertEqual(self.send(builders.relay("r-1", remaining_ms=9_000)), [])
+        self.report("t-1")
+        self.assertEqual(self.requests.pump("register", self.now_ms), [])
+        self.now_ms += 400
+        self.renew()
+        self.report("t-1", running=("r-0",))
+        self.assertEqual(self.requests.pump("register", self.now_ms), [])
+        self.report("t-1")
+        (sent,) = self.requests.pump("register", self.now_ms)
+        assert isinstance(sent, SendRequest)
+        self.assertEqual(sent.hold_id, "r-1")
+
+    def test_late_whole_answer_is_dropped_and_frees_the_slot(self) -> None:
+        self.open("t-1", slots=1)
+        self.send(builders.relay("r-0"))
+        self.now_ms += 1_000
+        self.requests.tick(self.now_ms)
+        self.assertEqual(self.requests.done("r-0", _WHOLE, self.now_ms), [])
+        self.assertEqual(self.requests.late_answers, 1)
+        self.assertEqual(self.targets.targets["t-1"].ledger.free.slots, 1)
+
+    def test_outcomes_of_a_target(self) -> None:
+        unreachable = TargetOutcome(Refused(RefusalReason.TARGET_UNREACHABLE))
+        # Columns: outcome, verdict, slots held after it.
+        cases = (
+            (_WHOLE, Verdict.RAN, 0),
+            (_CUT, Verdict.MAY_HAVE_RUN, 1),
+            (unreachable, Verdict.NOT_RUN, 0),
+        )
+        for outcome, verdict, held in cases:
+            with self.subTest(verdict=verdict):
+                self.setUp()
+                self.open("t-1")
+                self.send(builders.relay("r-0"))
+                answers = self.answers(self.requests.done("r-0", outcome, self.now_ms))
+                self.assertEqual(answers[0].verdict, verdict)
+                held_slots = self.targets.targets["t-1"].ledger.held.slots
+                self.assertEqual(held_slots, held)
+
+    def test_leaving_target_gets_nothing_new(self) -> None:
+        self.open("t-1", "t-2")
+        info = builders.target_info("t-1", leaving=True)
+        self.targets.assign(builders.owned("t-1", info=info), self.now_ms)
+        for number in range(8):
+            (sent,) = self.send(builders.relay(f"r-{number}"))
+            assert isinstance(sent, SendRequest)
+            self.assertEqual(sent.target_id, "t-2")
+
+    def test_sick_target_is_left_out_and_probed_back(self) -> None:
+        self.open("t-1", "t-2", "t-3")
+        for number in range(60):
+            (sent,) = self.send(builders.relay(f"r-{number}"))
+            assert isinstance(sent, SendRequest)
+            result = _CUT if sent.target_id == "t-1" else _WHOLE
+            self.requests.done(sent.hold_id, result, self.now_ms)
+        sick = self.targets.targets["t-1"]
+        self.assertTrue(sick.health.is_ejected(self.now_ms))
+        self.assertEqual(sick.ledger.held.slots, 3)
+        self.now_ms += 1_000
+        self.assertTrue(sick.health.is_on_probation(self.now_ms))
+
+    def test_takeover_admits_nothing_until_a_later_report(self) -> None:
+        self.assign("t-1", epoch=2)
+        self.report("t-1")
+        self.assertEqual(self.send(builders.relay("r-0", remaining_ms=9_000)), [])
+        self.now_ms += 300
+        self.renew()
+        self.report("t-1", age_ms=1)
+        self.assertEqual(self.requests.pump("register", self.now_ms), [])
+        self.report("t-1", running=("old-1", "old-2"))
+        target = self.targets.targets["t-1"]
+        self.assertEqual((target.takeover, target.ledger.held.slots), (None, 2))
+        (sent,) = self.requests.pump("register", self.now_ms)
+        self.assertIsInstance(sent, SendRequest)
+
+    def test_late_reports_change_nothing(self) -> None:
+        self.open("t-1")
+        stale = builders.report("t-1", 1, target_ms=10**9, requests=["x"])
+        self.sequence = 5
+        self.report("t-1")
+        self.assertEqual(self.targets.report(stale, self.now_ms), (False, []))
+        other_life = builders.report("t-1", 99, incarnation=7)
+        self.assertEqual(self.targets.report(other_life, self.now_ms), (False, []))
+
+
+class RandomRunTest(OwnerCase):
+    """Random requests, cuts, hangs, late reports and moves against an oracle."""
+
+    def test_no_target_runs_more_than_its_slots(self) -> None:
+        violated = sum(CHECKS.violated.values())
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self._run(random.Random(seed))
+        self.assertEqual(sum(CHECKS.violated.values()), violated)
+
+    def _run(self, rng: random.Random) -> None:
+        slots = 3
+        names = ("t-1", "t-2", "t-3")
+        running: dict[str, dict[str, int]] = {name: {} for name in names}
+        started: set[str] = set()
+        answered: dict[str, int] = {}
+        self.open(*names, slots=slots)
+        epoch = 1
+        for step in range(3_000):
+            self.now_ms += rng.randrange(20)
+            effects = self.requests.tick(self.now_ms)
+            if rng.random() < 0.6:
+                relay = builders.relay(f"r-{step}", remaining_ms=rng.choice((60, 600)))
+                effects += self.send(relay)
+            if rng.random() < 0.3:
+                self.renew()
+            for name in names:
+                if rng.random() < 0.2:
+                    self.report(name, tuple(running[name]))
+            if rng.random() < 0.005:
+                epoch += 1
+                self.targets.give_away("t-2")
+                self.assign("t-2", epoch=epoch, slots=slots)
+            effects += self._finish(rng, running)
+            for effect in effects:
+                if isinstance(effect, SendRequest):
+                    self.assertNotIn(effect.hold_id, started)
+                    started.add(effect.hold_id)
+                    until_ms = self.now_ms + rng.choice((10, 40, 900))
+                    running[effect.target_id][effect.hold_id] = until_ms
+                    self.assertLessEqual(len(running[effect.target_id]), slots)
+            for answer in self.answers(effects):
+                answered[answer.request_id] = answered.get(answer.request_id, 0) + 1
+                if answer.verdict == Verdict.NOT_RUN:
+                    self.assertNotIn(answer.request_id, started)
+        self.assertGreater(len(started), 500)
+        self.assertEqual(set(answered.values()), {1})
+
+    def _finish(
+        self, rng: random.Random, running: dict[str, dict[str, int]]
+    ) -> Effects:
+        effects: Effects = []
+        for requests in running.values():
+            for request_id, until_ms in list(requests.items()):
+                if rng.random() < 0.01:
+                    # The answer is cut, though the target runs on.
+                    done = self.requests.done(request_id, _CUT, self.now_ms)
+                    effects += done
+                if until_ms <= self.now_ms:
+                    del requests[request_id]
+                    done = self.requests.done(request_id, _WHOLE, self.now_ms)
+                    effects += done
+        return effects
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
@@ -0,0 +1,185 @@
+"""Tasks of one target at their owner, on a paused clock."""
+
+import json
+import unittest
+from typing import Any
+
+from foxspring_model import Priority, Resources, RunTask, StopTask, TaskStatusBody
+
+from foxspring_entry._ledger import TargetLedger
+from foxspring_entry._task_state import TargetClock, TaskCall, TaskCallKind, hold_id
+from foxspring_entry._tasks import TargetTasks
+from foxspring_entry.tests.builders import CAPACITY, task_status
+
+_LEASE_MS = 5_000
+_SIZE = Resources(cores_milli=1_000, memory_mb=1_000)
+
+
+def _run(task_id: str = "j/0", epoch: int = 1, size: Resources = _SIZE) -> RunTask:
+    return RunTask(
+        task_id, "j", epoch, "t-1", 1, "", size, Priority.NORMAL, "default", "", "cp-1"
+    )
+
+
+class TasksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = TargetLedger("t-1", CAPACITY)
+        self.tasks = TargetTasks(self.ledger, _LEASE_MS)
+        self.now_ms = 1_000
+        self.clock = TargetClock(70_000, 1_000)
+
+    def kinds(self) -> list[str]:
+        return [event.kind for event in self.tasks.take_events()]
+
+    def calls(self) -> list[TaskCall]:
+        return self.tasks.next_calls(self.clock, 3, self.now_ms)
+
+    def start(self, status: int | None = 200, sent: bool = True, **run: Any) -> None:
+        self.tasks.offer(_run(**run), "", self.now_ms)
+        (call,) = self.calls()
+        self.tasks.on_start(call, status, sent, self.now_ms)
+
+    def report(self, *statuses: TaskStatusBody, taken_ms: int = 71_000) -> None:
+        self.tasks.on_report(list(statuses), taken_ms, self.now_ms)
+
+    def test_start_carries_a_lease_in_the_targets_clock(self) -> None:
+        self.tasks.offer(_run(), "", self.now_ms)
+        (call,) = self.calls()
+        body = json.loads(call.body)
+        self.assertEqual(
+            (call.kind, body["lease_until_ms"]), (TaskCallKind.START, 75_000)
+        )
+        self.assertEqual(body["checkpoint"], "cp-1")
+        self.assertEqual(self.calls(), [])
+
+    def test_answers_to_a_start(self) -> None:
+        # Columns: status, sent, events, holds its place.
+        cases: tuple[tuple[int | None, bool, list[str], bool], ...] = (
+            (200, True, ["started"], True),
+            (409, True, ["refused"], False),
+            (400, True, ["failed"], False),
+            (None, False, ["refused"], False),
+            (None, True, [], True),
+            (500, True, [], True),
+        )
+        for status, sent, events, held in cases:
+            with self.subTest(status=status, sent=sent):
+                self.setUp()
+                self.start(status, sent)
+                self.assertEqual(self.kinds(), events)
+                self.assertIs(hold_id("j/0") in self.ledger.holds, held)
+
+    def test_uncertain_start_ends_only_with_its_lease(self) -> None:
+        self.start(None)
+        self.clock = TargetClock()
+        end_ms = 1_000 + _LEASE_MS + _LEASE_MS // 10 + 1
+        self.tasks.expire(end_ms - 1)
+        self.assertEqual(self.kinds(), [])
+        self.tasks.expire(end_ms)
+        self.assertEqual(self.kinds(), ["lost"])
+        self.assertEqual(self.ledger.holds, {})
+
+    def test_uncertain_start_is_sent_again_and_found_running(self) -> None:
+        self.start(None)
+        self.now_ms += 300
+        (again,) = self.calls()
+        self.tasks.on_start(again, 200, True, self.now_ms)
+        self.assertEqual(self.kinds(), ["started"])
+
+    def test_a_refused_epoch_never_starts(self) -> None:
+        self.tasks.offer(_run(), "target is leaving", self.now_ms)
+        self.assertEqual(self.kinds(), ["refused"])
+        self.tasks.offer(_run(), "", self.now_ms)
+        self.assertEqual((self.kinds(), self.calls()), (["refused"], []))
+        self.start(epoch=2)
+        self.assertEqual(self.kinds(), ["started"])
+
+    def test_a_later_epoch_waits_for_the_older_one(self) -> None:
+        self.start()
+        self.tasks.offer(_run(epoch=2), "", self.now_ms)
+        self.assertEqual(self.kinds(), ["started", "refused"])
+        self.report(task_status("j/0", 1))
+        self.assertIn("j/0", self.tasks.tasks)
+
+    def test_a_task_unknown_to_a_renewal_waits_for_the_report(self) -> None:
+        # Columns: the reports after the renewal, the events.
+        gone: list[TaskStatusBody] = []
+        none: list[str] = []
+        finished = [task_status("j/0", state="finished", result="r")]
+        cases = (
+            ("gone", gone, 72_000, ["lost"]),
+            ("finished", finished, 72_000, ["finished"]),
+            ("report from before", gone, 71_999, none),
+        )
+        for name, statuses, taken_ms, events in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.start()
+                self.kinds()
+                self.tasks.note_unknown("j/0", 1, 72_000)
+                self.report(*statuses, taken_ms=taken_ms)
+                self.assertEqual(self.kinds(), events)
+
+    def test_ending_is_acked_once_committed(self) -> None:
+        self.start()
+        ended = task_status("j/0", state="finished", checkpoint="cp-2", result="r")
+        self.report(ended)
+        event = self.tasks.take_events()[-1]
+        self.assertEqual(
+            (event.kind, event.result, event.checkpoint), ("finished", "r", "cp-2")
+        )
+        self.assertEqual(self.tasks.acknowledged([ended]), [])
+        self.tasks.ended.commit(event)
+        self.assertEqual(self.tasks.acknowledged([ended]), [["j/0", 1]])
+
+    def test_stop_saves_the_checkpoint(self) -> None:
+        self.start()
+        self.tasks.stop(StopTask("j/0", 1, "t-1", True), False, self.now_ms)
+        self.now_ms += 300
+        (call,) = self.calls()
+        self.assertTrue(json.loads(call.body)["checkpoint"])
+        stopped = task_status("j/0", state="stopped", checkpoint="cp-7")
+        self.tasks.on_stop(call, stopped, self.now_ms)
+        event = self.tasks.take_events()[-1]
+        self.assertEqual((event.kind, event.checkpoint), ("stopped", "cp-7"))
+        self.assertEqual(self.ledger.holds, {})
+
+    def test_a_task_that_does_not_stop_loses_its_lease(self) -> None:
+        self.start()
+        self.tasks.stop(StopTask("j/0", 1, "t-1", True), False, self.now_ms)
+        self.assertEqual(len(self.tasks.renewals(self.now_ms + 59_999)), 1)
+        self.assertEqual(self.tasks.renewals(self.now_ms + 60_000), [])
+
+    def test_stop_of_a_task_that_is_not_there(self) -> None:
+        for absent, events in ((True, ["stopped"]), (False, [])):
+            with self.subTest(absent=absent):
+                self.setUp()
+                stop = StopTask("j/0", 1, "t-1", True)
+                self.tasks.stop(stop, absent, self.now_ms)
+                self.assertEqual(self.kinds(), events)
+
+    def test_stale_epoch_on_the_target_is_stopped(self) -> None:
+        self.start(epoch=3)
+        self.report(task_status("j/0", 2), task_status("j/0", 3))
+        self.now_ms += 300
+        (call,) = self.calls()
+        self.assertEqual((call.kind, call.epoch), (TaskCallKind.STOP, 2))
+
+    def test_adopted_task_blocks_new_ones_until_its_size_is_known(self) -> None:
+        self.report(task_status("j/9"))
+        self.tasks.offer(_run("j/0"), "", self.now_ms)
+        self.assertEqual(self.kinds(), ["started", "refused"])
+        self.tasks.offer(_run("j/9"), "", self.now_ms)
+        self.assertEqual(self.ledger.held, _SIZE)
+        self.start(task_id="j/1")
+        self.assertEqual(self.kinds(), ["started", "started"])
+
+    def test_new_incarnation_ends_everything(self) -> None:
+        self.start()
+        self.tasks.end_all("started anew", self.now_ms)
+        self.assertEqual(self.kinds(), ["started", "lost"])
+        self.assertEqual(self.ledger.holds, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
