--- a/packages/foxspring-testing/foxspring_testing/_fault_network.py
+++ b/packages/foxspring-testing/foxspring_testing/_fault_network.py
@@ -114,6 +114,11 @@
             self._loop.call_soon_threadsafe(pipe.abort)
         return len(pipes)
 
+    def heal(self, name: str) -> None:
+        """Lift the faults between one process and every other."""
+        kept = {pair: fault for pair, fault in self._faults.items() if name not in pair}
+        self._faults = kept
+
     def restore(self) -> None:
         """Lift every fault; connections that went silent stay so."""
         self._faults = {}
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/_schedule_runner.py
@@ -0,0 +1,138 @@
+"""Carries the steps of a schedule out on a site."""
+
+import logging
+import threading
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from foxspring_testing._caller_checks import PlannedStop
+from foxspring_testing._fault_network import ANYONE
+from foxspring_testing._schedule import FaultKind, Step
+from foxspring_testing._site import Site
+
+_LOG = logging.getLogger(__name__)
+_CUT_AFTER_BYTES = 30
+_BALANCER_POLL_S = 0.05
+_BEHAVIOURS: dict[FaultKind, dict[str, Any]] = {
+    FaultKind.HANG: {"hang": True},
+    FaultKind.CUT_ANSWERS: {"cut_answer_after": _CUT_AFTER_BYTES},
+    FaultKind.DOUBLE_ANSWERS: {"answer_twice": True},
+    FaultKind.FAIL_TASKS: {"fail_tasks": True},
+    FaultKind.LEAVE: {"leaving": True},
+}
+
+
+class ScheduleRunner:
+    """Begins and ends each step in time; :meth:`heal` ends all that is left.
+
+    ``serving`` names the entries that a balancer would send to: those that
+    run, are not paused and are not being stopped.
+    """
+
+    def __init__(self, site: Site, steps: Sequence[Step]) -> None:
+        self.site = site
+        self.steps = tuple(steps)
+        self.stops: list[PlannedStop] = []
+        self.failed_stops: list[str] = []
+        self._stopping: set[str] = set()
+        self._busy: set[str] = set()
+        self._threads: list[threading.Thread] = []
+
+    def run(self) -> None:
+        """Carry all steps out; returns when the last one has ended."""
+        begun = time.monotonic()
+        for step in self.steps:
+            time.sleep(max(0.0, begun + step.at_s - time.monotonic()))
+            thread = threading.Thread(target=self._carry_out, args=(step,))
+            thread.start()
+            self._threads.append(thread)
+        for thread in self._threads:
+            thread.join()
+
+    def heal(self) -> None:
+        """Lift every fault and start every process that is down."""
+        if self.site.network is not None:
+            self.site.network.restore()
+        for name, process in self.site.processes.items():
+            if process.paused:
+                self.site.resume(name)
+            self.site.start(name)
+        self.site.wait_ready()
+        for name in self.site.targets:
+            self.site.behave(name)
+
+    def serving(self) -> list[str]:
+        """Return the HTTP addresses of entries a balancer would send to."""
+        return [
+            self.site.daemons[name].http
+            for name in self.site.names("entry")
+            if name not in self._stopping and self._answers(name)
+        ]
+
+    def _answers(self, name: str) -> bool:
+        process = self.site.processes[name]
+        return process.alive() and not process.paused
+
+    def _carry_out(self, step: Step) -> None:
+        # A process has one fault of its own at a time; the next one is left out.
+        if step.name in self._busy:
+            return
+        self._busy.add(step.name)
+        _LOG.info("event=fault_begun step=%r", step.line())
+        try:
+            self._begin(step)
+            if step.kind is not FaultKind.PLANNED_RESTART:
+                time.sleep(step.for_s)
+            self._end(step)
+        except OSError as error:
+            _LOG.warning("event=step_failed step=%r reason=%r", step.line(), error)
+        finally:
+            self._busy.discard(step.name)
+
+    def _begin(self, step: Step) -> None:
+        network = self.site.network
+        if step.kind is FaultKind.KILL:
+            self.site.kill(step.name)
+        elif step.kind is FaultKind.PAUSE:
+            self.site.pause(step.name)
+        elif step.kind is FaultKind.PLANNED_RESTART:
+            self._planned_stop(step.name)
+        elif step.kind in _BEHAVIOURS:
+            self.site.behave(step.name, **_BEHAVIOURS[step.kind])
+        elif network is None:
+            return
+        elif step.kind is FaultKind.SILENCE:
+            network.silence(step.name, ANYONE)
+            network.silence(ANYONE, step.name)
+        elif step.kind is FaultKind.RESET:
+            network.reset(step.name, ANYONE)
+            network.reset(ANYONE, step.name)
+        else:
+            both = step.kind is FaultKind.PARTITION
+            network.partition({step.name}, set(self.site.processes), both)
+
+    def _end(self, step: Step) -> None:
+        if step.kind in (FaultKind.KILL, FaultKind.PLANNED_RESTART):
+            self.site.start(step.name)
+        elif step.kind is FaultKind.PAUSE:
+            self.site.resume(step.name)
+        elif step.kind in _BEHAVIOURS:
+            self.site.behave(step.name)
+        elif self.site.network is not None:
+            self.site.network.heal(step.name)
+
+    def _planned_stop(self, name: str) -> None:
+        # The balancer sends on until the entry says that it is not ready.
+        address = self.site.daemons[name].http
+        begun_ms = self.site.clock.monotonic_ms()
+        process = self.site.processes[name]
+        process.begin_stop()
+        while process.alive() and self.site.entry_ready(name):
+            time.sleep(_BALANCER_POLL_S)
+        self._stopping.add(name)
+        if not self.site.stop(name):
+            self.failed_stops.append(name)
+        self._stopping.discard(name)
+        ended_ms = self.site.clock.monotonic_ms()
+        self.stops.append(PlannedStop(address, begun_ms, ended_ms))
