--- a/packages/foxspring-model/foxspring_model/_commands.py
+++ b/packages/foxspring-model/foxspring_model/_commands.py
@@ -112,9 +112,14 @@
 
 
 class RecordTaskEvents(NamedTuple):
-    """Apply what owners learnt; events of an older epoch change nothing."""
+    """Apply what owners learnt; events of an older epoch change nothing.
+
+    ``entry_id`` names the reporter; it is empty where control itself knows
+    that every lease has ended.
+    """
 
     events: tuple[TaskEvent, ...]
+    entry_id: str = ""
 
 
 class EndTasks(NamedTuple):
@@ -127,13 +132,16 @@
 class ClaimKey(NamedTuple):
     """Claim an idempotency key for one entry before its request is sent.
 
-    ``fingerprint`` is a digest of the request that the key came with.
+    ``fingerprint`` is a digest of the request that the key came with. A claim
+    sent again with its own ``claim_id`` is still claimed; control fills in the
+    proposal's id where it is empty.
     """
 
     key: str
     fingerprint: str
     entry_id: str
     incarnation: int
+    claim_id: str = ""
 
 
 class CompleteKey(NamedTuple):
