Place at most one replica of a service on a target

Cause: two replicas landed on one target while others were still unknown; requests go to targets, so the second added no room. Change: a target with a replica is no candidate for another one of that service.

--- a/packages/foxspring-daemon/foxspring_daemon/_operator_routes.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_operator_routes.py
@@ -151,7 +151,9 @@
         raise BadRequestError(f"job_ids: give 1 to {MAX_IDS} ids")
     for job_id in job_ids:
         _check_id(job_id, "job id")
-    return _propose(control, CancelJobs(_change_id(request), request.principal, job_ids))
+    return _propose(
+        control, CancelJobs(_change_id(request), request.principal, job_ids)
+    )
 
 
 def _drain(control: ControlPort, request: HttpRequest) -> HttpResponse:
--- a/packages/foxspring-model/foxspring_model/scheduling/_placing.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_placing.py
@@ -88,12 +88,17 @@
 
 
 def spread_cost(group: TaskGroup, room: Room, rooms: Rooms) -> float:
-    """Return how crowded a target and its rack are with the service."""
+    """Return how crowded the rack is with the service.
+
+    A target has one replica of a service at most: requests go to targets, so a
+    second one there would add no room and be lost together with the first.
+    """
     if room.info is None or not group.service:
         return 0.0
-    here = room.replicas.get(group.service, 0)
+    if room.replicas.get(group.service, 0):
+        return AVOIDED
     rack = rooms.rack_replicas(group.service, room.info.failure_domain, room.info.rack)
-    return _HERE_COST * here + _RACK_COST * rack
+    return _RACK_COST * rack
 
 
 def domain_order(group: TaskGroup, rooms: Rooms) -> list[str]:
