Import pynng without asyncio

Cause: a control daemon held 33.0 MB when idle, over the 32 MB bound; pynng imports asyncio and so ssl, which its blocking sockets never use. Change: the link imports pynng while an empty module stands in for asyncio.

--- a/packages/foxspring-link/foxspring_link/_link.py
+++ b/packages/foxspring-link/foxspring_link/_link.py
@@ -11,10 +11,10 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-import pynng
 from foxspring_model import Clock, LinkPing, LinkPong
 
 from foxspring_link._codec import Codec, MalformedMessageError
+from foxspring_link._nng import pynng
 
 _LOG = logging.getLogger(__name__)
 
