Give each control member's metrics through the entries

Cause: a control member loads no HTTP stack, so nobody could scrape it. Change: GET /metrics/MEMBER at an entry asks the leader, which hands the question to the member; the answer is rendered at the entry.

--- a/packages/foxspring-control/foxspring_control/service/_core.py
+++ b/packages/foxspring-control/foxspring_control/service/_core.py
@@ -15,6 +15,10 @@
 
 from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._leader import Leader
+from foxspring_control.service._member_metrics import (
+    MEMBER_METRICS,
+    answer_member_metrics,
+)
 from foxspring_control.service._messages import LogHandle, Post, SendMessage
 from foxspring_control.service._scheduling import MakeScheduler
 from foxspring_control.service._settings import ServiceSettings
@@ -63,6 +67,10 @@
 
     def receive(self, sender: str, message: Any) -> None:
         """Handle a message of an entry, or name the leader."""
+        if isinstance(message, Query) and message.kind == MEMBER_METRICS:
+            leading = self.leader is not None
+            answer_member_metrics(message, self.log.status(), leading, self.send)
+            return
         if self.leader is not None:
             self.leader.receive(sender, message)
             return
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_member_metrics.py
@@ -0,0 +1,70 @@
+"""Figures of one control member, asked for through any other.
+
+A member has no HTTP stack of its own; an entry asks the leader, which hands the
+question to the member that it is about, and that one answers the entry.
+"""
+
+from typing import TypedDict
+
+import msgspec
+from foxspring_model import CHECKS, Query, QueryResult
+
+from foxspring_control.raft import RaftStatus
+from foxspring_control.service._messages import SendMessage
+
+MEMBER_METRICS = "member_metrics"
+
+
+class _About(TypedDict):
+    member_id: str
+
+
+def answer_member_metrics(
+    query: Query, status: RaftStatus, leading: bool, send: SendMessage
+) -> None:
+    """Answer a question about this member, or pass on one about another."""
+    try:
+        about = msgspec.json.decode(query.arguments, type=_About)["member_id"]
+    except msgspec.DecodeError:
+        about = ""
+    if about == status.member_id:
+        result = msgspec.json.encode(member_figures(status))
+        send(query.reply_to, QueryResult(query.query_id, "applied", "", result))
+        return
+    address = _address_of(about, status)
+    if leading and address:
+        send(address, query)
+        return
+    if leading:
+        reason = {"status": "unknown", "reason": f"no control member {about!r}"}
+        result = msgspec.json.encode(reason)
+        send(query.reply_to, QueryResult(query.query_id, "applied", "", result))
+        return
+    send(query.reply_to, QueryResult(query.query_id, "not_leader", status.leader_id))
+
+
+def member_figures(status: RaftStatus) -> dict[str, int]:
+    """Return a member's figures by name, for its metrics."""
+    return {
+        "is_leader": int(status.role == "leader"),
+        "lease_valid": int(status.lease_valid),
+        "term": status.term,
+        "elections_total": status.elections,
+        "commit_index": status.commit_index,
+        "applied_index": status.applied_index,
+        "last_index": status.last_index,
+        "snapshot_index": status.snapshot_index,
+        "syncs_total": status.sync_count,
+        "disk_bytes": status.disk_bytes,
+        "members": len(status.members),
+        "members_reachable": sum(member.reachable for member in status.members),
+        "invariant_checks_total": sum(CHECKS.checked.values()),
+        "violations_total": sum(CHECKS.violated.values()),
+    }
+
+
+def _address_of(member_id: str, status: RaftStatus) -> str:
+    for each in status.members:
+        if each.member.member_id == member_id:
+            return each.member.link_address
+    return ""
--- a/packages/foxspring-daemon/foxspring_daemon/_metrics_routes.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_metrics_routes.py
@@ -54,6 +54,9 @@
             return error_response(
                 503, Verdict.NOT_RUN, "no_control", "no control member answered"
             )
+        if outcome.result.get("status") == "unknown":
+            detail = str(outcome.result.get("reason"))
+            return error_response(404, Verdict.NOT_RUN, "unknown", detail)
         return _exposed(member_registry(outcome.result))
 
     return (
