Wait for the last owner's release or lease before sending to a target

Cause: a move between two live entries reached the next owner before the last one had heard of it, so both could send for up to a lease of 2 s. Change: the next owner waits 2.4 s, or for the release that the last owner sends; a request is refused as not run if it cannot leave within 250 ms of its admission or before the lease ends; a task's report tells its size (TaskStatusBody.resources, added) and the stand-in sends it and echoes the request id; the intake of targets has a module of its own.

--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -16,6 +16,7 @@
     ForwardedReport,
     HeartbeatRejected,
     Invariant,
+    OwnedTarget,
     OwnershipUpdate,
     RefusalReason,
     RelayAnswer,
@@ -23,7 +24,6 @@
     ReportBody,
     RunTask,
     StopTask,
-    TargetSeen,
     TaskEventsAck,
     ThrottleTask,
     UsageBatch,
@@ -31,21 +31,17 @@
 )
 
 from foxspring_entry._effects import Effects, SendMessage
-from foxspring_entry._heartbeats import Heartbeats, LoadReports, UsageSamples
+from foxspring_entry._heartbeats import Heartbeats, LoadReports
+from foxspring_entry._intake import Acked, Intake
 from foxspring_entry._lease import EntryLease, renew
 from foxspring_entry._loads import LoadBook
-from foxspring_entry._messages import ReportAcks
+from foxspring_entry._messages import ReportAcks, TargetReleased
 from foxspring_entry._origin import Origin
 from foxspring_entry._outbox import EventOutbox
 from foxspring_entry._owner_requests import OwnerRequests, TargetOutcome
 from foxspring_entry._owner_targets import CallAnswer, OwnerTargets
 from foxspring_entry._ownership import OwnershipTable
-from foxspring_entry._reports import (
-    MalformedBodyError,
-    decode_report,
-    target_info,
-    usage_sample,
-)
+from foxspring_entry._reports import MalformedBodyError
 from foxspring_entry._retries import RetryBudget
 from foxspring_entry._settings import EntrySettings
 
@@ -83,7 +79,7 @@
         self.revision = 0
         self.table = OwnershipTable()
         self.loads = LoadBook(settings.load_max_age_ms)
-        self.requests = OwnerRequests(settings.target_silence_ms, rng)
+        self.requests = OwnerRequests(settings, rng)
         self.targets = OwnerTargets(settings)
         self.requests.targets = self.targets.targets
         self.outbox = EventOutbox(settings.entry_id, settings.incarnation)
@@ -97,11 +93,11 @@
             settings.max_attempts,
             rng,
         )
-        self.acks: dict[str, tuple[tuple[str, int], ...]] = {}
         self.heartbeats = Heartbeats(settings)
         self.load_reports = LoadReports(settings)
-        self.usage = UsageSamples()
-        self._seen: dict[str, tuple[AnnounceBody, int]] = {}
+        self.intake = Intake(
+            settings.entry_id, self.table, self.targets, settings.seen_interval_ms
+        )
 
     def is_ready(self, now_ms: int) -> bool:
         """Tell whether callers should be sent here."""
@@ -148,38 +144,22 @@
 
     def announce(self, body: AnnounceBody, now_ms: int) -> Effects:
         """Take a target's announcement and pass it on to control."""
-        held = self._seen.get(body["target_id"])
-        every_ms = self.settings.seen_interval_ms
-        if held and held[0] == body and now_ms - held[1] < every_ms:
-            return []
-        self._seen[body["target_id"]] = (body, now_ms)
-        seen = TargetSeen(self.info.entry_id, target_info(body))
-        return self._to_leader(seen)
+        seen = self.intake.announcement(body, now_ms)
+        return self._to_leader(seen) if seen is not None else []
 
     def report(
         self, report: ReportBody, raw: bytes, now_ms: int
-    ) -> tuple[Effects, list[list[str | int]]]:
-        """Take a target's report here or pass it to the target's owner.
-
-        Returns the effects and the ended tasks that the target may forget.
-        """
-        target_id = report["target_id"]
-        owner = self.table.owner_of(target_id)
-        if owner is None:
-            return [], []
-        if owner.entry_id == self.info.entry_id:
-            acked = self._take_report(report, now_ms)
-            return self._send_events(now_ms), acked
-        held = self.acks.pop(target_id, ())
-        forward = SendMessage(owner.link_address, ForwardedReport(target_id, raw))
-        return [forward], [list(pair) for pair in held]
+    ) -> tuple[Effects, Acked]:
+        """Take a target's report; return the tasks that it may forget."""
+        effects, acked = self.intake.report(report, raw, now_ms)
+        return effects + self._send_events(now_ms), acked
 
     def tick(self, now_ms: int) -> Effects:
         """Do what is due at ``now_ms``."""
         effects: Effects = []
         valid = self.lease.is_valid(now_ms)
         if self.lease_held and not valid:
-            effects.extend(self._lease_lost(now_ms))
+            effects.extend(self._lease_lost())
         self.lease_held = valid
         effects.extend(self._heartbeat(now_ms))
         if valid:
@@ -219,6 +199,7 @@
             EntryLoad: self._on_load,
             ForwardedReport: self._on_forwarded,
             ReportAcks: self._on_acks,
+            TargetReleased: self._on_released,
             RunTask: self._on_run,
             StopTask: self._on_stop,
             ThrottleTask: self._on_throttle,
@@ -241,6 +222,7 @@
 
     def _on_grant(self, sender: str, grant: EntryLeaseGrant, now_ms: int) -> Effects:
         self.lease = renew(self.lease, grant, sender, now_ms)
+        self.requests.lease_until_ms = self.lease.until_ms
         if self.lease.leader_address == sender:
             self.heartbeats.granted_ms = now_ms
         return []
@@ -265,18 +247,35 @@
         self, _sender: str, update: OwnershipUpdate, now_ms: int
     ) -> Effects:
         change = self.table.apply(update)
+        self.intake.forget_absent()
         effects: Effects = []
-        for owned in change.changed:
-            if owned.owner == self.info.entry_id:
-                self.targets.assign(owned, now_ms)
+        for changed in change.changed:
+            if changed.owned.owner == self.info.entry_id:
+                self.targets.assign(changed, now_ms)
             else:
-                effects.extend(self._give_away(owned.info.target_id))
+                effects.extend(self._release(changed.owned))
         for owned in change.removed:
             effects.extend(self._give_away(owned.info.target_id))
         if change.entries_changed:
             effects.extend(self.origin.entries_changed(now_ms))
         return effects
 
+    def _release(self, owned: OwnedTarget) -> Effects:
+        """Stop owning a target and tell its next owner, who waits for that."""
+        target_id = owned.info.target_id
+        owner = self.table.entries.get(owned.owner)
+        if target_id not in self.targets.targets or owner is None:
+            return self._give_away(target_id)
+        released = TargetReleased(target_id, owned.owner_epoch)
+        message = SendMessage(owner.link_address, released)
+        return [*self._give_away(target_id), message]
+
+    def _on_released(
+        self, _sender: str, message: TargetReleased, now_ms: int
+    ) -> Effects:
+        self.targets.released(message.target_id, message.owner_epoch, now_ms)
+        return []
+
     def _give_away(self, target_id: str) -> Effects:
         self.outbox.add(self.targets.take_events())
         return self.targets.give_away(target_id)
@@ -304,21 +303,14 @@
         self, sender: str, forwarded: ForwardedReport, now_ms: int
     ) -> Effects:
         try:
-            report = decode_report(forwarded.report)
+            effects = self.intake.forwarded(sender, forwarded, now_ms)
         except MalformedBodyError as error:
             _LOG.warning("event=report_refused reason=%r", str(error))
             return []
-        acked = self._take_report(report, now_ms)
-        effects = self._send_events(now_ms)
-        if acked:
-            pairs = tuple((str(task_id), int(epoch)) for task_id, epoch in acked)
-            acks = ReportAcks(report["target_id"], pairs)
-            effects.append(SendMessage(sender, acks))
-        return effects
+        return effects + self._send_events(now_ms)
 
     def _on_acks(self, _sender: str, acks: ReportAcks, _now_ms: int) -> Effects:
-        if acks.target_id in self.table.targets:
-            self.acks[acks.target_id] = acks.acked
+        self.intake.acks(acks)
         return []
 
     def _on_run(self, _sender: str, run: RunTask, now_ms: int) -> Effects:
@@ -339,18 +331,12 @@
         self.targets.commit(self.outbox.acknowledge(ack.batch_id))
         return self._send_events(now_ms)
 
-    def _take_report(self, report: ReportBody, now_ms: int) -> list[list[str | int]]:
-        newer, acked = self.targets.report(report, now_ms)
-        if newer:
-            self.usage.waiting.append(usage_sample(report))
-        return acked
-
-    def _lease_lost(self, now_ms: int) -> Effects:
+    def _lease_lost(self) -> Effects:
         _LOG.warning("event=lease_lost entry=%s", self.info.entry_id)
         effects = self.requests.refuse_queued(
             RefusalReason.LEASE_EXPIRED, "the owner's lease ended while it waited"
         )
-        return effects + self.targets.lease_lost(now_ms)
+        return effects + self.targets.lease_lost()
 
     def _heartbeat(self, now_ms: int) -> Effects:
         due = self.heartbeats.due(
@@ -385,7 +371,7 @@
         ]
 
     def _usage(self, now_ms: int) -> Effects:
-        samples = self.usage.take_due(now_ms)
+        samples = self.intake.usage.take_due(now_ms)
         if not samples:
             return []
         return self._to_leader(UsageBatch(self.info.entry_id, samples))
--- a/packages/foxspring-entry/foxspring_entry/_effects.py
+++ b/packages/foxspring-entry/foxspring_entry/_effects.py
@@ -21,13 +21,18 @@
 
 
 class SendRequest(NamedTuple):
-    """Send a request to a target; it is held in the ledger as ``hold_id``."""
+    """Send a request to a target; it is held in the ledger as ``hold_id``.
+
+    Its first byte must leave before ``send_by_ms``, while the ownership that
+    it was admitted under surely lasts; else it is refused as not run.
+    """
 
     hold_id: str
     target_id: str
     address: str
     relay: RelayRequest
     deadline_ms: int
+    send_by_ms: int
 
 
 class CallTarget(NamedTuple):
--- a/packages/foxspring-entry/foxspring_entry/_ended_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/_ended_tasks.py
@@ -38,15 +38,22 @@
         if held is not None and held.event == event:
             self._tasks[event.task_id] = held._replace(committed=True)
 
-    def is_committed(self, status: TaskStatusBody) -> bool:
-        """Tell whether a reported ending may be forgotten by its target."""
-        held = self._tasks.get(status["task_id"])
-        if held is None or held.event.epoch < status["epoch"]:
-            return False
-        return held.committed or held.event.epoch > status["epoch"]
+    def acknowledged(self, statuses: list[TaskStatusBody]) -> list[list[str | int]]:
+        """Return the reported endings that their target may forget."""
+        return [
+            [status["task_id"], status["epoch"]]
+            for status in statuses
+            if status["state"] != "running" and self._is_committed(status)
+        ]
 
     def prune(self, now_ms: int) -> None:
         """Forget committed endings that are old."""
         for task_id, held in list(self._tasks.items()):
             if held.committed and now_ms - held.ended_ms > KEPT_MS:
                 del self._tasks[task_id]
+
+    def _is_committed(self, status: TaskStatusBody) -> bool:
+        held = self._tasks.get(status["task_id"])
+        if held is None or held.event.epoch < status["epoch"]:
+            return False
+        return held.committed or held.event.epoch > status["epoch"]
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_intake.py
@@ -0,0 +1,86 @@
+"""What targets post: announcements for control, reports for their owners."""
+
+from foxspring_model import (
+    AnnounceBody,
+    ForwardedReport,
+    ReportBody,
+    TargetSeen,
+)
+
+from foxspring_entry._effects import Effects, SendMessage
+from foxspring_entry._heartbeats import UsageSamples
+from foxspring_entry._messages import ReportAcks
+from foxspring_entry._owner_targets import OwnerTargets
+from foxspring_entry._ownership import OwnershipTable
+from foxspring_entry._reports import decode_report, target_info, usage_sample
+
+Acked = list[list[str | int]]
+
+
+class Intake:
+    """Takes what any target posts here, whoever owns it."""
+
+    def __init__(
+        self, entry_id: str, table: OwnershipTable, targets: OwnerTargets, every_ms: int
+    ) -> None:
+        self.entry_id = entry_id
+        self.table = table
+        self.targets = targets
+        self.usage = UsageSamples()
+        self._seen_interval_ms = every_ms
+        self._seen: dict[str, tuple[AnnounceBody, int]] = {}
+        self._acks: dict[str, Acked] = {}
+
+    def announcement(self, body: AnnounceBody, now_ms: int) -> TargetSeen | None:
+        """Return what control should hear; ``None`` if it just heard the same."""
+        held = self._seen.get(body["target_id"])
+        fresh = held is not None and now_ms - held[1] < self._seen_interval_ms
+        if held is not None and fresh and held[0] == body:
+            return None
+        self._seen[body["target_id"]] = (body, now_ms)
+        return TargetSeen(self.entry_id, target_info(body))
+
+    def report(
+        self, report: ReportBody, raw: bytes, now_ms: int
+    ) -> tuple[Effects, Acked]:
+        """Take a report or pass it to the target's owner.
+
+        Returns the effects and the ended tasks that the target may forget.
+        """
+        target_id = report["target_id"]
+        owner = self.table.owner_of(target_id)
+        if owner is None:
+            return [], []
+        if owner.entry_id == self.entry_id:
+            return [], self._take(report, now_ms)
+        forward = SendMessage(owner.link_address, ForwardedReport(target_id, raw))
+        return [forward], self._acks.pop(target_id, [])
+
+    def forwarded(self, sender: str, message: ForwardedReport, now_ms: int) -> Effects:
+        """Take a report that another entry passed on; answer it with acks.
+
+        Raises:
+            MalformedBodyError: the report is not what a target may send.
+        """
+        report = decode_report(message.report)
+        acked = self._take(report, now_ms)
+        if not acked:
+            return []
+        pairs = tuple((str(task_id), int(epoch)) for task_id, epoch in acked)
+        return [SendMessage(sender, ReportAcks(report["target_id"], pairs))]
+
+    def acks(self, message: ReportAcks) -> None:
+        """Keep an owner's acks for the target's next report here."""
+        if message.target_id in self.table.targets:
+            self._acks[message.target_id] = [list(pair) for pair in message.acked]
+
+    def forget_absent(self) -> None:
+        """Drop what is kept of targets that the table does not have."""
+        for target_id in self._seen.keys() - self.table.targets.keys():
+            del self._seen[target_id]
+
+    def _take(self, report: ReportBody, now_ms: int) -> Acked:
+        newer, acked = self.targets.report(report, now_ms)
+        if newer:
+            self.usage.waiting.append(usage_sample(report))
+        return acked
--- a/packages/foxspring-entry/foxspring_entry/_messages.py
+++ b/packages/foxspring-entry/foxspring_entry/_messages.py
@@ -14,4 +14,14 @@
     acked: tuple[tuple[str, int], ...]
 
 
-ENTRY_MESSAGES: tuple[type, ...] = (ReportAcks,)
+class TargetReleased(NamedTuple):
+    """The last owner of a target says that it sends nothing more to it.
+
+    ``owner_epoch`` is the epoch at which the receiver owns it.
+    """
+
+    target_id: str
+    owner_epoch: int
+
+
+ENTRY_MESSAGES: tuple[type, ...] = (ReportAcks, TargetReleased)
--- a/packages/foxspring-entry/foxspring_entry/_owner_requests.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_requests.py
@@ -22,6 +22,7 @@
 from foxspring_entry._health import may_eject
 from foxspring_entry._ledger import HoldKind
 from foxspring_entry._queue import FairQueue, Waiting, expected_wait_ms
+from foxspring_entry._settings import EntrySettings
 from foxspring_entry._target import ManagedTarget, choose_target
 
 SHORTEST_RETRY_AFTER_MS = 50
@@ -47,8 +48,10 @@
 class OwnerRequests:
     """Admits, queues, sends and answers the requests of owned targets."""
 
-    def __init__(self, silence_ms: int, rng: random.Random) -> None:
-        self.silence_ms = silence_ms
+    def __init__(self, settings: EntrySettings, rng: random.Random) -> None:
+        self.silence_ms = settings.target_silence_ms
+        self.send_within_ms = settings.send_within_ms
+        self.lease_until_ms = 0
         self.rng = rng
         self.configuration = Configuration()
         self.services: dict[str, Service] = {}
@@ -198,9 +201,13 @@
         if target is None or not self._admit(item, service, target):
             return None
         self.running[relay.request_id] = Running(item, target, now_ms)
-        address = target.owned.info.address
         return SendRequest(
-            relay.request_id, target.target_id, address, relay, item.deadline_ms
+            relay.request_id,
+            target.target_id,
+            target.owned.info.address,
+            relay,
+            item.deadline_ms,
+            min(self.lease_until_ms, now_ms + self.send_within_ms),
         )
 
     def _admit(self, item: Waiting, service: Service, target: ManagedTarget) -> bool:
--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -18,8 +18,9 @@
 
 from foxspring_entry._effects import CallTarget, CloseConnections, Effects
 from foxspring_entry._ledger import HoldKind
+from foxspring_entry._ownership import TargetChange
 from foxspring_entry._settings import EntrySettings
-from foxspring_entry._target import CONTROL_CONNECTIONS, ManagedTarget, Takeover
+from foxspring_entry._target import CONTROL_CONNECTIONS, ManagedTarget
 from foxspring_entry._task_state import OwnedTask, TaskCall, TaskCallKind
 
 SETTLE_MS = 300
@@ -54,12 +55,18 @@
         self.targets: dict[str, ManagedTarget] = {}
         self._calls: dict[int, _Renewal | _TaskCallInFlight] = {}
         self._next_call_id = 0
+        self._released: dict[str, int] = {}
 
-    def assign(self, owned: OwnedTarget, now_ms: int) -> None:
+    def assign(self, change: TargetChange, now_ms: int) -> None:
         """Begin or go on to own a target as the table now says."""
+        owned = change.owned
         target = self.targets.get(owned.info.target_id)
         if target is None or target.owned.owner_epoch != owned.owner_epoch:
-            self.targets[owned.info.target_id] = self._new(owned, now_ms)
+            wait_ms = SETTLE_MS
+            if change.last_owner_may_send and not self._is_released(owned):
+                wait_ms = self.settings.takeover_wait_ms
+            target = self._new(owned, now_ms + wait_ms, now_ms)
+            self.targets[owned.info.target_id] = target
             return
         if target.owned.info.incarnation != owned.info.incarnation:
             self._replace(target, owned, now_ms)
@@ -74,13 +81,19 @@
             return []
         return [CloseConnections(target.owned.info.address)]
 
-    def lease_lost(self, now_ms: int) -> Effects:
-        """Forget what is known of the targets, because another may own them."""
-        effects: Effects = []
-        for target in self.targets.values():
-            target.takeover = Takeover(now_ms)
-            effects.append(CloseConnections(target.owned.info.address))
-        return effects
+    def lease_lost(self) -> Effects:
+        """Close idle connections, because another entry may own the targets."""
+        return [
+            CloseConnections(target.owned.info.address)
+            for target in self.targets.values()
+        ]
+
+    def released(self, target_id: str, owner_epoch: int, now_ms: int) -> None:
+        """Note that the last owner sends nothing more to a target."""
+        self._released[target_id] = owner_epoch
+        target = self.targets.get(target_id)
+        if target is not None and target.owned.owner_epoch == owner_epoch:
+            target.note_released(now_ms + SETTLE_MS)
 
     def run(self, run: RunTask, now_ms: int) -> bool:
         """Take on a placed task; false if this entry does not own its target."""
@@ -112,7 +125,7 @@
         target = self._owned(report["target_id"])
         if target is None or report["incarnation"] != target.owned.info.incarnation:
             return False, []
-        acked = target.tasks.acknowledged(report["tasks"])
+        acked = target.tasks.ended.acknowledged(report["tasks"])
         if report["sequence"] <= target.last_sequence:
             return False, acked
         target.last_sequence = report["sequence"]
@@ -123,7 +136,7 @@
         target.tasks.on_report(report["tasks"], report["target_ms"], now_ms)
         newer = report["measured_ms"] > target.last_measured_ms
         target.last_measured_ms = max(target.last_measured_ms, report["measured_ms"])
-        return newer, target.tasks.acknowledged(report["tasks"])
+        return newer, target.tasks.ended.acknowledged(report["tasks"])
 
     def call_done(self, call_id: int, answer: CallAnswer, now_ms: int) -> None:
         """Take the answer to a call made before."""
@@ -159,12 +172,15 @@
             if target is not None:
                 target.tasks.ended.commit(event)
 
-    def _new(self, owned: OwnedTarget, now_ms: int) -> ManagedTarget:
-        return ManagedTarget(owned, self.settings.task_lease_ms, now_ms)
+    def _new(self, owned: OwnedTarget, safe_ms: int, now_ms: int) -> ManagedTarget:
+        return ManagedTarget(owned, self.settings.task_lease_ms, safe_ms, now_ms)
+
+    def _is_released(self, owned: OwnedTarget) -> bool:
+        return self._released.get(owned.info.target_id) == owned.owner_epoch
 
     def _replace(self, old: ManagedTarget, owned: OwnedTarget, now_ms: int) -> None:
         old.tasks.end_all("target's process started anew", now_ms)
-        target = self._new(owned, now_ms)
+        target = self._new(owned, now_ms + SETTLE_MS, now_ms)
         target.tasks.ended = old.tasks.ended
         target.tasks.events = old.tasks.events
         self.targets[owned.info.target_id] = target
@@ -191,7 +207,7 @@
         every_ms = SETTLE_MS if unsure else self.settings.renew_interval_ms
         if target.renewing or now_ms - target.renewed_ms < every_ms:
             return []
-        if target.takeover and now_ms - target.takeover.since_ms < SETTLE_MS:
+        if target.takeover and now_ms < target.takeover.safe_ms:
             return []
         tasks = target.tasks.renewals(now_ms)
         end_ms = target.clock.lease_end_ms(self.settings.task_lease_ms)
@@ -247,7 +263,7 @@
         target.clock = target.clock.newer(reading_ms, now_ms)
         target.heard_ms = now_ms
         target.ledger.note_reading(made.asked_ms, reading_ms, SETTLE_MS)
-        target.fence_takeover(made.asked_ms, reading_ms, SETTLE_MS)
+        target.fence_takeover(made.asked_ms, reading_ms)
         for task_id, epoch in renewed["unknown"]:
             target.tasks.note_unknown(str(task_id), int(epoch), reading_ms)
 
--- a/packages/foxspring-entry/foxspring_entry/_ownership.py
+++ b/packages/foxspring-entry/foxspring_entry/_ownership.py
@@ -5,10 +5,21 @@
 from foxspring_model import EntryInfo, OwnedTarget, OwnershipUpdate
 
 
+class TargetChange(NamedTuple):
+    """A target as it is now, and whether its last owner may still send to it.
+
+    The last owner may until it has heard of the change or its lease has ended;
+    it surely may not if there was none or it is gone from the table.
+    """
+
+    owned: OwnedTarget
+    last_owner_may_send: bool
+
+
 class OwnershipChange(NamedTuple):
     """What one update changed: targets in their new form, and those removed."""
 
-    changed: tuple[OwnedTarget, ...] = ()
+    changed: tuple[TargetChange, ...] = ()
     removed: tuple[OwnedTarget, ...] = ()
     entries_changed: bool = False
 
@@ -30,8 +41,8 @@
             return OwnershipChange()
         entries = {entry.entry_id: entry for entry in update.entries}
         entries_changed = entries != self.entries
+        changed = self._store(update.targets, entries)
         self.entries = entries
-        changed = self._store(update.targets)
         removed = self._remove(update)
         self.version = update.version
         self._index()
@@ -46,15 +57,33 @@
         """Return how many targets of ``service`` each owning entry has."""
         return self._owners.get(service, {})
 
-    def _store(self, targets: tuple[OwnedTarget, ...]) -> tuple[OwnedTarget, ...]:
-        changed = tuple(
-            target
-            for target in targets
-            if self.targets.get(target.info.target_id) != target
-        )
-        for target in changed:
+    def _store(
+        self, targets: tuple[OwnedTarget, ...], entries: dict[str, EntryInfo]
+    ) -> tuple[TargetChange, ...]:
+        changes = []
+        for target in targets:
+            held = self.targets.get(target.info.target_id)
+            if held == target:
+                continue
+            may_send = self._last_owner_may_send(held, target, entries)
+            changes.append(TargetChange(target, may_send))
             self.targets[target.info.target_id] = target
-        return changed
+        return tuple(changes)
+
+    def _last_owner_may_send(
+        self,
+        held: OwnedTarget | None,
+        target: OwnedTarget,
+        entries: dict[str, EntryInfo],
+    ) -> bool:
+        if target.owner_epoch <= 1:
+            return False
+        if held is None or held.owner_epoch + 1 != target.owner_epoch:
+            return True
+        before, now = self.entries.get(held.owner), entries.get(held.owner)
+        if not held.owner or before is None:
+            return True
+        return now is not None and now.incarnation == before.incarnation
 
     def _remove(self, update: OwnershipUpdate) -> tuple[OwnedTarget, ...]:
         gone = set(update.removed)
--- a/packages/foxspring-entry/foxspring_entry/_settings.py
+++ b/packages/foxspring-entry/foxspring_entry/_settings.py
@@ -46,6 +46,8 @@
     key_wait_ms: int = 2_000
     max_key_answer_bytes: int = 64 * 1024
     target_silence_ms: int = 5_000
+    takeover_wait_ms: int = 2_400
+    send_within_ms: int = 250
     seen_interval_ms: int = 2_000
     drain_grace_ms: int = 3_000
     drain_limit_ms: int = 120_000
--- a/packages/foxspring-entry/foxspring_entry/_target.py
+++ b/packages/foxspring-entry/foxspring_entry/_target.py
@@ -19,11 +19,11 @@
 class Takeover(NamedTuple):
     """What is not known yet of the work that an earlier owner left.
 
-    ``since_ms`` is when ownership began here; ``fence_ms`` is the first reading
-    of the target's clock known to be later.
+    Until ``safe_ms`` the last owner may still send; ``fence_ms`` is the first
+    reading of the target's clock known to be later.
     """
 
-    since_ms: int
+    safe_ms: int
     fence_ms: int | None = None
 
 
@@ -34,11 +34,13 @@
     earlier owner may still run.
     """
 
-    def __init__(self, owned: OwnedTarget, task_lease_ms: int, now_ms: int) -> None:
+    def __init__(
+        self, owned: OwnedTarget, task_lease_ms: int, safe_ms: int, now_ms: int
+    ) -> None:
         self.owned = owned
         self.ledger = TargetLedger(owned.info.target_id, owned.info.capacity)
         self.tasks = TargetTasks(self.ledger, task_lease_ms)
-        self.takeover: Takeover | None = Takeover(now_ms)
+        self.takeover: Takeover | None = Takeover(safe_ms)
         self.clock = TargetClock()
         self.health = Health()
         self.limits: dict[str, Limit] = {}
@@ -59,12 +61,18 @@
         """Return the target's name."""
         return self.owned.info.target_id
 
-    def fence_takeover(self, asked_ms: int, reading_ms: int, settle_ms: int) -> None:
+    def note_released(self, safe_ms: int) -> None:
+        """Note that the last owner sends nothing more after ``safe_ms``."""
+        if self.takeover is not None:
+            safe_ms = min(safe_ms, self.takeover.safe_ms)
+            self.takeover = self.takeover._replace(safe_ms=safe_ms)
+
+    def fence_takeover(self, asked_ms: int, reading_ms: int) -> None:
         """Note the first reading known to be later than the takeover."""
         takeover = self.takeover
         if takeover is None or takeover.fence_ms is not None:
             return
-        if takeover.since_ms + settle_ms <= asked_ms:
+        if takeover.safe_ms <= asked_ms:
             self.takeover = takeover._replace(fence_ms=reading_ms)
 
     def takes_new(self, silence_ms: int, now_ms: int) -> str:
--- a/packages/foxspring-entry/foxspring_entry/_target_client.py
+++ b/packages/foxspring-entry/foxspring_entry/_target_client.py
@@ -99,6 +99,10 @@
             connection = self.pool.take(effect.address)
         except ConnectFailedError as error:
             return TargetOutcome(Refused(RefusalReason.TARGET_UNREACHABLE, str(error)))
+        if self._clock.monotonic_ms() >= effect.send_by_ms:
+            self.pool.put(effect.address, connection)
+            detail = "it could not be sent while the ownership surely lasted"
+            return TargetOutcome(Refused(RefusalReason.STALE_OWNER, detail))
         with self._lock:
             self._active[effect.hold_id] = connection
         begun_ns = time.perf_counter_ns()
--- a/packages/foxspring-entry/foxspring_entry/_task_state.py
+++ b/packages/foxspring-entry/foxspring_entry/_task_state.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from foxspring_model import NOTHING, Resources, RunTask
+from foxspring_model import NOTHING, Resources, RunTask, TaskStatusBody
 
 RETRY_CALL_MS = 300
 START_LIMIT_MS = 10_000
@@ -23,6 +23,11 @@
     return f"task:{task_id}"
 
 
+def used_by(status: TaskStatusBody) -> Resources:
+    """Return what a task uses, for a target that does not tell its size."""
+    return Resources(cores_milli=status["cores_milli"], memory_mb=status["memory_mb"])
+
+
 class TaskPhase(StrEnum):
     """What the owner is doing with a task."""
 
@@ -39,7 +44,7 @@
     once a byte of a start may have reached the target. ``stop_by_ms`` ends the
     renewals of a task that does not stop. ``missing_ms`` is the target's reading
     at which it answered not to run the task; a later report tells what became
-    of it.
+    of it. ``size_known`` is false while ``resources`` is only what it uses.
     """
 
     task_id: str
@@ -56,6 +61,7 @@
     save_checkpoint: bool = False
     stop_by_ms: int = 0
     missing_ms: int | None = None
+    size_known: bool = True
 
 
 class TaskCallKind(StrEnum):
--- a/packages/foxspring-entry/foxspring_entry/_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/_tasks.py
@@ -25,6 +25,7 @@
     TaskCall,
     TaskPhase,
     hold_id,
+    used_by,
 )
 
 
@@ -52,7 +53,7 @@
         """
         if self._answer_again(run, now_ms):
             return
-        if not refusal and any(task.run is None for task in self.tasks.values()):
+        if not refusal and not all(t.size_known for t in self.tasks.values()):
             refusal = "sizes of tasks that the last owner started are not known yet"
         room = not refusal and self.ledger.admit(
             hold_id(run.task_id), HoldKind.TASK, run.resources
@@ -164,7 +165,7 @@
         It may have ended with a result, so the next report decides.
         """
         task = self.tasks.get(task_id)
-        if task is not None and task.epoch == epoch and task.missing_ms is None:
+        if task and task.epoch == epoch and task.missing_ms is None:
             self.tasks[task_id] = task._replace(missing_ms=reading_ms)
 
     def on_report(
@@ -195,14 +196,6 @@
         for task in list(self.tasks.values()):
             self._end(task.task_id, task.epoch, "lost", now_ms, detail)
 
-    def acknowledged(self, statuses: list[TaskStatusBody]) -> list[list[str | int]]:
-        """Return the reported endings that the target may forget."""
-        return [
-            [status["task_id"], status["epoch"]]
-            for status in statuses
-            if status["state"] != "running" and self.ended.is_committed(status)
-        ]
-
     def take_events(self) -> list[TaskEvent]:
         """Return the events since the last call."""
         events, self.events = self.events, []
@@ -225,10 +218,12 @@
         return True
 
     def _know_again(self, task: OwnedTask, run: RunTask) -> None:
-        if task.run is None:
+        if not task.size_known:
             self.ledger.release(hold_id(task.task_id))
             self.ledger.inherit(hold_id(task.task_id), HoldKind.TASK, run.resources)
-            self.tasks[task.task_id] = task._replace(resources=run.resources, run=run)
+            self.tasks[task.task_id] = task._replace(
+                resources=run.resources, run=run, size_known=True
+            )
         if task.phase is TaskPhase.RUNNING:
             self._emit(task.task_id, task.epoch, "started")
 
@@ -329,16 +324,16 @@
         )
 
     def _adopt(self, status: TaskStatusBody, now_ms: int) -> None:
-        used = Resources(
-            cores_milli=status["cores_milli"], memory_mb=status["memory_mb"]
-        )
+        declared = status.get("resources")
+        size = Resources(**declared) if declared is not None else used_by(status)
         task_id = status["task_id"]
-        self.ledger.inherit(hold_id(task_id), HoldKind.TASK, used)
+        self.ledger.inherit(hold_id(task_id), HoldKind.TASK, size)
         self.tasks[task_id] = OwnedTask(
             task_id,
             status["epoch"],
             TaskPhase.RUNNING,
-            used,
+            size,
+            size_known=declared is not None,
             maybe_sent=True,
             lease_end_ms=TargetClock(1, now_ms).lease_end_ms(self.lease_ms),
             checkpoint=status["checkpoint"],
--- a/packages/foxspring-entry/foxspring_entry/tests/test_decisions.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_decisions.py
@@ -61,6 +61,28 @@
         self.assertEqual(sorted(table.targets), ["t-5", "t-6"])
         self.assertEqual(table.owners_of("register"), {"e-1": 2})
 
+    def test_whether_the_last_owner_may_still_send(self) -> None:
+        first = builders.entry_info("e-1")
+        restarted = builders.entry_info("e-1", incarnation=2)
+        # Columns: owner before, epochs before and after, entries now, may send.
+        cases = (
+            ("first owner", "e-1", 0, 1, (first,), False),
+            ("live", "e-1", 1, 2, (first,), True),
+            ("gone", "e-1", 1, 2, (), False),
+            ("restarted", "e-1", 1, 2, (restarted,), False),
+            ("none, after one", "", 1, 2, (first,), True),
+            ("an owner between was missed", "e-1", 1, 3, (), True),
+        )
+        for name, owner, before, after, entries, may_send in cases:
+            with self.subTest(name):
+                table = OwnershipTable()
+                held = (builders.owned(owner=owner, owner_epoch=before),)
+                table.apply(OwnershipUpdate(True, 0, 1, (first,), held, ()))
+                given = (builders.owned(owner="e-2", owner_epoch=after),)
+                update = OwnershipUpdate(True, 0, 2, entries, given, ())
+                (change,) = table.apply(update).changed
+                self.assertIs(change.last_owner_may_send, may_send)
+
 
 class QueueTest(unittest.TestCase):
     def _item(self, caller: str, number: int, deadline_ms: int = 10_000) -> Waiting:
--- a/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
@@ -26,6 +26,7 @@
 )
 from foxspring_entry._owner_requests import OwnerRequests, TargetOutcome
 from foxspring_entry._owner_targets import CallAnswer, OwnerTargets
+from foxspring_entry._ownership import TargetChange
 from foxspring_entry.tests import builders
 
 _TARGET_AHEAD_MS = 500_000
@@ -40,7 +41,8 @@
         self.now_ms = 10_000
         settings = builders.settings("e-1", "c:1")
         self.targets = OwnerTargets(settings)
-        self.requests = OwnerRequests(settings.target_silence_ms, random.Random(1))
+        self.requests = OwnerRequests(settings, random.Random(1))
+        self.requests.lease_until_ms = 10**9
         self.requests.targets = self.targets.targets
         self.requests.configure(builders.configuration())
         self.sequence = 0
@@ -50,7 +52,8 @@
             capacity = Resources(slots, 64, 64_000, 250_000, 0)
             info = builders.target_info(name, capacity=capacity)
             owned = builders.owned(name, info=info, owner_epoch=epoch)
-            self.targets.assign(owned, self.now_ms)
+            change = TargetChange(owned, last_owner_may_send=False)
+            self.targets.assign(change, self.now_ms)
 
     def report(self, name: str, running: tuple[str, ...] = (), age_ms: int = 0) -> None:
         self.sequence += 1
@@ -169,7 +172,8 @@
     def test_leaving_target_gets_nothing_new(self) -> None:
         self.open("t-1", "t-2")
         info = builders.target_info("t-1", leaving=True)
-        self.targets.assign(builders.owned("t-1", info=info), self.now_ms)
+        change = TargetChange(builders.owned("t-1", info=info), False)
+        self.targets.assign(change, self.now_ms)
         for number in range(8):
             (sent,) = self.send(builders.relay(f"r-{number}"))
             assert isinstance(sent, SendRequest)
@@ -202,6 +206,21 @@
         (sent,) = self.requests.pump("register", self.now_ms)
         self.assertIsInstance(sent, SendRequest)
 
+    def test_takeover_from_a_live_owner_waits_for_its_lease_or_release(self) -> None:
+        # Columns: whether the last owner releases, when the target is asked.
+        for released, asked_ms in ((False, 2_400), (True, 300)):
+            with self.subTest(released=released):
+                self.setUp()
+                change = TargetChange(builders.owned("t-1", owner_epoch=2), True)
+                self.targets.assign(change, self.now_ms)
+                if released:
+                    self.targets.released("t-1", 1, self.now_ms)
+                    self.targets.released("t-1", 2, self.now_ms)
+                before = self.targets.tick(True, self.now_ms + asked_ms - 1)
+                self.assertEqual(before, [])
+                (call,) = self.targets.tick(True, self.now_ms + asked_ms)
+                self.assertIsInstance(call, CallTarget)
+
     def test_late_reports_change_nothing(self) -> None:
         self.open("t-1")
         stale = builders.report("t-1", 1, target_ms=10**9, requests=["x"])
--- a/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
@@ -4,7 +4,14 @@
 import unittest
 from typing import Any
 
-from foxspring_model import Priority, Resources, RunTask, StopTask, TaskStatusBody
+from foxspring_model import (
+    Priority,
+    Resources,
+    ResourcesBody,
+    RunTask,
+    StopTask,
+    TaskStatusBody,
+)
 
 from foxspring_entry._ledger import TargetLedger
 from foxspring_entry._task_state import TargetClock, TaskCall, TaskCallKind, hold_id
@@ -128,9 +135,9 @@
         self.assertEqual(
             (event.kind, event.result, event.checkpoint), ("finished", "r", "cp-2")
         )
-        self.assertEqual(self.tasks.acknowledged([ended]), [])
+        self.assertEqual(self.tasks.ended.acknowledged([ended]), [])
         self.tasks.ended.commit(event)
-        self.assertEqual(self.tasks.acknowledged([ended]), [["j/0", 1]])
+        self.assertEqual(self.tasks.ended.acknowledged([ended]), [["j/0", 1]])
 
     def test_stop_saves_the_checkpoint(self) -> None:
         self.start()
@@ -174,6 +181,15 @@
         self.start(task_id="j/1")
         self.assertEqual(self.kinds(), ["started", "started"])
 
+    def test_adopted_task_that_tells_its_size_blocks_nothing(self) -> None:
+        size = ResourcesBody(
+            slots=0, connections=0, cores_milli=1_000, memory_mb=1_000, accelerators=0
+        )
+        self.report(task_status("j/9", resources=size))
+        self.assertEqual(self.ledger.held, _SIZE)
+        self.start(task_id="j/1")
+        self.assertEqual(self.kinds(), ["started", "started"])
+
     def test_new_incarnation_ends_everything(self) -> None:
         self.start()
         self.tasks.end_all("started anew", self.now_ms)
--- a/packages/foxspring-model/foxspring_model/_platform.py
+++ b/packages/foxspring-model/foxspring_model/_platform.py
@@ -35,6 +35,7 @@
 
     ``state`` is ``running``, ``finished``, ``failed``, ``stopped`` or
     ``expired`` (its lease ended). An ended task is reported until acked.
+    ``resources`` is the size it was started with; a new owner counts it by that.
     """
 
     task_id: str
@@ -45,6 +46,7 @@
     detail: str
     cores_milli: int
     memory_mb: int
+    resources: NotRequired[ResourcesBody]
 
 
 class ServiceLatencyBody(TypedDict):
--- a/packages/foxspring-testing/foxspring_testing/_requests_run.py
+++ b/packages/foxspring-testing/foxspring_testing/_requests_run.py
@@ -142,7 +142,7 @@
         return Reply(
             instructions.status,
             msgspec.json.encode(body),
-            (("Content-Type", "application/json"),),
+            (("Content-Type", "application/json"), (HEADER_REQUEST_ID, request_id)),
             cut_after=self.behaviour.cut_answer_after,
             twice=self.behaviour.answer_twice,
         )
--- a/packages/foxspring-testing/foxspring_testing/_task_run.py
+++ b/packages/foxspring-testing/foxspring_testing/_task_run.py
@@ -116,6 +116,7 @@
             detail=self.detail,
             cores_milli=int(self.resources["cores_milli"] * share),
             memory_mb=int(memory),
+            resources=self.resources,
         )
 
     def _end_if_due(self, now_ms: int, until_ms: int) -> None:
