End exchanges with targets at their deadline; test broken answers

Cause: an answer that drips in restarts the socket's timeout with each byte; a test on a bare socket waited 18 s for a deadline of 0.3 s. Change: a guard shuts overdue connections down; tests of cut, doubled, foreign, dripping and withheld answers, of refused and long idle connections.

--- a/packages/foxspring-entry/foxspring_entry/_target_client.py
+++ b/packages/foxspring-entry/foxspring_entry/_target_client.py
@@ -1,8 +1,6 @@
 """Carries out requests and calls to targets on a pool of threads."""
 
 import logging
-import socket
-import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -19,6 +17,7 @@
 from urllib3.connection import HTTPConnection
 
 from foxspring_entry._connections import ConnectFailedError, ConnectionPool
+from foxspring_entry._deadlines import DeadlineGuard
 from foxspring_entry._effects import CallTarget, SendRequest
 from foxspring_entry._exchange import (
     CutAnswerError,
@@ -54,8 +53,7 @@
         self._clock = clock
         self._on_request_done = on_request_done
         self._on_call_done = on_call_done
-        self._lock = threading.Lock()
-        self._active: dict[str, HTTPConnection] = {}
+        self._guard = DeadlineGuard(clock)
         self._threads = ThreadPoolExecutor(_MAX_THREADS, "target")
         self.pool = ConnectionPool(
             clock, settings.idle_connection_ms, settings.connect_timeout_ms
@@ -71,20 +69,13 @@
 
     def abort(self, hold_id: str) -> None:
         """Stop waiting for a request's answer."""
-        with self._lock:
-            connection = self._active.get(hold_id)
-            handle = connection.sock if connection is not None else None
-        if handle is None:
-            return
-        try:
-            handle.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            _LOG.debug("event=abort_after_close hold=%s", hold_id)
+        self._guard.abort(hold_id)
 
     def close(self) -> None:
         """Close idle connections and let the threads end."""
         self._threads.shutdown(wait=False, cancel_futures=True)
         self.pool.close()
+        self._guard.close()
 
     def _send(self, effect: SendRequest) -> None:
         try:
@@ -103,17 +94,13 @@
             self.pool.put(effect.address, connection)
             detail = "it could not be sent while the ownership surely lasted"
             return TargetOutcome(Refused(RefusalReason.STALE_OWNER, detail))
-        with self._lock:
-            self._active[effect.hold_id] = connection
         begun_ns = time.perf_counter_ns()
         try:
-            answer = exchange(connection, self._exchange_of(effect), self._clock)
+            request = self._exchange_of(effect)
+            answer = self._exchange(effect.hold_id, connection, request)
         except CutAnswerError as error:
             connection.close()
             return TargetOutcome(Uncertain(str(error)))
-        finally:
-            with self._lock:
-                self._active.pop(effect.hold_id, None)
         latency_us = (time.perf_counter_ns() - begun_ns) // _NS_PER_US
         self._keep(effect.address, connection, answer)
         outcome = Answered(answer.status, answer.headers, answer.body)
@@ -141,7 +128,7 @@
             _MAX_CALL_ANSWER_BYTES,
         )
         try:
-            answer = exchange(connection, request, self._clock)
+            answer = self._exchange(f"call:{effect.call_id}", connection, request)
         except CutAnswerError as error:
             connection.close()
             _LOG.info(
@@ -154,6 +141,15 @@
         connection.close()
         return CallAnswer(answer.status, answer.body)
 
+    def _exchange(
+        self, key: str, connection: HTTPConnection, request: ExchangeRequest
+    ) -> ExchangeAnswer:
+        self._guard.add(key, connection, request.deadline_ms)
+        try:
+            return exchange(connection, request, self._clock)
+        finally:
+            self._guard.remove(key)
+
     def _exchange_of(self, effect: SendRequest) -> ExchangeRequest:
         relay = effect.relay
         service = quote(relay.service, safe="")
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/tests/raw_target.py
@@ -0,0 +1,58 @@
+"""A target on a bare socket that answers with exactly the bytes it is told."""
+
+import socket
+import threading
+from collections.abc import Callable
+
+Script = Callable[[socket.socket, bytes], None]
+
+HEAD_LIMIT_BYTES = 64 * 1024
+
+
+class RawTarget:
+    """Runs ``script(connection, request)`` for each request it reads."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self._listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self._open: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Close the listener and every connection."""
+        self._listener.close()
+        for connection in self._open:
+            connection.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            self._open.append(connection)
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        try:
+            while request := connection.recv(HEAD_LIMIT_BYTES):
+                self.requests.append(request)
+                self.script(connection, request)
+        except OSError:
+            return
+
+
+def request_id_of(request: bytes) -> bytes:
+    """Return the request id that a request carries."""
+    for line in request.split(b"\r\n"):
+        name, _, value = line.partition(b": ")
+        if name.lower() == b"foxspring-request-id":
+            return value
+    return b""
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_target_client.py
@@ -0,0 +1,208 @@
+"""Requests to targets that cut, double, delay or withhold their answers."""
+
+import queue
+import socket
+import struct
+import threading
+import unittest
+from typing import Any
+
+from foxspring_link import PausedClock, SystemClock
+from foxspring_model import Answered, RefusalReason, Refused, Uncertain, Verdict
+
+from foxspring_entry._effects import SendRequest
+from foxspring_entry._owner_requests import TargetOutcome
+from foxspring_entry._target_client import TargetClient
+from foxspring_entry.tests import builders
+from foxspring_entry.tests.raw_target import RawTarget, Script, request_id_of
+
+_FAR_MS = 10_000
+_RESET = struct.pack("ii", 1, 0)
+
+
+def _answer(request: bytes, body: bytes = b"hello", extra: bytes = b"") -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
+    return (
+        head + extra + b"Foxspring-Request-Id: " + request_id_of(request) + b"\r\n\r\n"
+    )
+
+
+def _sends(data: bytes, then_close: bool = True) -> Script:
+    def script(connection: socket.socket, _request: bytes) -> None:
+        connection.sendall(data)
+        if then_close:
+            connection.shutdown(socket.SHUT_RDWR)
+
+    return script
+
+
+def _whole(connection: socket.socket, request: bytes) -> None:
+    connection.sendall(_answer(request) + b"hello")
+
+
+def _resets(connection: socket.socket, _request: bytes) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    connection.close()
+
+
+class ClientCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = SystemClock()
+        self.done: queue.SimpleQueue[tuple[str, TargetOutcome]] = queue.SimpleQueue()
+        self.client = TargetClient(
+            builders.settings("e-1", "c:1", max_answer_bytes=1_000),
+            self.clock,
+            lambda hold_id, result: self.done.put((hold_id, result)),
+            lambda call_id, answer: None,
+        )
+        self.addCleanup(self.client.close)
+
+    def target(self, script: Script) -> RawTarget:
+        target = RawTarget(script)
+        self.addCleanup(target.close)
+        return target
+
+    def start(
+        self,
+        address: str,
+        request_id: str = "r-1",
+        within_ms: int = _FAR_MS,
+        **more: Any,
+    ) -> None:
+        now_ms = self.clock.monotonic_ms()
+        relay = builders.relay(request_id, **more)
+        self.client.send(
+            SendRequest(
+                request_id, "t-1", address, relay, now_ms + within_ms, now_ms + _FAR_MS
+            )
+        )
+
+    def outcome(self) -> TargetOutcome:
+        return self.done.get(timeout=builders.DEADLINE_S)[1]
+
+
+class AnswerTest(ClientCase):
+    def test_only_whole_answers_count(self) -> None:
+        start = b"HTTP/1.1 200 OK\r\n"
+        chunked = start + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases: dict[str, tuple[Script, type]] = {
+            "whole": (_whole, Answered),
+            "terminal chunk": (_sends(chunked + b"5\r\nhello\r\n0\r\n\r\n"), Answered),
+            "cut body": (_sends(start + b"Content-Length: 9\r\n\r\nhell"), Uncertain),
+            "cut head": (_sends(start + b"Content-Le"), Uncertain),
+            "no terminal chunk": (_sends(chunked + b"5\r\nhello\r\n"), Uncertain),
+            "cut chunk": (_sends(chunked + b"5\r\nhe"), Uncertain),
+            "no length": (_sends(start + b"\r\nhello"), Uncertain),
+            "not HTTP": (_sends(b"what?\r\n\r\n"), Uncertain),
+            "closed": (_sends(b""), Uncertain),
+            "reset": (_resets, Uncertain),
+            "too long": (
+                _sends(start + b"Content-Length: 2000\r\n\r\n" + b"x" * 2_000),
+                Uncertain,
+            ),
+            "of another request": (
+                _sends(
+                    start + b"Content-Length: 0\r\nFoxspring-Request-Id: r-0\r\n\r\n"
+                ),
+                Uncertain,
+            ),
+        }
+        for name, (script, expected) in cases.items():
+            with self.subTest(name):
+                self.start(self.target(script).address)
+                outcome = self.outcome().outcome
+                self.assertIsInstance(outcome, expected)
+                if isinstance(outcome, Answered):
+                    self.assertEqual(outcome.body, b"hello")
+
+    def test_an_answer_that_drips_ends_at_the_deadline(self) -> None:
+        stop = threading.Event()
+        self.addCleanup(stop.set)
+
+        def drip(connection: socket.socket, request: bytes) -> None:
+            connection.sendall(_answer(request, b"x" * 900))
+            while not stop.wait(0.02):
+                connection.sendall(b"x")
+
+        self.start(self.target(drip).address, within_ms=300)
+        self.assertIsInstance(self.outcome().outcome, Uncertain)
+
+    def test_abort_ends_the_wait(self) -> None:
+        asked = threading.Event()
+        target = self.target(lambda connection, request: asked.set())
+        self.start(target.address)
+        self.assertTrue(asked.wait(builders.DEADLINE_S))
+        self.client.abort("r-1")
+        self.assertIsInstance(self.outcome().outcome, Uncertain)
+
+
+class ConnectionTest(ClientCase):
+    def test_refused_connection_did_not_run(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        host, port = listener.getsockname()
+        listener.close()
+        self.start(f"{host}:{port}")
+        outcome = self.outcome().outcome
+        assert isinstance(outcome, Refused)
+        self.assertEqual(
+            (outcome.reason, outcome.verdict),
+            (RefusalReason.TARGET_UNREACHABLE, Verdict.NOT_RUN),
+        )
+
+    def test_nothing_leaves_after_the_ownership(self) -> None:
+        target = self.target(_whole)
+        now_ms = self.clock.monotonic_ms()
+        relay = builders.relay()
+        self.client.send(
+            SendRequest("r-1", "t-1", target.address, relay, now_ms + _FAR_MS, now_ms)
+        )
+        outcome = self.outcome().outcome
+        assert isinstance(outcome, Refused)
+        self.assertEqual(outcome.reason, RefusalReason.STALE_OWNER)
+        self.assertEqual(target.requests, [])
+
+    def test_a_doubled_answer_reaches_nobody_else(self) -> None:
+        def twice(connection: socket.socket, request: bytes) -> None:
+            connection.sendall((_answer(request) + b"hello") * 2)
+
+        target = self.target(twice)
+        for number in range(5):
+            self.start(target.address, f"r-{number}")
+            outcome = self.outcome().outcome
+            assert isinstance(outcome, Answered)
+            named = dict(outcome.headers)["Foxspring-Request-Id"]
+            self.assertEqual(named, f"r-{number}")
+
+    def test_connection_is_kept_only_if_the_answer_names_the_request(self) -> None:
+        unnamed = _sends(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", False)
+        for script, connections in ((_whole, 1), (unnamed, 3)):
+            target = self.target(script)
+            for _ in range(3):
+                self.start(target.address)
+                self.outcome()
+            with self.subTest(connections=connections):
+                self.assertEqual(target.connections, connections)
+
+    def test_a_long_idle_connection_is_not_used(self) -> None:
+        paused = PausedClock()
+        client = TargetClient(
+            builders.settings("e-1", "c:1"),
+            paused,
+            lambda hold_id, result: self.done.put((hold_id, result)),
+            lambda call_id, answer: None,
+        )
+        self.addCleanup(client.close)
+        target = self.target(_whole)
+        relay = builders.relay(method="POST", idempotent=False)
+        for idle_ms, connections in ((0, 1), (1_000, 1), (1_001, 2)):
+            paused.advance(idle_ms)
+            until_ms = paused.monotonic_ms() + _FAR_MS
+            effect = SendRequest("r", "t-1", target.address, relay, until_ms, until_ms)
+            client.send(effect)
+            self.assertIsInstance(self.outcome().outcome, Answered)
+            with self.subTest(idle_ms=idle_ms):
+                self.assertEqual(target.connections, connections)
+
+
+if __name__ == "__main__":
+    unittest.main()
