Name the asking of a member in one function of its test

Cause: the linter refuses a closure over a loop's variable. Change: the test asks through a function.

--- a/packages/foxspring-control/foxspring_control/service/tests/test_member_metrics.py
+++ b/packages/foxspring-control/foxspring_control/service/tests/test_member_metrics.py
@@ -36,6 +36,20 @@
     )
 
 
+def _answer(asked: str, about: str) -> tuple[str, str]:
+    sent: list[tuple[str, Any]] = []
+    arguments = msgspec.json.encode({"member_id": about})
+    query = Query("q", "entry:1", "member_metrics", arguments)
+    answer_member_metrics(
+        query,
+        _status(asked),
+        asked == "control-1",
+        lambda address, message: sent.append((address, message)),
+    )
+    address, message = sent[0]
+    return address, "passed on" if message is query else message.status
+
+
 class MemberMetricsTest(unittest.TestCase):
     def test_who_answers(self) -> None:
         cases = [
@@ -47,18 +61,7 @@
         ]
         for asked, about, expected in cases:
             with self.subTest(asked=asked, about=about):
-                sent: list[tuple[str, Any]] = []
-                arguments = msgspec.json.encode({"member_id": about})
-                query = Query("q", "entry:1", "member_metrics", arguments)
-                answer_member_metrics(
-                    query,
-                    _status(asked),
-                    asked == "control-1",
-                    lambda address, message: sent.append((address, message)),
-                )
-                address, message = sent[0]
-                passed = "passed on" if message is query else message.status
-                self.assertEqual((address, passed), expected)
+                self.assertEqual(_answer(asked, about), expected)
 
     def test_figures_are_the_members_own(self) -> None:
         sent: list[QueryResult] = []
