Let settings name an entry's deadlines, retries and drain limits

Cause: an entry's limits could only be changed in code; worker_threads defaulted to 64 in the settings and 128 in the entry. Change: [entry] has the limits of EntrySettings under the same names and defaults.

--- a/packages/foxspring-config/foxspring_config/_settings.py
+++ b/packages/foxspring-config/foxspring_config/_settings.py
@@ -17,6 +17,7 @@
 _PORT_LIMIT = 65_535
 _MAX_MEMBERS = 9
 _MIN_TOKEN_CHARACTERS = 16
+_MIB = 1_024 * 1_024
 _RELOADABLE = {"reloadable": True}
 
 
@@ -62,6 +63,10 @@
     return Meta(ge=low, le=high, extra={"unit": "ms"})
 
 
+def _bytes(low: int, high: int) -> Meta:
+    return Meta(ge=low, le=high, extra={"unit": "bytes"})
+
+
 class DaemonSection(NamedTuple):
     """Who this process is; it learns this from nowhere else."""
 
@@ -105,14 +110,20 @@
     """An entry's HTTP surface and limits."""
 
     http_listen: Address
-    worker_threads: Annotated[int, Meta(ge=4, le=512, extra={"unit": "threads"})] = 64
-    max_body_bytes: Annotated[
-        int, Meta(ge=1_024, le=64 * 1024 * 1024, extra={"unit": "bytes"})
-    ] = 8 * 1024 * 1024
-    max_header_bytes: Annotated[
-        int, Meta(ge=1_024, le=1024 * 1024, extra={"unit": "bytes"})
-    ] = 32 * 1024
+    worker_threads: Annotated[int, Meta(ge=10, le=512, extra={"unit": "threads"})] = 128
+    max_body_bytes: Annotated[int, _bytes(1_024, 64 * _MIB)] = 1 * _MIB
+    max_header_bytes: Annotated[int, _bytes(1_024, 1 * _MIB)] = 16 * 1_024
+    max_answer_bytes: Annotated[int, _bytes(1_024, 24 * _MIB)] = 8 * _MIB
+    default_deadline_ms: Annotated[int, _ms(1, 3_600_000)] = 10_000
+    max_deadline_ms: Annotated[int, _ms(1, 3_600_000)] = 120_000
+    connect_timeout_ms: Annotated[int, _ms(10, 60_000)] = 500
+    idle_connection_ms: Annotated[int, _ms(10, 600_000)] = 1_000
+    max_attempts: Annotated[int, Meta(ge=1, le=10, extra={"unit": "attempts"})] = 3
+    retry_budget_percent: Annotated[
+        int, Meta(ge=0, le=100, extra={"unit": "percent of recent requests"})
+    ] = 20
     drain_grace_ms: Annotated[int, _ms(0, 600_000)] = 3_000
+    drain_limit_ms: Annotated[int, _ms(1_000, 3_600_000)] = 120_000
 
 
 class TokenEntry(NamedTuple):
--- a/packages/foxspring-daemon/foxspring_daemon/_entry_process.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_entry_process.py
@@ -63,17 +63,15 @@
         operator_tokens=operators,
         target_tokens=targets,
         incarnation=incarnation,
+        task_lease_ms=settings.control.task_lease_ms,
         **_limits(section),
     )
 
 
 def _limits(section: EntrySection) -> dict[str, int]:
-    return {
-        "worker_threads": section.worker_threads,
-        "max_body_bytes": section.max_body_bytes,
-        "max_header_bytes": section.max_header_bytes,
-        "drain_grace_ms": section.drain_grace_ms,
-    }
+    limits = section._asdict()
+    del limits["http_listen"]
+    return limits
 
 
 def _tokens(
