Refuse ambiguous request heads and read heads in a bounded lane

Cause: a test showed that the last of two Content-Length headers won, that a length beside chunks was taken, and slow heads could take every thread.

--- a/packages/foxspring-entry/foxspring_entry/_front.py
+++ b/packages/foxspring-entry/foxspring_entry/_front.py
@@ -12,6 +12,7 @@
 from foxspring_model import RefusalReason, Verdict
 
 from foxspring_entry._http import HttpRequest, HttpResponse, Role, Route
+from foxspring_entry._request_head import connection_class
 from foxspring_entry._responses import error_response, malformed
 from foxspring_entry._settings import EntrySettings
 from foxspring_entry._tokens import TokenBook
@@ -57,6 +58,8 @@
             timeout=settings.keep_alive_ms // 1_000,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         )
+        heads = threading.BoundedSemaphore(settings.unauthenticated_lane)
+        self._server.ConnectionClass = connection_class(heads)
         self._server.max_request_header_size = settings.max_header_bytes
         self._server.keep_alive_conn_limit = _KEPT_CONNECTIONS
         self._thread = threading.Thread(target=self._run, name="front", daemon=True)
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_request_head.py
@@ -0,0 +1,72 @@
+"""Reading of request heads: one lane for those without a checked token yet."""
+
+import threading
+from typing import Any
+
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+
+LANE_WAIT_S = 1.0
+_SINGLE = frozenset(
+    {
+        b"Authorization",
+        b"Content-Length",
+        b"Foxspring-Deadline-Ms",
+        b"Foxspring-Idempotent",
+        b"Host",
+        b"Idempotency-Key",
+        b"Transfer-Encoding",
+    }
+)
+
+
+class _Headers(dict[bytes, bytes]):
+    """Header values by name; a second value of a single header is refused."""
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in _SINGLE and name in self:
+            raise ValueError(f"{name.decode('latin-1')} was sent twice")
+        super().__setitem__(name, value)
+
+
+class StrictHeaderReader(HeaderReader):
+    """Refuses heads that two readers could take for different requests."""
+
+    def __call__(self, rfile: Any, hdict: Any = None) -> Any:
+        """Read headers into ``hdict``.
+
+        Raises:
+            ValueError: a single header came twice, or a length with chunks.
+        """
+        headers = _Headers()
+        super().__call__(rfile, headers)
+        if b"Content-Length" in headers and b"Transfer-Encoding" in headers:
+            raise ValueError("send Content-Length or Transfer-Encoding, not both")
+        hdict = {} if hdict is None else hdict
+        hdict.update(headers)
+        return hdict
+
+
+def connection_class(lane: threading.Semaphore) -> type[Any]:
+    """Return a connection class whose heads are read within ``lane``.
+
+    Slow senders can hold the lane but not the threads beyond it.
+    """
+
+    class LaneRequest(HTTPRequest):
+        header_reader = StrictHeaderReader()
+
+        def parse_request(self) -> None:
+            if not lane.acquire(timeout=LANE_WAIT_S):
+                self.simple_response(
+                    "503 Service Unavailable", "too many request heads are being read"
+                )
+                return
+            try:
+                super().parse_request()
+            finally:
+                lane.release()
+
+    class LaneConnection(HTTPConnection):
+        RequestHandlerClass = LaneRequest
+
+    return LaneConnection
--- a/packages/foxspring-entry/foxspring_entry/_settings.py
+++ b/packages/foxspring-entry/foxspring_entry/_settings.py
@@ -24,7 +24,7 @@
     target_tokens: tuple[Token, ...] = ()
     incarnation: int = 1
     worker_threads: int = 128
-    unauthenticated_lane: int = 32
+    unauthenticated_lane: int = 16
     max_body_bytes: int = 1024 * 1024
     max_header_bytes: int = 16 * 1024
     max_answer_bytes: int = 8 * 1024 * 1024
