--- a/packages/foxspring-entry/foxspring_entry/_service_routes.py
+++ b/packages/foxspring-entry/foxspring_entry/_service_routes.py
@@ -9,6 +9,8 @@
     HEADER_KEY,
     Clock,
     Outcome,
+    RefusalReason,
+    Refused,
     RelayRequest,
     Service,
 )
@@ -59,6 +61,7 @@
             return malformed(str(error))
         if not key or request.method in IDEMPOTENT_METHODS:
             outcome, target_id = submit(relay)
+            outcome = _name_unknown_service(outcome, relay.service, services())
             return response_of(outcome, relay.request_id, target_id)
         deadline_ms = clock.monotonic_ms() + relay.remaining_ms
         keyed = KeyedRequest(key, relay, deadline_ms)
@@ -68,6 +71,17 @@
     return [Route(method, _PREFIX, Role.CALLER, handle) for method in _METHODS]
 
 
+def _name_unknown_service(
+    outcome: Outcome, service: str, services: Mapping[str, Service]
+) -> Outcome:
+    if not isinstance(outcome, Refused) or service in services:
+        return outcome
+    if outcome.reason is not RefusalReason.NO_TARGET:
+        return outcome
+    detail = f"no service {service!r} in the configuration in force"
+    return Refused(RefusalReason.UNKNOWN_SERVICE, detail)
+
+
 def _relay_of(
     request: HttpRequest, settings: EntrySettings, services: Mapping[str, Service]
 ) -> RelayRequest:
