Add foxspring call and test the command line on a running site

Cause: a caller had no command, and exit codes by verdict were not shown to work. Change: foxspring call; the client pauses between rounds over the entries; tests run the commands against real processes.

--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
@@ -1,6 +1,7 @@
 """Requests to the entries, tried in turn, with ids kept over retries."""
 
 import secrets
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -11,6 +12,7 @@
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 15.0
 ROUNDS = 4
+ROUND_PAUSE_S = 0.3
 HTTP_UNAUTHORIZED = 401
 
 
@@ -66,7 +68,9 @@
         """Return the first whole answer, or why there is none."""
         sent = False
         detail = "no entry address; give --entry"
-        for address in self.addresses * self.rounds:
+        for number, address in enumerate(self.addresses * self.rounds):
+            if number and number % len(self.addresses) == 0:
+                time.sleep(ROUND_PAUSE_S)
             try:
                 reply = self._send(address, method, path, body, headers, timeout_s)
             except (
--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_main.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_main.py
@@ -12,6 +12,7 @@
 )
 
 from foxspring_daemon._cli import (
+    _call_command,
     _configuration_commands,
     _job_commands,
     _site_commands,
@@ -95,6 +96,7 @@
     _site_commands.drain,
     _site_commands.audit,
     _site_commands.status,
+    _call_command.call,
     check,
     print_settings_page,
 ):
