--- a/packages/foxspring-control/foxspring_control/service/_core.py
+++ b/packages/foxspring-control/foxspring_control/service/_core.py
@@ -17,6 +17,7 @@
 from foxspring_control.service._leader import Leader
 from foxspring_control.service._member_metrics import (
     MEMBER_METRICS,
+    Figures,
     answer_member_metrics,
 )
 from foxspring_control.service._messages import LogHandle, Post, SendMessage
@@ -41,7 +42,9 @@
         clock: Clock,
         post: Post,
         make_scheduler: MakeScheduler,
+        more_figures: Figures = dict,
     ) -> None:
+        self.more_figures = more_figures
         self.settings = settings
         self.log = log
         self.state = state
@@ -69,7 +72,9 @@
         """Handle a message of an entry, or name the leader."""
         if isinstance(message, Query) and message.kind == MEMBER_METRICS:
             leading = self.leader is not None
-            answer_member_metrics(message, self.log.status(), leading, self.send)
+            answer_member_metrics(
+                message, self.log.status(), leading, self.send, self.more_figures
+            )
             return
         if self.leader is not None:
             self.leader.receive(sender, message)
--- a/packages/foxspring-control/foxspring_control/service/_member_metrics.py
+++ b/packages/foxspring-control/foxspring_control/service/_member_metrics.py
@@ -4,6 +4,7 @@
 question to the member that it is about, and that one answers the entry.
 """
 
+from collections.abc import Callable, Mapping
 from typing import TypedDict
 
 import msgspec
@@ -15,20 +16,30 @@
 MEMBER_METRICS = "member_metrics"
 
 
+Figures = Callable[[], Mapping[str, int]]
+
+
 class _About(TypedDict):
     member_id: str
 
 
 def answer_member_metrics(
-    query: Query, status: RaftStatus, leading: bool, send: SendMessage
+    query: Query,
+    status: RaftStatus,
+    leading: bool,
+    send: SendMessage,
+    more_figures: Figures = dict,
 ) -> None:
-    """Answer a question about this member, or pass on one about another."""
+    """Answer a question about this member, or pass on one about another.
+
+    ``more_figures`` returns what the member's surroundings count.
+    """
     try:
         about = msgspec.json.decode(query.arguments, type=_About)["member_id"]
     except msgspec.DecodeError:
         about = ""
     if about == status.member_id:
-        result = msgspec.json.encode(member_figures(status))
+        result = msgspec.json.encode({**member_figures(status), **more_figures()})
         send(query.reply_to, QueryResult(query.query_id, "applied", "", result))
         return
     address = _address_of(about, status)
--- a/packages/foxspring-control/foxspring_control/service/_service.py
+++ b/packages/foxspring-control/foxspring_control/service/_service.py
@@ -8,6 +8,7 @@
 
 from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._core import ServiceCore
+from foxspring_control.service._member_metrics import Figures
 from foxspring_control.service._messages import (
     Call,
     LogHandle,
@@ -64,9 +65,17 @@
         send: SendMessage,
         clock: Clock,
         make_scheduler: MakeScheduler = make_scheduler,
+        more_figures: Figures = dict,
     ) -> None:
         self._core = ServiceCore(
-            settings, log, state, send, clock, self._post, make_scheduler
+            settings,
+            log,
+            state,
+            send,
+            clock,
+            self._post,
+            make_scheduler,
+            more_figures,
         )
         self._ref = _ServiceActor.start(self._core)
         state.subscribe(lambda changes: self._tell(StateChanged(changes)))
--- a/packages/foxspring-daemon/foxspring_daemon/_control_process.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_control_process.py
@@ -50,7 +50,12 @@
             self._on_leadership,
         )
         self.service = ControlService(
-            service_settings(settings), self.log, self.state, self.link.send, clock
+            service_settings(settings),
+            self.log,
+            self.state,
+            self.link.send,
+            clock,
+            more_figures=self._link_figures,
         )
         self._ending = threading.Event()
         self._stopped = threading.Event()
@@ -81,6 +86,10 @@
     def reload(self, settings: Settings) -> None:
         """Take over nothing; the level of the logs is the daemon's matter."""
 
+    def _link_figures(self) -> dict[str, int]:
+        figures = self.link.figures()._asdict()
+        return {f"link_{name}_total": amount for name, amount in figures.items()}
+
     def _hand_over(self) -> None:
         done = threading.Event()
 
--- a/packages/foxspring-daemon/foxspring_daemon/_metrics_routes.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_metrics_routes.py
@@ -4,6 +4,7 @@
 and renders them under ``/metrics/MEMBER_ID``.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import Any, Protocol
 
@@ -18,6 +19,7 @@
     Role,
     Route,
 )
+from foxspring_link import LinkFigures
 from foxspring_model import CHECKS, Verdict
 
 from foxspring_daemon._operator_routes import ControlPort, error_response
@@ -38,12 +40,15 @@
     def status(self) -> EntryStatus:
         """Return the entry's figures."""
 
+    def link_figures(self) -> LinkFigures:
+        """Return what the entry's links have carried."""
+
 
 def metrics_routes(entry: EntryPort) -> tuple[Route, ...]:
     """Return the routes of metrics; a scraper needs an operator's token."""
 
     def own(_request: HttpRequest) -> HttpResponse:
-        return _exposed(entry_registry(entry.status()))
+        return _exposed(entry_registry(entry.status(), entry.link_figures()))
 
     def of_member(request: HttpRequest) -> HttpResponse:
         member_id = request.path.removeprefix("/metrics/")
@@ -65,11 +70,13 @@
     )
 
 
-def entry_registry(status: EntryStatus) -> Registry:
+def entry_registry(status: EntryStatus, link: LinkFigures) -> Registry:
     """Return the metrics of one entry."""
     registry = Registry()
+    for field, amount in link._asdict().items():
+        _figure(registry, f"link_{field}_total", f"Links: {field}.", amount)
     for name, doc, value in _entry_gauges(status):
-        _gauge(registry, name, doc, {}, value)
+        _figure(registry, name, doc, value)
     outcomes = Counter(
         f"{PREFIX}_requests_total", "Final answers to callers.", registry=registry
     )
@@ -87,7 +94,7 @@
     for name, value in sorted(figures.items()):
         if isinstance(value, int | float):
             label = name.replace("_", " ")
-            _gauge(registry, f"control_{name}", f"Control: {label}.", {}, value)
+            _figure(registry, f"control_{name}", f"Control: {label}.", value)
     return registry
 
 
@@ -108,10 +115,9 @@
     )
 
 
-def _gauge(
-    registry: Registry, name: str, doc: str, labels: dict[str, str], value: float
-) -> None:
-    Gauge(f"{PREFIX}_{name}", doc, registry=registry).set(labels, float(value))
+def _figure(registry: Registry, name: str, doc: str, value: float) -> None:
+    kind = Counter if name.endswith("_total") else Gauge
+    kind(f"{PREFIX}_{name}", doc, registry=registry).set({}, float(value))
 
 
 def _add_latency(registry: Registry, status: EntryStatus) -> None:
@@ -120,8 +126,8 @@
     within = 0
     for bound, count in status.latency_buckets:
         within += count
-        if bound != _NO_BOUND:
-            counted.buckets[bound / _MS_PER_S] = within
+        upper = math.inf if bound == _NO_BOUND else bound / _MS_PER_S
+        counted.buckets[upper] = within
     counted.observations = within
     counted.sum = status.latency_sum_ms / _MS_PER_S
     name = f"{PREFIX}_request_seconds"
--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -8,7 +8,7 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any, cast
 
-from foxspring_link import Codec, Link, SendResult
+from foxspring_link import Codec, Link, LinkFigures, SendResult
 from foxspring_model import (
     AnnounceBody,
     Clock,
@@ -170,6 +170,10 @@
         """Return the entry's status now."""
         return cast(EntryStatus, self._ask(AskStatus()))
 
+    def link_figures(self) -> LinkFigures:
+        """Return what the links to other daemons have carried."""
+        return self._link.figures()
+
     def submit(self, relay: RelayRequest) -> tuple[Outcome, str]:
         """Run a request and return its outcome and the target that ran it."""
         reply: Future[CallerReply] = Future()
--- a/packages/foxspring-link/foxspring_link/__init__.py
+++ b/packages/foxspring-link/foxspring_link/__init__.py
@@ -2,11 +2,12 @@
 
 from foxspring_link._clock import PausedClock, SystemClock
 from foxspring_link._codec import Codec, MalformedMessageError
-from foxspring_link._link import Link, LinkSettings, SendResult
+from foxspring_link._link import Link, LinkFigures, LinkSettings, SendResult
 
 __all__ = [
     "Codec",
     "Link",
+    "LinkFigures",
     "LinkSettings",
     "MalformedMessageError",
     "PausedClock",
--- a/packages/foxspring-link/foxspring_link/_link.py
+++ b/packages/foxspring-link/foxspring_link/_link.py
@@ -41,6 +41,19 @@
 DEFAULT_LINK_SETTINGS = LinkSettings()
 
 
+class LinkFigures(NamedTuple):
+    """What a link has carried since it was made.
+
+    ``dropped`` counts messages that surely reached no peer, ``redials``
+    connections that were replaced because the peer had fallen silent.
+    """
+
+    bytes_sent: int
+    bytes_received: int
+    dropped: int
+    redials: int
+
+
 class _Peer:
     def __init__(self, address: str) -> None:
         self.address = address
@@ -113,6 +126,12 @@
             self.bytes_sent += len(frame)
         return SendResult.QUEUED
 
+    def figures(self) -> LinkFigures:
+        """Return what the link has carried."""
+        return LinkFigures(
+            self.bytes_sent, self.bytes_received, self.dropped, self.redials
+        )
+
     def forget(self, address: str) -> None:
         """Close the connection to a peer that is gone for good."""
         with self._lock:
