--- a/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
@@ -83,7 +83,7 @@
         if record is None:
             return
         record.not_before_ms = now_ms + self.settings.refusal_delay_ms
-        if record.state is TaskState.QUEUED and record.target_id == target_id:
+        if record.state is TaskState.QUEUED and record.target_id in ("", target_id):
             self._dispatcher.requeue(record, now_ms)
 
     def decide(self, now_ms: int) -> Decisions:
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_scheduler.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_scheduler.py
@@ -50,6 +50,16 @@
         self.assertEqual((), scheduler.decide(2).placements)
         self.assertIn("free", " ".join(scheduler.explain("job/19", 2)))
 
+    def test_refused_task_is_placed_again_after_the_log_queued_it(self) -> None:
+        scheduler = a_site(2)
+        scheduler.upsert_task(a_task(), 0)
+        target_id = scheduler.decide(0).placements[0].target_id
+        scheduler.upsert_task(a_task()._replace(epoch=1), 10)
+        scheduler.task_refused("job/0", target_id, 10)
+        self.assertEqual((), scheduler.decide(20).placements)
+        later = 10 + scheduler.settings.refusal_delay_ms
+        self.assertEqual(1, len(scheduler.decide(later).placements))
+
     def test_replicas_spread_over_failure_domains(self) -> None:
         scheduler = a_site(8)
         for number in range(4):
