Run the demo end to end

Cause: a configuration applied before the targets were known put all replicas on one target, and the demo called a placement on the dead target a resume. Change: the demo waits for owned targets, and for the job to run elsewhere.

--- a/packages/foxspring-testing/foxspring_testing/_audit_view.py
+++ b/packages/foxspring-testing/foxspring_testing/_audit_view.py
@@ -65,7 +65,7 @@
     return [each["target_id"] for each in targets if service in each["services"]]
 
 
-def owners(client: OperatorClient) -> dict[str, str]:
-    """Return each target's owning entry."""
+def owned_targets(client: OperatorClient) -> dict[str, str]:
+    """Return the owning entry of each target that has one."""
     targets = client.get("/v1/targets")["targets"]
-    return {each["target_id"]: each["owner"] for each in targets}
+    return {each["target_id"]: each["owner"] for each in targets if each["owner"]}
--- a/packages/foxspring-testing/foxspring_testing/_site.py
+++ b/packages/foxspring-testing/foxspring_testing/_site.py
@@ -9,6 +9,7 @@
 import urllib3
 from foxspring_link import SystemClock
 
+from foxspring_testing._audit_view import owned_targets
 from foxspring_testing._clients import CallerClient, OperatorClient
 from foxspring_testing._events import EventWriter, RunEvent, read_events
 from foxspring_testing._fault_network import FaultNetwork
@@ -176,6 +177,19 @@
 
         wait_until(ready, f"ready entries; logs are in {self.folder}", within_s)
 
+    def wait_targets_owned(self, within_s: float = _READY_S) -> None:
+        """Wait until every target that runs has an owning entry.
+
+        Raises:
+            NotReachedError: that was not so in time.
+        """
+        running = {name for name in self.targets if self.processes[name].alive()}
+        wait_until(
+            lambda: running <= owned_targets(self.operator()).keys(),
+            f"owners of {sorted(running)}; logs are in {self.folder}",
+            within_s,
+        )
+
     def log(self, name: str) -> str:
         """Return what a process has logged."""
         return self.processes[name].log.read_text(errors="replace")
--- a/packages/foxspring-testing/foxspring_testing/demo.py
+++ b/packages/foxspring-testing/foxspring_testing/demo.py
@@ -15,7 +15,7 @@
     audit_lines,
     count_tasks,
     job,
-    owners,
+    owned_targets,
     service_targets,
     wait_job_ended,
 )
@@ -72,6 +72,7 @@
 
 def _run(site: Site) -> bool:
     operator = site.operator()
+    site.wait_targets_owned()
     _apply(operator)
     _say(f"{_SERVICE} runs on {_wait_replicas(operator)}")
     traffic = Traffic(
@@ -134,20 +135,25 @@
 ) -> None:
     site.kill(target)
     _say(f"killed {target}")
-    wait_until(
-        lambda: job(operator, job_id)["tasks"][0]["resumed"] == 1,
-        f"{job_id} resumed",
-        _RECOVERY_S,
-    )
+
+    def runs_elsewhere() -> bool:
+        task = job(operator, job_id)["tasks"][0]
+        moved = task["target_id"] not in ("", target)
+        return moved and task["state"] in ("running", "finished")
+
+    wait_until(runs_elsewhere, f"{job_id} running elsewhere", _RECOVERY_S)
     task = job(operator, job_id)["tasks"][0]
-    _say(f"job {job_id} resumed once, on {task['target_id']}, epoch {task['epoch']}")
+    _say(
+        f"job {job_id} runs on {task['target_id']} at epoch {task['epoch']}, "
+        f"resumed {task['resumed']}"
+    )
 
 
 def _kill_entry(site: Site, operator: OperatorClient) -> None:
     site.kill("entry-1")
     _say("killed entry-1")
     wait_until(
-        lambda: "entry-1" not in owners(operator).values(),
+        lambda: "entry-1" not in owned_targets(operator).values(),
         "every target owned by another entry",
         _RECOVERY_S,
     )
