Count only stops by choice as evictions; never drop a task that a check held back

Change: the last run counts as evicted if it was being stopped, or is unknown to a new leader; a refused placement is queued again after the refusal's delay. The fake tells refusals before and after the log has them.

--- a/packages/foxspring-model/foxspring_model/scheduling/_bench.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_bench.py
@@ -20,7 +20,8 @@
 from foxspring_model.scheduling._scheduler import Scheduler
 from foxspring_model.scheduling._settings import SchedulerSettings
 from foxspring_model.scheduling.tests.fake_interference import Truth
-from foxspring_model.scheduling.tests.fake_site import FakeSite, Faults
+from foxspring_model.scheduling.tests.fake_run import Faults
+from foxspring_model.scheduling.tests.fake_site import FakeSite
 from foxspring_model.scheduling.tests.workloads import (
     AGENCY,
     CO_OPERATIVE,
--- a/packages/foxspring-model/foxspring_model/scheduling/_bench_fairness.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_bench_fairness.py
@@ -5,7 +5,8 @@
 from foxspring_model.scheduling._scheduler import Scheduler
 from foxspring_model.scheduling._settings import SchedulerSettings
 from foxspring_model.scheduling.tests.builders import a_target, a_task
-from foxspring_model.scheduling.tests.fake_site import FakeSite, Faults
+from foxspring_model.scheduling.tests.fake_run import Faults
+from foxspring_model.scheduling.tests.fake_site import FakeSite
 
 _SLOT = Resources(1, 0, 8_000, 24_000, 0)
 _TARGETS = 34
--- a/packages/foxspring-model/foxspring_model/scheduling/_bench_starts.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_bench_starts.py
@@ -16,7 +16,8 @@
 from foxspring_model.scheduling._scheduler import Scheduler
 from foxspring_model.scheduling._settings import SchedulerSettings
 from foxspring_model.scheduling.tests.builders import a_target, a_task
-from foxspring_model.scheduling.tests.fake_site import LEASE_END_MS, FakeSite, Faults
+from foxspring_model.scheduling.tests.fake_run import Faults
+from foxspring_model.scheduling.tests.fake_site import LEASE_END_MS, FakeSite
 
 _SLOT = Resources(1, 0, 8_000, 24_000, 0)
 _ENDLESS_MS = 1 << 30
--- a/packages/foxspring-model/foxspring_model/scheduling/_book.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_book.py
@@ -199,7 +199,8 @@
     @staticmethod
     def _note_run_end(record: TaskRecord, task: Task) -> None:
         if task.evictions > record.evictions:
-            record.last_run_evicted = True
+            stopped = record.state is TaskState.STOPPING or record.evicting_until_ms > 0
+            record.last_run_evicted = stopped or record.epoch < 0
         elif task.attempts > record.attempts:
             record.last_run_evicted = False
 
--- a/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
@@ -192,6 +192,8 @@
             f"{record.task_id} on {target_id}, which is closed",
         )
         if not (alone and fits and leaving):
+            record.not_before_ms = self._now_ms + site.settings.refusal_delay_ms
+            self.requeue(record, self._now_ms)
             return
         until_ms = self._now_ms + site.settings.command_timeout_ms
         site.book.propose(record, target_id, size, until_ms)
--- a/packages/foxspring-model/foxspring_model/scheduling/_queues.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_queues.py
@@ -32,12 +32,12 @@
 
     def __init__(self) -> None:
         self.lanes: dict[Lane, dict[str, TeamQueue]] = {lane: {} for lane in Lane}
-        self._delayed: list[tuple[int, str]] = []
+        self.delayed: list[tuple[int, str]] = []
 
     def add(self, record: TaskRecord, now_ms: int) -> None:
         """Queue a task, or hold it back until its ``not_before_ms``."""
         if record.not_before_ms > now_ms:
-            heapq.heappush(self._delayed, (record.not_before_ms, record.task_id))
+            heapq.heappush(self.delayed, (record.not_before_ms, record.task_id))
             return
         if record.in_queue:
             return
@@ -54,6 +54,6 @@
     def due(self, now_ms: int) -> list[str]:
         """Return and forget the delayed tasks whose time has come."""
         ready = []
-        while self._delayed and self._delayed[0][0] <= now_ms:
-            ready.append(heapq.heappop(self._delayed)[1])
+        while self.delayed and self.delayed[0][0] <= now_ms:
+            ready.append(heapq.heappop(self.delayed)[1])
         return ready
--- a/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
@@ -142,7 +142,7 @@
             last = task.failed_targets[-1] if task.failed_targets else ""
             self._failed(job_id, before.target_id or last, now_ms)
             return True
-        saved = task.evictions > before.evictions and bool(task.checkpoint)
+        saved = hash(task.checkpoint) != before.checkpoint_hash
         if (task.state is TaskState.FINISHED or saved) and before.target_id:
             self._succeeded(job_id, before.target_id)
         return False
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/consistency.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/consistency.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from foxspring_model import Resources
+from foxspring_model import Resources, TaskState
 from foxspring_model.scheduling import Scheduler
 from foxspring_model.scheduling._records import Lane
 
@@ -33,6 +33,12 @@
                 cores[record.group.shape.work_class] += record.held.cores_milli
         if cores != room.class_cores:
             found.append(f"class cores of {room.target_id}")
+    delayed = {task_id for _, task_id in site.book.waiting.delayed}
+    for record in records:
+        if record.state is TaskState.QUEUED and not record.target_id:
+            queued = record.task_id in (record.group.waiting or ())
+            if queued != record.in_queue or not (queued or record.task_id in delayed):
+                found.append(f"{record.task_id} waits nowhere")
     placed = [record for record in records if record.target_id]
     urgent = [r.held for r in placed if r.group.lane is Lane.URGENT]
     if _sum(urgent) != site.book.urgent_held:
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/fake_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/fake_site.py
@@ -8,7 +8,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from typing import NamedTuple
 
 from foxspring_model import (
     ENDED_STATES,
@@ -27,46 +26,13 @@
 )
 from foxspring_model.scheduling import Decisions, Scheduler
 from foxspring_model.scheduling.tests.fake_interference import Truth
+from foxspring_model.scheduling.tests.fake_run import NO_FAULTS, Faults, Run
 
 LEASE_END_MS = 7_000
 REPORT_MS = 2_000
 HOUR_MS = 3_600_000
 
 
-class Faults(NamedTuple):
-    """Chances of each fault, and the delays of the platform in milliseconds."""
-
-    lost_command: float = 0.0
-    refused: float = 0.0
-    lost_report: float = 0.0
-    doubled_report: float = 0.0
-    hour_late_report: float = 0.0
-    report_lag_ms: int = 1_500
-    commit_ms: int = 20
-    start_ms: int = 200
-    stop_ms: int = 300
-    checkpoint_every_ms: int = 60_000
-
-
-NO_FAULTS = Faults()
-
-
-class Run:
-    """One task running on a target; ``done_ms`` is work done so far."""
-
-    def __init__(self, task: Task, target_id: str, done_ms: float, now_ms: int) -> None:
-        self.task_id = task.task_id
-        self.epoch = task.epoch
-        self.target_id = target_id
-        self.done_ms = done_ms
-        self.percent = 100
-        self.at_ms = now_ms
-
-    def advance(self, now_ms: int) -> None:
-        self.done_ms += (now_ms - self.at_ms) * self.percent / 100
-        self.at_ms = now_ms
-
-
 class FakeSite:
     """Targets and tasks that follow a scheduler's decisions."""
 
@@ -96,6 +62,7 @@
         self.submitted_at: dict[str, int] = {}
         self.lost_work_ms = 0.0
         self.evictions: Counter[str] = Counter()
+        self.last_evicted: set[str] = set()
         self.placed = 0
         self.overflows = 0
         self.checks = True
@@ -201,8 +168,7 @@
         if self.tasks[task.task_id] is not task:
             return
         if self.rng.random() < self.faults.refused:
-            self.scheduler.task_refused(task.task_id, task.target_id, self.now_ms)
-            self._set(task._replace(state=TaskState.QUEUED, target_id=""))
+            self._refuse(task)
             return
         if task.target_id in self.bad_targets or task.job_id in self.bad_jobs:
             self._fail(task)
@@ -217,7 +183,17 @@
             self._await_finish(run)
             self._await_checkpoint(run)
 
+    def _refuse(self, task: Task) -> None:
+        queued = task._replace(state=TaskState.QUEUED, target_id="")
+        told_first = self.rng.random() < 0.5
+        if told_first:
+            self.scheduler.task_refused(task.task_id, task.target_id, self.now_ms)
+        self._set(queued)
+        if not told_first:
+            self.scheduler.task_refused(task.task_id, task.target_id, self.now_ms)
+
     def _fail(self, task: Task) -> None:
+        self.last_evicted.discard(task.task_id)
         self._set(
             task._replace(
                 state=TaskState.QUEUED,
@@ -262,7 +238,8 @@
         task = self.tasks[eviction.task_id]
         if task.epoch != eviction.epoch or task.state is not TaskState.RUNNING:
             return
-        if task.priority is Priority.LONG and task.evictions and not task.attempts:
+        again = task.task_id in self.last_evicted
+        if task.priority is Priority.LONG and again:
             self.problems.append(f"{task.task_id} is long and evicted twice in a row")
         stopping = task._replace(state=TaskState.STOPPING)
         self.evictions[eviction.reason.split(" ")[0]] += 1
@@ -277,6 +254,7 @@
             return
         run.advance(self.now_ms)
         self.saved_ms[task.task_id] = run.done_ms
+        self.last_evicted.add(task.task_id)
         self._set(
             task._replace(
                 state=TaskState.QUEUED,
@@ -289,7 +267,12 @@
     def _lease_ended(self, task: Task) -> None:
         now = self.tasks[task.task_id]
         if now.epoch == task.epoch and now.state in PLACED_STATES:
-            self._set(now._replace(state=TaskState.QUEUED, target_id=""))
+            self.last_evicted.discard(task.task_id)
+            self._set(
+                now._replace(
+                    state=TaskState.QUEUED, target_id="", evictions=now.evictions + 1
+                )
+            )
 
     def _throttle(self, throttle: ThrottleTask) -> None:
         run = self.runs.get(throttle.target_id, {}).get(throttle.task_id)
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_breaks.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_breaks.py
@@ -9,7 +9,7 @@
 from foxspring_model.scheduling._records import TaskRecord
 from foxspring_model.scheduling.tests import fake_site
 from foxspring_model.scheduling.tests.builders import a_target, a_task
-from foxspring_model.scheduling.tests.fake_site import Faults
+from foxspring_model.scheduling.tests.fake_run import Faults
 from foxspring_model.scheduling.tests.test_random_site import (
     a_random_site,
     cancellations,
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
@@ -9,7 +9,8 @@
     a_target,
     a_task,
 )
-from foxspring_model.scheduling.tests.fake_site import FakeSite, Faults
+from foxspring_model.scheduling.tests.fake_run import Faults
+from foxspring_model.scheduling.tests.fake_site import FakeSite
 
 SETTINGS = SchedulerSettings(quarantine_ms=20_000, retry_delay_ms=100)
 
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_random_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_random_site.py
@@ -21,7 +21,8 @@
     a_task,
 )
 from foxspring_model.scheduling.tests.consistency import miscounts
-from foxspring_model.scheduling.tests.fake_site import FakeSite, Faults
+from foxspring_model.scheduling.tests.fake_run import Faults
+from foxspring_model.scheduling.tests.fake_site import FakeSite
 
 TARGETS = 10
 STEPS = 40
