--- a/packages/foxspring-model/foxspring_model/scheduling/_settings.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_settings.py
@@ -61,7 +61,7 @@
     size_least: int = 100
     size_most: int = 400
     memory_limit: int = 95
-    pressure_high: int = 100
+    pressure_high: int = 85
     pressure_low: int = 70
     least_requests: int = 20
     samples_to_act: int = 3
