--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
@@ -66,7 +66,8 @@
 class StepTest(unittest.TestCase):
     def test_steps_follow_each_other_with_hysteresis(self) -> None:
         limits = limits_for(SETTINGS, Weights())
-        high, low, between = 2.0, 0.1, 0.9
+        high, low = 2.0, 0.1
+        between = (limits.low + limits.high) / 2
         act, relax = limits.to_act, limits.to_relax
         cases: tuple[tuple[str, list[float], list[Step]], ...] = (
             ("one spike does nothing", [high], []),
