Make room for replicas, for requests beside them, and for large tasks

Change: claims evict for replicas too, spread first; room for two requests stays free beside each replica (half a target at most); a batch task that waited 60 s has a target run empty for it, on 2% of the site at the most. Claims are counted apart, so that they are not taken for an overflow of memory. Throttles are given back after 4 samples under 75 percent (was 6 under 70).

--- a/packages/foxspring-model/foxspring_model/scheduling/_book.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_book.py
@@ -96,11 +96,11 @@
         room = self._rooms.room(record.target_id)
         self._note_starting(room, record, starting=False)
         record.target_id = ""
+        self._end_claim(room, record)
         size = record.held
         room.held = room.held.minus(size)
         record.held = NOTHING
         record.pending_until_ms = 0
-        record.claim_until_ms = 0
         record.evicting_until_ms = 0
         group = record.group
         group.placed -= 1
@@ -118,6 +118,8 @@
             return
         room = self._rooms.room(record.target_id)
         room.held = room.held.minus(record.held).plus(size)
+        if record.claim_until_ms:
+            room.claimed = room.claimed.minus(record.held).plus(size)
         group = record.group
         if group.lane is Lane.URGENT:
             self.urgent_held = self.urgent_held.minus(record.held).plus(size)
@@ -127,13 +129,22 @@
         record.held = size
         self._rooms.refresh(room)
 
+    def claim(
+        self, record: TaskRecord, target_id: str, size: Resources, until_ms: int
+    ) -> None:
+        """Hold room that others are leaving, for a task that is not placed yet."""
+        self.hold(record, target_id, size)
+        room = self._rooms.room(target_id)
+        room.claimed = room.claimed.plus(size)
+        record.claim_until_ms = until_ms
+
     def propose(
         self, record: TaskRecord, target_id: str, size: Resources, until_ms: int
     ) -> None:
         """Hold room for a placement that is decided but not yet committed."""
         if not record.target_id:
             self.hold(record, target_id, size)
-        record.claim_until_ms = 0
+        self._end_claim(self._rooms.room(target_id), record)
         record.pending_until_ms = until_ms
         self._note_starting(self._rooms.room(target_id), record, starting=True)
 
@@ -181,7 +192,6 @@
         if task.state is TaskState.RUNNING and record.state is not TaskState.RUNNING:
             record.saved_ms = now_ms
         record.pending_until_ms = 0
-        record.claim_until_ms = 0
         if task.state is TaskState.STOPPING:
             record.evicting_until_ms = 0
         record.epoch = task.epoch
@@ -220,6 +230,12 @@
                 f"{task.task_id} resumed {task.resumed} times by epoch {task.epoch}",
             )
 
+    @staticmethod
+    def _end_claim(room: Room, record: TaskRecord) -> None:
+        if record.claim_until_ms:
+            room.claimed = room.claimed.minus(record.held)
+            record.claim_until_ms = 0
+
     def _note_starting(self, room: Room, record: TaskRecord, *, starting: bool) -> None:
         if record.starting == starting:
             return
--- a/packages/foxspring-model/foxspring_model/scheduling/_claims.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_claims.py
@@ -1,6 +1,7 @@
-"""Room that is being freed for urgent tasks on a full site."""
+"""Room that is being freed for tasks that a full site has no room for."""
 
 from foxspring_model._resources import Resources
+from foxspring_model.scheduling._placing import spread_cost
 from foxspring_model.scheduling._records import TaskRecord
 from foxspring_model.scheduling._rooms import Room
 from foxspring_model.scheduling._site import Site
@@ -12,11 +13,15 @@
     victims_for,
 )
 
-_Price = tuple[Standing, int]
+_Price = tuple[float, Standing, int]
+_PERCENT = 100
 
 
 class Claims:
-    """Urgent tasks that hold a place which others are leaving.
+    """Tasks that hold a place which others are leaving.
+
+    Others are evicted for services and urgent tasks. A batch task that is too
+    large for what falls free elsewhere waits for others to end by themselves.
 
     A claim holds its size beside the victims', so the target's free room is
     negative until they have left and nothing else is placed there.
@@ -25,6 +30,7 @@
     def __init__(self, site: Site) -> None:
         self._site = site
         self._claims: dict[str, int] = {}
+        self._patient: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -40,22 +46,55 @@
         if best is None:
             return None
         target_id, victims = best
-        until_ms = now_ms + self._site.settings.claim_ms
-        self._site.book.hold(record, target_id, size)
-        record.claim_until_ms = until_ms
-        self._claims[record.task_id] = until_ms
+        self._hold(record, target_id, size, now_ms + self._site.settings.claim_ms)
         return victims
 
+    def try_wait(self, record: TaskRecord, size: Resources, now_ms: int) -> bool:
+        """Let a target run empty for a task that has waited for too long.
+
+        Tells whether a place was found; few may be held like this at once.
+        """
+        settings, rooms = self._site.settings, self._site.rooms
+        most = max(1, rooms.known * settings.patient_share // _PERCENT)
+        if len(self._patient) >= most:
+            return False
+        able = [
+            room
+            for room in self._some_rooms(record)
+            if room.info is not None and size.fits_in(room.info.capacity)
+        ]
+        if not able:
+            return False
+        best = min(able, key=lambda room: (len(room.tasks), room.target_id))
+        self._patient.add(record.task_id)
+        self._hold(record, best.target_id, size, now_ms + settings.patient_ms)
+        return True
+
+    def _hold(
+        self, record: TaskRecord, target_id: str, size: Resources, until_ms: int
+    ) -> None:
+        self._site.book.claim(record, target_id, size, until_ms)
+        self._claims[record.task_id] = until_ms
+
+    def _drop(self, task_id: str) -> None:
+        del self._claims[task_id]
+        self._patient.discard(task_id)
+
     def _cheapest(
         self, record: TaskRecord, size: Resources, now_ms: int
     ) -> tuple[str, list[TaskRecord]] | None:
         best: tuple[str, list[TaskRecord]] | None = None
         least: _Price | None = None
+        rooms = self._site.rooms
         for room in self._some_rooms(record):
-            victims = self._victims_on(room, size, now_ms)
+            spare = rooms.spare(room)
+            victims = self._victims_on(room, spare, size, now_ms)
             if victims is None:
                 continue
-            price = self._price(victims, now_ms)
+            price = (
+                spread_cost(record.group, room, rooms),
+                *self._price(victims, now_ms),
+            )
             if least is None or price < least:
                 best, least = (room.target_id, victims), price
         return best
@@ -70,15 +109,15 @@
         for task_id, until_ms in list(self._claims.items()):
             record = book.records.get(task_id)
             if record is None or record.claim_until_ms != until_ms:
-                del self._claims[task_id]
+                self._drop(task_id)
                 continue
             room = rooms.room(record.target_id)
             if until_ms <= now_ms or not room.is_open:
-                del self._claims[task_id]
+                self._drop(task_id)
                 book.release(record)
                 book.waiting.add(record, now_ms)
             elif not room.free.is_negative():
-                del self._claims[task_id]
+                self._drop(task_id)
                 done.append(record)
         return done
 
@@ -91,9 +130,9 @@
 
     @staticmethod
     def _victims_on(
-        room: Room, size: Resources, now_ms: int
+        room: Room, spare: Resources, size: Resources, now_ms: int
     ) -> list[TaskRecord] | None:
-        free = room.free
+        free = spare
         records = []
         for record in room.tasks:
             if is_leaving(record, now_ms):
@@ -103,7 +142,7 @@
         return victims_for(size, free, cheapest_first(records, now_ms))
 
     @staticmethod
-    def _price(victims: list[TaskRecord], now_ms: int) -> _Price:
+    def _price(victims: list[TaskRecord], now_ms: int) -> tuple[Standing, int]:
         costs = [eviction_cost(record, now_ms) for record in victims]
         standing = max((cost[0] for cost in costs), default=Standing.NORMAL)
         return standing, sum(cost[1] for cost in costs)
--- a/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
@@ -13,7 +13,7 @@
 from foxspring_model.scheduling._rotation import TeamTurns
 from foxspring_model.scheduling._site import Site
 
-_URGENT_REASON = "room for urgent task {}"
+_CLAIM_REASON = "room for {} task {}"
 
 
 class Dispatcher:
@@ -113,9 +113,9 @@
             self._take(record, group)
             self._propose(record, target_id, size)
             return True
-        if group.lane is Lane.URGENT:
+        if group.lane is not Lane.BATCH:
             return self._claim(record, group, size)
-        return False
+        return self._wait_for_room(record, group, size)
 
     def _end(self, record: TaskRecord, group: TaskGroup, reason: str) -> bool:
         self._take(record, group)
@@ -146,11 +146,24 @@
         if victims is None:
             return False
         self._take(record, group)
-        reason = _URGENT_REASON.format(record.task_id)
+        kind = "service" if group.service else "urgent"
+        reason = _CLAIM_REASON.format(kind, record.task_id)
         for victim in victims:
             self.evictions.append(self._site.evict(victim, reason, self._now_ms))
         return True
 
+    def _wait_for_room(
+        self, record: TaskRecord, group: TaskGroup, size: Resources
+    ) -> bool:
+        waited_ms = self._now_ms - record.since_ms
+        patience_ms = self._site.settings.patient_after_ms
+        if waited_ms < patience_ms or self._site.rooms.may_fit(size):
+            return False
+        if not self._claims.try_wait(record, size, self._now_ms):
+            return False
+        self._take(record, group)
+        return True
+
     @staticmethod
     def _take(record: TaskRecord, group: TaskGroup) -> None:
         group.pop()
--- a/packages/foxspring-model/foxspring_model/scheduling/_relief.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_relief.py
@@ -148,7 +148,8 @@
         if room.info is None:
             return
         limit = room.info.capacity.memory_mb * self._site.settings.memory_limit // 100
-        over = max(sample.memory_mb - limit, -room.free.memory_mb)
+        short = -room.free.memory_mb - room.claimed.memory_mb
+        over = max(sample.memory_mb - limit, short)
         if over > 0 and room.class_tasks:
             self._short_of_memory[room.target_id] = over
 
--- a/packages/foxspring-model/foxspring_model/scheduling/_rooms.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_rooms.py
@@ -18,11 +18,13 @@
 
     ``info`` is ``None`` while the target has not announced itself but tasks are
     recorded there. ``closed`` keeps new work away for the reason it names, and
-    so does ``quarantine``. ``class_cores`` counts the cores that batch tasks of
-    each work class hold, ``class_tasks`` those tasks.
+    so does ``quarantine``. ``claimed`` is the part of ``held`` that claims hold
+    for tasks that are not placed yet. ``class_cores`` counts the cores that batch
+    tasks of each work class hold, ``class_tasks`` those tasks.
     """
 
     __slots__ = (
+        "claimed",
         "class_cores",
         "class_tasks",
         "closed",
@@ -43,6 +45,7 @@
         self.quarantine = ""
         self.counted: Resources = NOTHING
         self.held: Resources = NOTHING
+        self.claimed: Resources = NOTHING
         self.tasks: list[TaskRecord] = []
         self.starting = 0
         self.replicas: Counter[str] = Counter()
@@ -80,6 +83,7 @@
         self.by_id: dict[str, Room] = {}
         self.total_free: Resources = NOTHING
         self.largest: Resources = NOTHING
+        self._request_room: dict[str, Resources] = {}
         self.capacities: Counter[Resources] = Counter()
         self._names: list[str] = []
         self._name_at: dict[str, int] = {}
@@ -133,6 +137,29 @@
         if room.info is None and not room.tasks:
             self.by_id.pop(room.target_id, None)
 
+    def set_request_room(self, kept: dict[str, Resources]) -> None:
+        """Keep room beside each replica for its service's requests."""
+        if kept == self._request_room:
+            return
+        self._request_room = kept
+        for room in self.by_id.values():
+            if room.replicas:
+                self.refresh(room)
+
+    def spare(self, room: Room) -> Resources:
+        """Return what new work may take: what is free but for requests' room.
+
+        Requests get half of a target at the most.
+        """
+        if room.info is None or not room.replicas:
+            return room.free
+        kept = NOTHING
+        for service, count in room.replicas.items():
+            for _ in range(count):
+                kept = kept.plus(self._request_room.get(service, NOTHING))
+        half = (amount // 2 for amount in room.info.capacity)
+        return room.free.minus(Resources(*map(min, kept, half)))
+
     def refresh(self, room: Room) -> None:
         """Bring the search tree up to date with ``room``."""
         if room.info is None:
@@ -142,7 +169,7 @@
             tree = FitTree()
             self._trees[room.info.failure_domain] = tree
         busy = room.starting >= self._starting_per_target
-        free = room.free if room.is_open else None
+        free = self.spare(room) if room.is_open else None
         tree.put(room.target_id, None if busy else free)
         self._count_free(room, NOTHING if free is None else free)
 
--- a/packages/foxspring-model/foxspring_model/scheduling/_settings.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_settings.py
@@ -34,9 +34,15 @@
     processor shares tried before an eviction. ``evictions_per_minute`` are
     allowed for 100 targets, with at least one for a site.
 
-    Urgent work: a claim on room that is being freed lasts ``claim_ms``, and
-    ``claims_per_call`` bounds the new ones. Room once used by urgent work stays
-    reserved for it and is given back over about ``reserve_decay_ms``.
+    Room for others: beside each replica, room for ``requests_per_replica`` is
+    kept. A batch task that found no target with room for ``patient_after_ms``
+    has one run empty for it, for ``patient_ms`` at the most and on no more than
+    ``patient_share`` of the site.
+
+    Services and urgent work: a claim on room that is being freed lasts
+    ``claim_ms``, and ``claims_per_call`` bounds the new ones. Room once used by
+    urgent work stays reserved for it and is given back over about
+    ``reserve_decay_ms``.
     """
 
     seed: int = 1
@@ -62,16 +68,20 @@
     size_most: int = 400
     memory_limit: int = 95
     pressure_high: int = 85
-    pressure_low: int = 70
+    pressure_low: int = 75
     least_requests: int = 20
     samples_to_act: int = 3
-    samples_to_relax: int = 6
+    samples_to_relax: int = 4
     throttle_steps: tuple[int, ...] = (50, 25)
     evictions_per_minute: int = 20
     evictions_per_call: int = 64
     claim_ms: int = 10_000
     claims_per_call: int = 32
     claim_candidates: int = 8
+    patient_after_ms: int = 60_000
+    patient_ms: int = 600_000
+    patient_share: int = 2
+    requests_per_replica: int = 2
     reserve_decay_ms: int = 60_000
     seen_samples: int = 32
     remembered_shapes: int = 1_024
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -3,7 +3,7 @@
 import random
 
 from foxspring_model._commands import Eviction
-from foxspring_model._configuration import Configuration
+from foxspring_model._configuration import Configuration, Service
 from foxspring_model._job import TaskState
 from foxspring_model._resources import Resources
 from foxspring_model.scheduling._blame import FailureLedger
@@ -67,6 +67,16 @@
             service.name: service.objective_ms * _US_PER_MS
             for service in configuration.services
         }
+        self.rooms.set_request_room(
+            {
+                service.name: self._request_room(service)
+                for service in configuration.services
+            }
+        )
+
+    def _request_room(self, service: Service) -> Resources:
+        count = self.settings.requests_per_replica
+        return Resources(*(count * amount for amount in service.per_request))
 
     def objective_us(self, service: str) -> int:
         """Return the latency objective of ``service``, 0 if it is not known."""
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
@@ -179,8 +179,10 @@
         self.assertEqual(before, self.scheduler.site.load_of("t0").order.newest_ms)
 
     def test_unknown_pair_is_tried_with_one_task_a_target(self) -> None:
+        size = Resources(0, 0, 1_000, 1_000, 0)
         for number in range(4):
-            self.scheduler.upsert_task(a_task(number, "new", work_class="new"), 0)
+            task = a_task(number, "new", resources=size, work_class="new")
+            self.scheduler.upsert_task(task, 0)
         placed = len(self.scheduler.decide(1).placements)
         placed += len(self.scheduler.decide(2).placements)
         self.assertEqual(1, placed)
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_urgent.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_urgent.py
@@ -2,12 +2,21 @@
 
 import unittest
 
-from foxspring_model import Priority, Resources, Task, TaskState
+from foxspring_model import (
+    Configuration,
+    Priority,
+    Resources,
+    Service,
+    Task,
+    TaskState,
+    UsageSample,
+)
 from foxspring_model.scheduling import Scheduler, SchedulerSettings
 from foxspring_model.scheduling._victims import victims_for
 from foxspring_model.scheduling.tests.builders import (
     TASK_SIZE,
     a_configuration,
+    a_replica,
     a_target,
     a_task,
 )
@@ -127,3 +136,53 @@
         self.assertIn("reserved", " ".join(scheduler.explain("rival/0", 10_200)))
         after_ms = 10_200 + scheduler.settings.reserve_decay_ms
         self.assertEqual(1, len(scheduler.decide(after_ms).placements))
+
+
+class ServiceRoomTest(unittest.TestCase):
+    def test_replica_displaces_batch_work_on_a_full_site(self) -> None:
+        scheduler = a_full_target(OLD)
+        scheduler.upsert_task(a_replica(0), 9_000)
+        decisions = scheduler.decide(10_000)
+        self.assertEqual(["old/3"], [each.task_id for each in decisions.evictions])
+        self.assertIn("service task", decisions.evictions[0].reason)
+
+    def test_batch_leaves_room_for_requests_beside_a_replica(self) -> None:
+        scheduler = Scheduler(SchedulerSettings())
+        service = Service("register", "core", per_request=Resources(1, 1, 0, 0, 0))
+        scheduler.set_configuration(Configuration((service,)))
+        scheduler.upsert_target(a_target(0), False)
+        scheduler.upsert_task(running(a_replica(0)), 0)
+        for number in range(8):
+            task = a_task(number, resources=Resources(1, 0, 1_000, 1_000, 0))
+            scheduler.upsert_task(task, 0)
+        placed = sum(len(scheduler.decide(at).placements) for at in (1, 2, 3))
+        kept = scheduler.settings.requests_per_replica
+        self.assertLessEqual(placed, 8 - 1 - kept)
+        self.assertGreater(placed, 0)
+
+
+class PatienceTest(unittest.TestCase):
+    def test_large_task_gets_a_target_that_runs_empty(self) -> None:
+        scheduler = a_full_target(OLD, YOUNG)
+        whole = a_task(0, "whole", resources=Resources(2, 0, 60_000, 1_000, 0))
+        scheduler.upsert_task(whole, 0)
+        at_ms = scheduler.settings.patient_after_ms
+        self.assertEqual((), scheduler.decide(at_ms).evictions)
+        self.assertIn("freed on t0", scheduler.explain("whole/0", at_ms)[0])
+        scheduler.upsert_task(running(OLD)._replace(state=TaskState.FINISHED), at_ms)
+        for number in range(5):
+            scheduler.upsert_task(a_task(number, "small"), at_ms)
+        self.assertEqual((), scheduler.decide(at_ms + 1).placements)
+        scheduler.upsert_task(running(YOUNG)._replace(state=TaskState.FINISHED), at_ms)
+        placed = [each.task_id for each in scheduler.decide(at_ms + 2).placements]
+        self.assertEqual(["whole/0"], placed)
+
+    def test_waiting_claim_is_not_taken_for_an_overflow(self) -> None:
+        scheduler = a_full_target(OLD, YOUNG)
+        whole = a_task(0, "whole", resources=Resources(2, 0, 0, 240_000, 0))
+        scheduler.upsert_task(whole, 0)
+        at_ms = scheduler.settings.patient_after_ms
+        scheduler.decide(at_ms)
+        sample = UsageSample("t0", 1, 1, 0, 32_000, (), (("old/3", 1), ("young/4", 1)))
+        scheduler.record_sample(sample, at_ms)
+        self.assertEqual((), scheduler.decide(at_ms + 1).evictions)
