Let the reserve for urgent work last longer where evictions weigh more

Cause: the agency weighs evictions at 35, and most of its evictions were for urgent checks that came in waves. Requests' room is kept a target, not recounted a search; baselines respect it too.

--- a/packages/foxspring-model/foxspring_model/scheduling/_baselines.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_baselines.py
@@ -40,7 +40,7 @@
             for room in site.rooms.by_id.values()
             if room.is_open
             and room.starting < site.settings.starting_per_target
-            and need.fits_in(room.free)
+            and need.fits_in(site.rooms.spare(room))
         ]
         if not fitting:
             return ""
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -16,7 +16,7 @@
     limits_for,
 )
 from foxspring_model.scheduling._records import TaskGroup, TaskRecord
-from foxspring_model.scheduling._reserve import UrgentReserve
+from foxspring_model.scheduling._reserve import UrgentReserve, reserve_decay_ms
 from foxspring_model.scheduling._rooms import Room, Rooms
 from foxspring_model.scheduling._samples import SampleOrder, ShapeMemory
 from foxspring_model.scheduling._settings import SchedulerSettings
@@ -63,6 +63,8 @@
         self.configuration = configuration
         self.book.quotas.set_teams(configuration.teams)
         self.limits = limits_for(self.settings, configuration.weights)
+        decay_ms = reserve_decay_ms(self.settings, configuration.weights)
+        self.reserve.decay_ms = decay_ms
         self._objectives = {
             service.name: service.objective_ms * _US_PER_MS
             for service in configuration.services
