Bound what a call of decide() does when nothing can be placed

Cause: reading the code for a site that is full or avoided for interference: each call tried 8 jobs of each of 82 teams, or ran 256 searches that found nothing.

--- a/packages/foxspring-model/foxspring_model/scheduling/_bench.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_bench.py
@@ -14,7 +14,11 @@
 )
 from foxspring_model.scheduling._bench_fairness import fairness_rows
 from foxspring_model.scheduling._bench_row import Row, percentile, urgent_starts
-from foxspring_model.scheduling._bench_speed import memory_row, placement_rows
+from foxspring_model.scheduling._bench_speed import (
+    memory_row,
+    placement_rows,
+    waiting_rows,
+)
 from foxspring_model.scheduling._bench_starts import domain_rows, urgent_rows
 from foxspring_model.scheduling._placing import ChoiceOf, paired_choice
 from foxspring_model.scheduling._scheduler import Scheduler
@@ -125,6 +129,7 @@
         rows += deployment_rows(deployment)
     for targets in SIZES:
         rows += placement_rows(targets)
+        rows += waiting_rows(targets)
     rows.append(memory_row(2_100, 33_600))
     rows += urgent_rows()
     rows += domain_rows()
@@ -134,4 +139,4 @@
 
 if __name__ == "__main__":
     for row in run_bench():
-        print(*row, sep=" | ")
+        print(*row, sep=" | ", flush=True)
--- a/packages/foxspring-model/foxspring_model/scheduling/_bench_speed.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_bench_speed.py
@@ -9,6 +9,7 @@
 from foxspring_model._job import Task, TaskState
 from foxspring_model._resources import Resources
 from foxspring_model.scheduling._bench_row import Row, percentile
+from foxspring_model.scheduling._pressure import PressureState
 from foxspring_model.scheduling._scheduler import Scheduler
 from foxspring_model.scheduling._settings import SchedulerSettings
 from foxspring_model.scheduling.tests.builders import a_replica, a_target, a_task
@@ -25,6 +26,8 @@
 _TASKS_A_TARGET = 15
 _UNLIMITED = 1_000_000
 _MOST_CALLS = 4_000
+_WAITING_JOBS = 2_000
+_IDLE_CALLS = 100
 
 
 def large_scheduler(
@@ -81,6 +84,39 @@
     ]
 
 
+def waiting_rows(targets: int) -> list[Row]:
+    """Measure calls that can place nothing while 2,000 jobs wait."""
+    rows = []
+    for name, avoided in (("fits nowhere", False), ("is avoided everywhere", True)):
+        scheduler = large_scheduler(targets)
+        size = _SMALL if avoided else CELL_TARGET.plus(_SMALL)
+        _place_replicas(scheduler, targets)
+        for target_id in scheduler.site.rooms.by_id:
+            scheduler.site.load_of(target_id).state = PressureState(high=1)
+        for number in range(_WAITING_JOBS):
+            team = f"team{number % TEAMS}"
+            scheduler.upsert_task(a_task(0, f"job{number}", team, size), 0)
+        call_ms = []
+        for call in range(1_000, 1_000 + _IDLE_CALLS):
+            begun_s = time.process_time()
+            scheduler.decide(call * DECIDE_MS)
+            call_ms.append(1_000 * (time.process_time() - begun_s))
+        title = f"{_WAITING_JOBS} jobs wait on {targets} targets, each {name}"
+        rows.append(Row(f"{title}: p99 a call", "", percentile(call_ms, 0.99), "ms"))
+    return rows
+
+
+def _place_replicas(scheduler: Scheduler, targets: int) -> None:
+    for number in range(targets):
+        scheduler.upsert_task(a_replica(number, "register", _SMALL), 0)
+    for call in range(1, _MOST_CALLS):
+        placements = scheduler.decide(call).placements
+        if not placements:
+            return
+        for placement in placements:
+            commit(scheduler, placement, call)
+
+
 def commit(scheduler: Scheduler, placement: Placement, now_ms: int) -> None:
     """Tell the scheduler that the log has a placement and the task runs."""
     record = scheduler.site.book.records[placement.task_id]
--- a/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
@@ -27,6 +27,8 @@
         self._pending: list[tuple[int, str]] = []
         self._now_ms = 0
         self._searches_left = 0
+        self._tries_left = 0
+        self._misses_left = 0
         self._claims_left = 0
         self._batch_reserve: Resources = Resources()
         self.placements: list[Placement] = []
@@ -76,6 +78,8 @@
         return ""
 
     def _serve(self, lane: Lane) -> None:
+        self._tries_left = self._site.settings.tries_per_lane
+        self._misses_left = self._site.settings.misses_per_lane
         if lane is Lane.BATCH:
             self._update_reserve()
         self._turns[lane].serve(
@@ -94,9 +98,11 @@
         settings = self._site.settings
         few = len(self.placements) < settings.placements_per_call
         few_ended = sum(map(len, self.ended.values())) < settings.ends_per_call
-        return few and few_ended and self._searches_left > 0
+        tries = self._tries_left > 0 and self._misses_left > 0
+        return few and few_ended and tries and self._searches_left > 0
 
     def _try_group(self, group: TaskGroup) -> bool:
+        self._tries_left -= 1
         record = self._first_waiting(group)
         if record is None:
             return False
@@ -106,13 +112,20 @@
         if self._held_back(group):
             return False
         size = self._site.size_of(group)
+        if not self._site.rooms.may_fit(size):
+            return self._make_room(record, group, size)
         if self.reserve_refusal(group, size):
             return False
         target_id = self._find(record, size)
-        if target_id:
-            self._take(record, group)
-            self._propose(record, target_id, size)
-            return True
+        if not target_id:
+            return self._make_room(record, group, size)
+        self._take(record, group)
+        self._propose(record, target_id, size)
+        return True
+
+    def _make_room(self, record: TaskRecord, group: TaskGroup, size: Resources) -> bool:
+        if self._claims_left <= 0:
+            return False
         if group.lane is not Lane.BATCH:
             return self._claim(record, group, size)
         return self._wait_for_room(record, group, size)
@@ -132,15 +145,13 @@
         return group.placed >= self._site.settings.unproven_at_once
 
     def _find(self, record: TaskRecord, size: Resources) -> str:
-        rooms = self._site.rooms
-        if not rooms.may_fit(size):
-            return ""
         self._searches_left -= 1
-        return self._choice(record, size)
+        target_id = self._choice(record, size)
+        if not target_id:
+            self._misses_left -= 1
+        return target_id
 
     def _claim(self, record: TaskRecord, group: TaskGroup, size: Resources) -> bool:
-        if self._claims_left <= 0:
-            return False
         self._claims_left -= 1
         victims = self._claims.try_claim(record, size, self._now_ms)
         if victims is None:
@@ -159,6 +170,7 @@
         patience_ms = self._site.settings.patient_after_ms
         if waited_ms < patience_ms or self._site.rooms.may_fit(size):
             return False
+        self._claims_left -= 1
         if not self._claims.try_wait(record, size, self._now_ms):
             return False
         self._take(record, group)
--- a/packages/foxspring-model/foxspring_model/scheduling/_quota.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_quota.py
@@ -30,6 +30,8 @@
             f"team {team.name} runs {use.tasks} of at most {team.max_tasks} tasks;"
             " wait for one to end or raise max_tasks"
         )
+    if team.max_resources == NOTHING:
+        return ""
     limits = zip(need._fields, use.resources, need, team.max_resources, strict=True)
     for name, used, amount, limit in limits:
         if limit and amount and used + amount > limit:
--- a/packages/foxspring-model/foxspring_model/scheduling/_settings.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_settings.py
@@ -9,8 +9,10 @@
     ``seed`` makes every random choice of a scheduler repeatable.
 
     Search: ``placements_per_call``, ``searches_per_call`` and
-    ``nodes_per_search`` bound one call of ``decide``; ``candidates`` targets are
-    compared for a task, and at most ``starting_per_target`` tasks start at once
+    ``nodes_per_search`` bound one call of ``decide``, ``tries_per_lane`` the jobs
+    it looks at and ``misses_per_lane`` its searches that find no target.
+    ``candidates`` targets are compared for a task; at most
+    ``starting_per_target`` tasks start at once
     on a target. A decision that is not committed is taken again after
     ``command_timeout_ms``, and one that its target's owner refused after
     ``refusal_delay_ms``. A call ends at most ``ends_per_call`` tasks.
@@ -48,6 +50,8 @@
     seed: int = 1
     placements_per_call: int = 64
     searches_per_call: int = 256
+    tries_per_lane: int = 256
+    misses_per_lane: int = 16
     nodes_per_search: int = 512
     candidates: int = 8
     starting_per_target: int = 4
