Run the replicated log through simulated faults and mend what they show

Cause: the first cut had no test of a failure.

Faults found and mended: a leader lost right after it founded the group left the others unable to commit for good; now a later leader commits by majority. Votes before the founding entry need every initial member, so that emptied disks can't found a second group.

--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -159,10 +159,10 @@
     def commit_quorum(self) -> int:
         """Return how many voters must hold an entry to commit it.
 
-        For the group's very first entry that is every initial member, so that
-        an emptied disk can't pass for a new group's later on.
+        For the founding leader's first entry that is every initial member:
+        one that holds nothing of the log later on has surely lost its disk.
         """
-        if self.commit_index == 0:
+        if self.commit_index == 0 and self.first_term_index == 1:
             return max(1, len(self.membership.voters()))
         return self.majority()
 
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
@@ -0,0 +1,303 @@
+"""One test for each failure that the log is built for, in simulated time."""
+
+import unittest
+
+from foxspring_control.raft import Member
+from foxspring_control.raft._events import Received
+from foxspring_control.raft._messages import RequestVote
+from foxspring_control.raft._state import Role
+from foxspring_control.raft.tests.simulated_network import Network
+from foxspring_control.raft.tests.simulation import Simulation
+
+QUIET = Network(drop=0, duplicate=0, late=0)
+ELECTION_MS = 600
+LEASE_MS = 450
+
+
+class FailureTest(unittest.TestCase):
+    def start(
+        self,
+        count: int = 3,
+        rates: tuple[int, ...] = (),
+        network: Network = QUIET,
+        seed: int = 7,
+    ) -> Simulation:
+        simulation = Simulation(count, seed, network, rates=rates)
+        self.addCleanup(simulation.__exit__)
+        return simulation
+
+    def followers(self, simulation: Simulation) -> list[str]:
+        leader = simulation.leader()
+        return [name for name in simulation.nodes if name != leader]
+
+    def state(self, simulation: Simulation, name: str):  # type: ignore[no-untyped-def]
+        runtime = simulation.nodes[name].runtime
+        assert runtime is not None
+        return runtime.state
+
+
+class LeaderLossTest(FailureTest):
+    def test_leader_killed_during_group_commit(self) -> None:
+        for crash_at in ("before", "after"):
+            with self.subTest(crash_at=crash_at):
+                simulation = self.start()
+                leader = simulation.elect()
+                simulation.commit(10)
+                simulation.nodes[leader].disk.crash_at_sync = crash_at
+                body = simulation.propose(leader)
+                self.assertIsNone(simulation.nodes[leader].runtime)
+                self.assertNotIn(body, simulation.acked)
+                simulation.commit(5)
+                simulation.settle()
+
+    def test_next_commit_comes_within_two_seconds(self) -> None:
+        for seed in range(20):
+            simulation = self.start(seed=seed)
+            leader = simulation.elect()
+            simulation.crash(leader)
+            killed_ms = simulation.now_ms
+            simulation.commit()
+            self.assertLess(simulation.now_ms - killed_ms, 2_000)
+
+    def test_split_vote_ends_in_one_leader(self) -> None:
+        simulation = self.start(count=4)
+        for name, node in simulation.nodes.items():
+            self.state(simulation, name).election_due_ms = (
+                node.clock.monotonic_ms() + ELECTION_MS
+            )
+            simulation._schedule_tick(node)
+        simulation.run(ELECTION_MS + 100)
+        self.assertEqual("", simulation.leader())
+        simulation.elect()
+
+    def test_two_candidates_of_one_term_can_not_both_win(self) -> None:
+        simulation = self.start()
+        simulation.elect()
+        voter = self.followers(simulation)[0]
+        state = self.state(simulation, voter)
+        state.heard_leader_ms = 0
+        last = (state.log.last_index, state.log.last_term)
+        term = state.term + 1
+        for candidate in ("m8", "m9"):
+            request = RequestVote(term, candidate, *last, False)
+            simulation.feed(voter, Received(candidate, request))
+        self.assertEqual("m8", state.voted_for)
+
+
+class PartitionTest(FailureTest):
+    def test_old_leader_behind_a_one_way_partition(self) -> None:
+        for inbound, outbound in ((True, False), (False, True), (True, True)):
+            with self.subTest(inbound=inbound, outbound=outbound):
+                simulation = self.start()
+                old = simulation.elect()
+                simulation.commit(3)
+                simulation.isolate(old, inbound, outbound)
+                simulation.run(LEASE_MS + 50)
+                self.assertFalse(simulation.read(old))
+                simulation.await_leader_but(old)
+                simulation.commit(3)
+                self.assertFalse(simulation.read(old))
+                simulation.settle()
+
+    def test_a_member_that_returns_does_not_depose_the_leader(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        cut = self.followers(simulation)[0]
+        term = self.state(simulation, leader).term
+        simulation.isolate(cut)
+        simulation.run(60_000)
+        simulation.heal()
+        simulation.run(5_000)
+        self.assertEqual(leader, simulation.leader())
+        self.assertEqual(term, self.state(simulation, cut).term)
+
+    def test_a_member_long_cut_off_catches_up_by_one_snapshot(self) -> None:
+        simulation = self.start()
+        simulation.elect()
+        cut = self.followers(simulation)[0]
+        simulation.isolate(cut)
+        simulation.commit(200)
+        simulation.heal()
+        with self.assertLogs("foxspring_control.raft", "WARNING") as logs:
+            simulation.settle()
+        installed = [line for line in logs.output if "snapshot_installed" in line]
+        self.assertEqual(1, len(installed))
+
+    def test_a_proposal_without_quorum_is_answered_and_may_be_lost(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        simulation.isolate(leader)
+        simulation.run(LEASE_MS)
+        body = simulation.propose(leader)
+        simulation.run(2 * ELECTION_MS)
+        self.assertEqual({}, simulation.nodes[leader].runtime.waiting)  # type: ignore[union-attr]
+        self.assertNotIn(body, simulation.acked)
+
+
+class ClockTest(FailureTest):
+    def test_a_paused_leader_that_wakes_has_no_lease(self) -> None:
+        simulation = self.start()
+        old = simulation.elect()
+        simulation.pause(old)
+        simulation.await_leader_but(old)
+        simulation.commit(2)
+        node = simulation.nodes[old]
+        node.paused_inbox = None
+        self.assertFalse(simulation.read(old))
+        simulation.settle()
+
+    def test_a_clock_off_by_ten_percent_keeps_one_lease(self) -> None:
+        for rates in ((90, 100, 100), (110, 100, 100), (90, 110, 110)):
+            with self.subTest(rates=rates):
+                simulation = self.start(rates=rates)
+                for _ in range(12):
+                    leader = simulation.elect()
+                    simulation.isolate(leader)
+                    simulation.run(1_500)
+                    simulation.heal()
+                    simulation.commit()
+
+    def test_a_restarted_member_keeps_the_promise_it_made_to_a_leader(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        others = self.followers(simulation)
+        simulation.isolate(leader)
+        for name in others:
+            simulation.crash(name)
+            simulation.restart(name)
+        while simulation.leader() == leader:
+            simulation.run(10)
+            self.assertNotIn(
+                Role.LEADER, [self.state(simulation, n).role for n in others]
+            )
+
+
+class DiskTest(FailureTest):
+    def test_a_full_disk_ends_the_process_and_the_others_go_on(self) -> None:
+        for victim in ("leader", "follower"):
+            with self.subTest(victim=victim):
+                simulation = self.start()
+                leader = simulation.elect()
+                name = leader if victim == "leader" else self.followers(simulation)[0]
+                simulation.nodes[name].disk.refuse = True
+                simulation.propose(leader)
+                simulation.run(50)
+                self.assertIsNone(simulation.nodes[name].runtime)
+                simulation.commit(5)
+                simulation.settle()
+
+    def test_an_emptied_disk_comes_back_only_as_a_new_member(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        simulation.commit(3)
+        gone = self.followers(simulation)[0]
+        simulation.wipe(gone)
+        simulation.restart(gone)
+        simulation.run(2_000)
+        self.assertIn("new member id", self.state(simulation, gone).refused)
+        other = next(n for n in self.followers(simulation) if n != gone)
+        simulation.crash(leader)
+        simulation.run(10_000)
+        self.assertEqual("", simulation.leader(), "an emptied disk gave a vote")
+        simulation.restart(leader)
+        simulation.replace(gone, "m4")
+        self.assertEqual({leader, other, "m4"}, set(simulation.serving_voters()))
+
+    def test_two_emptied_disks_do_not_found_a_second_group(self) -> None:
+        simulation = self.start()
+        simulation.elect()
+        simulation.commit(3)
+        for name in self.followers(simulation):
+            simulation.wipe(name)
+            simulation.restart(name)
+        simulation.run(20_000)
+        self.assertEqual("", simulation.leader())
+        self.assertEqual(1, len(simulation.leader_of_term))
+
+
+class MembershipTest(FailureTest):
+    def test_a_member_lost_during_a_snapshot(self) -> None:
+        simulation = self.start()
+        simulation.elect()
+        cut = self.followers(simulation)[0]
+        simulation.isolate(cut)
+        simulation.commit(120)
+        simulation.heal()
+        node = simulation.nodes[cut]
+        runtime = node.runtime
+        assert runtime is not None
+        simulation.run_until(lambda: runtime.state.snapshot is not None)
+        simulation.crash(cut)
+        simulation.restart(cut)
+        simulation.settle()
+
+    def test_a_member_lost_between_snapshot_file_and_install(self) -> None:
+        simulation = self.start()
+        simulation.elect()
+        cut = self.followers(simulation)[0]
+        simulation.isolate(cut)
+        simulation.commit(120)
+        simulation.heal()
+        simulation.nodes[cut].disk.crash_at_sync = "after"
+        simulation.run_until(lambda: simulation.nodes[cut].runtime is None)
+        simulation.restart(cut)
+        simulation.settle()
+
+    def test_a_second_member_lost_right_after_a_replacement(self) -> None:
+        for lost in ("leader", "follower"):
+            with self.subTest(lost=lost):
+                simulation = self.start()
+                simulation.elect()
+                simulation.commit(60)
+                simulation.replace(self.followers(simulation)[0], "m4")
+                leader = simulation.elect()
+                others = [n for n in self.followers(simulation) if n != "m4"]
+                simulation.wipe(leader if lost == "leader" else others[0])
+                simulation.commit(5)
+                simulation.await_all_answers()
+
+    def test_a_learner_does_not_vote_before_it_is_caught_up(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        simulation.commit(100)
+        member = Member("m4", "m4")
+        simulation.add_node(member, ())
+        simulation.isolate("m4", inbound=False)
+        simulation.add_member(leader, member)
+        simulation.run(5_000)
+        self.assertNotIn("m4", simulation.serving_voters())
+        simulation.heal()
+        simulation.run_until(lambda: "m4" in simulation.serving_voters())
+
+    def test_refused_member_changes_say_why(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        cases = (
+            (Member("m2", "x"), b"is a member already"),
+            (Member("m9", "m2"), b"has the address"),
+        )
+        for member, reason in cases:
+            with self.subTest(member=member):
+                outcome = simulation.add_member(leader, member)[0]
+                self.assertEqual("rejected", outcome.status)
+                self.assertIn(reason, outcome.result)
+        outcome = simulation.remove_member(leader, "m7")[0]
+        self.assertIn(b"is no member", outcome.result)
+
+    def test_a_leader_that_removes_itself_steps_down(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        simulation.remove_member(leader, leader)
+        simulation.await_leader_but(leader)
+        self.assertNotIn(leader, simulation.serving_voters())
+
+    def test_a_planned_stop_hands_over_faster_than_an_election(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        simulation.commit(5)
+        begun_ms = simulation.now_ms
+        outcomes = simulation.transfer(leader)
+        simulation.await_leader_but(leader)
+        self.assertLess(simulation.now_ms - begun_ms, ELECTION_MS)
+        simulation.run(500)
+        self.assertEqual(["applied"], [o.status for o in outcomes])
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
@@ -0,0 +1,140 @@
+"""The data folder: torn ends, damage, compaction and wrong owners."""
+
+import shutil
+import tempfile
+import unittest
+from pathlib import Path
+
+from foxspring_control._replication import LogEntry
+from foxspring_control.raft._events import SnapshotStored
+from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._messages import Membership
+from foxspring_control.raft._state import StoredState
+from foxspring_control.raft._storage import Storage, WrongMemberError
+
+SEGMENT_BYTES = 500
+TAIL_BYTES = 300
+
+
+def entry(log_index: int, term: int = 1) -> LogEntry:
+    return LogEntry(log_index, term, "Test", b"%d in %d" % (log_index, term), 0)
+
+
+class StorageTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+
+    def open(self, member_id: str = "m1") -> tuple[Storage, StoredState]:
+        storage = Storage(self.folder, member_id, SEGMENT_BYTES, TAIL_BYTES)
+        self.addCleanup(storage.close)
+        return storage, storage.open()
+
+    def write(self, count: int = 30) -> None:
+        storage, _ = self.open()
+        for log_index in range(1, count + 1):
+            storage.save(1, "m2", log_index - 1, [entry(log_index)])
+        storage.close()
+
+    def segments(self) -> list[Path]:
+        return sorted(self.folder.glob("*.seg"))
+
+    def test_what_was_saved_is_read_back(self) -> None:
+        self.write()
+        storage, stored = self.open()
+        self.assertEqual((1, "m2", 29), stored[:3])
+        self.assertEqual(30, stored.log.last_index)
+        self.assertGreater(len(self.segments()), 2)
+        for first, last in ((1, 30), (7, 7), (12, 19)):
+            wanted = [entry(n) for n in range(first, last + 1)]
+            self.assertEqual(wanted, storage.read(first, last, 1 << 20))
+
+    def test_replaced_entries_stay_replaced(self) -> None:
+        self.write(10)
+        storage, _ = self.open()
+        storage.save(2, "", 5, [entry(6, 2), entry(7, 2)])
+        storage.close()
+        storage, stored = self.open()
+        wanted = [entry(n) for n in range(1, 6)] + [entry(6, 2), entry(7, 2)]
+        self.assertEqual(wanted, storage.read(1, 99, 1 << 20))
+        self.assertEqual((7, 2), (stored.log.last_index, stored.log.last_term))
+
+    def test_a_torn_end_is_dropped(self) -> None:
+        self.write(30)
+        last = self.segments()[-1]
+        whole = last.read_bytes()
+        for kept in range(len(whole) - 1, len(whole) - 40, -1):
+            last.write_bytes(whole[:kept])
+            storage, stored = self.open()
+            self.assertEqual(29, stored.log.last_index)
+            storage.save(1, "m2", 29, [entry(30)])
+            storage.close()
+            self.assertEqual(30, self.reopened_last_index())
+
+    def reopened_last_index(self) -> int:
+        storage, stored = self.open()
+        storage.close()
+        return stored.log.last_index
+
+    def test_a_damaged_middle_is_refused(self) -> None:
+        self.write(30)
+        first, *_, last = self.segments()
+        for path, offset in ((first, 20), (first, 200), (last, 4), (last, 20)):
+            with self.subTest(path=path.name, offset=offset):
+                whole = path.read_bytes()
+                broken = bytearray(whole)
+                broken[offset] ^= 0xFF
+                path.write_bytes(broken)
+                if path == last:
+                    self.append_whole_frame(path)
+                storage = Storage(self.folder, "m1", SEGMENT_BYTES, TAIL_BYTES)
+                with self.assertRaises(DamagedLogError):
+                    storage.open()
+                storage.close()
+                path.write_bytes(whole)
+
+    def append_whole_frame(self, path: Path) -> None:
+        with path.open("ab") as file:
+            file.write(self.segments()[0].read_bytes())
+
+    def test_a_missing_segment_is_refused(self) -> None:
+        self.write(30)
+        self.segments()[1].unlink()
+        with self.assertRaises(DamagedLogError):
+            self.open()
+
+    def test_compaction_bounds_the_disk_and_keeps_the_rest(self) -> None:
+        storage, _ = self.open()
+        sizes = []
+        for log_index in range(1, 501):
+            storage.save(1, "m2", log_index - 1, [entry(log_index)])
+            if log_index % 50 == 0:
+                self.snapshot(storage, log_index)
+                storage.log.compact(log_index - 10)
+                sizes.append(storage.log.disk_bytes())
+        self.assertLessEqual(max(sizes), 3 * SEGMENT_BYTES)
+        storage.close()
+        storage, stored = self.open()
+        self.assertEqual(500, stored.log.last_index)
+        self.assertEqual([entry(495)], storage.read(495, 495, 1 << 20))
+        self.assertEqual(1, len(list(self.folder.glob("*.snapshot"))))
+
+    def snapshot(self, storage: Storage, log_index: int) -> None:
+        storage.snapshot_path(log_index).write_bytes(b"state")
+        stored = SnapshotStored(log_index, 1, log_index, Membership(), 5)
+        storage.record_snapshot(stored)
+
+    def test_a_lost_snapshot_file_is_refused(self) -> None:
+        storage, _ = self.open()
+        self.snapshot(storage, 10)
+        storage.close()
+        storage.snapshot_path(10).unlink()
+        with self.assertRaises(DamagedLogError):
+            self.open()
+
+    def test_a_folder_in_use_or_of_another_member_is_refused(self) -> None:
+        storage, _ = self.open()
+        for member_id in ("m1", "m2"):
+            with self.subTest(member_id=member_id), self.assertRaises(WrongMemberError):
+                self.open(member_id)
+            storage.close()
