Measure the replicated log, and weigh two ways of storing it

Change: _bench.py (commit rate and latency, failover, catch-up, idle bytes and processor share) and _bench_storage.py (segment files against sqlite3 WAL with synchronous=FULL under group commit); the cluster over links moves from the tests to _bench_cluster.py, which both use.

--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/_bench.py
@@ -0,0 +1,201 @@
+"""Measures the replicated log on this machine.
+
+All members run in this one process over real links and real syncs, so the
+figures of several members share one interpreter.
+"""
+
+import resource
+import statistics
+import sys
+import threading
+import time
+from collections.abc import Callable
+
+from foxspring_control._replication import ProposeOutcome
+from foxspring_control.raft._bench_cluster import LinkCluster, LinkMember, wait_until
+from foxspring_control.raft._bench_storage import BenchRow, bench_storage
+
+BODY = b"x" * 200
+IN_FLIGHT = 64
+THROUGHPUT_S = 3.0
+LATENCY_SAMPLES = 300
+IDLE_S = 5.0
+FAILOVERS = 5
+CATCH_UP_CHANGES = 500
+SETTLE_S = 1.5
+
+FAILOVER_BOUND = "<= 2 s"
+IDLE_BYTES_BOUND = "<= 3 KB/s"
+IDLE_CPU_BOUND = "<= 1.1 % of a core"
+
+
+class _Load:
+    """Keeps a number of proposals in flight and counts the answers."""
+
+    def __init__(self, leader: LinkMember) -> None:
+        self.leader = leader
+        self.applied = 0
+        self.running = True
+        self.lock = threading.Lock()
+
+    def propose(self) -> None:
+        if self.leader.log is not None:
+            self.leader.log.propose("Bench", BODY, self._on_done)
+
+    def _on_done(self, outcome: ProposeOutcome) -> None:
+        with self.lock:
+            self.applied += outcome.status == "applied"
+        if self.running:
+            self.propose()
+
+
+def _changes_per_second(leader: LinkMember) -> float:
+    load = _Load(leader)
+    begun = time.perf_counter()
+    for _ in range(IN_FLIGHT):
+        load.propose()
+    time.sleep(THROUGHPUT_S)
+    load.running = False
+    return load.applied / (time.perf_counter() - begun)
+
+
+def _latencies_ms(leader: LinkMember) -> list[float]:
+    samples = []
+    for _ in range(LATENCY_SAMPLES):
+        begun = time.perf_counter()
+        leader.propose(BODY)
+        samples.append((time.perf_counter() - begun) * 1_000)
+    return sorted(samples)
+
+
+def bench_commit(members: int) -> list[BenchRow]:
+    """Return throughput with 64 changes in flight and latency with one."""
+    cluster = LinkCluster(members)
+    try:
+        leader = cluster.leader()
+        latencies = _latencies_ms(leader)
+        rate = _changes_per_second(leader)
+    finally:
+        cluster.stop()
+    name = f"{members} members"
+    p99 = latencies[len(latencies) * 99 // 100]
+    return [
+        BenchRow(f"committed changes, {name}", ">= 160 /s", rate, "/s", ""),
+        BenchRow(f"commit p50, {name}", "-", statistics.median(latencies), "ms", ""),
+        BenchRow(f"commit p99, {name}", "-", p99, "ms", ""),
+    ]
+
+
+def bench_failover() -> list[BenchRow]:
+    """Return the time from killing the leader to the next commit."""
+    times = []
+    for _ in range(FAILOVERS):
+        cluster = LinkCluster(3)
+        try:
+            times.append(_failover_s(cluster))
+        finally:
+            cluster.stop()
+    name = f"leader killed to next commit, {FAILOVERS} runs"
+    return [
+        BenchRow(f"{name}, median", FAILOVER_BOUND, statistics.median(times), "s", ""),
+        BenchRow(f"{name}, worst", FAILOVER_BOUND, max(times), "s", ""),
+    ]
+
+
+def _failover_s(cluster: LinkCluster) -> float:
+    leader = cluster.leader()
+    leader.propose(BODY)
+    time.sleep(SETTLE_S)
+    begun = time.perf_counter()
+    cluster.kill(leader)
+    while cluster.leader().propose(BODY).status != "applied":
+        pass
+    return time.perf_counter() - begun
+
+
+def bench_catch_up() -> list[BenchRow]:
+    """Return how long a new member takes to hold 500 changes."""
+    rows = []
+    for way, snapshot_every in (("entries", 5_000), ("snapshot", 100)):
+        cluster = LinkCluster(3, snapshot_every)
+        try:
+            seconds = _catch_up_s(cluster)
+        finally:
+            cluster.stop()
+        name = f"catch-up after {CATCH_UP_CHANGES} changes by {way}"
+        rows.append(BenchRow(name, "<= 4 s", seconds, "s", ""))
+    return rows
+
+
+def _catch_up_s(cluster: LinkCluster) -> float:
+    leader = cluster.leader()
+    for _ in range(CATCH_UP_CHANGES):
+        leader.propose(BODY)
+    fresh = cluster.add("m9")
+    if leader.log is None:
+        raise RuntimeError("the leader has no log; start the cluster first")
+    begun = time.perf_counter()
+    leader.log.add_member(fresh.member, lambda outcome: None)
+    wait_until(
+        lambda: len(fresh.machine.bodies) == CATCH_UP_CHANGES, "the member catches up"
+    )
+    return time.perf_counter() - begun
+
+
+def bench_idle(members: int) -> list[BenchRow]:
+    """Return bytes and processor share of idle members."""
+    cluster = LinkCluster(members)
+    try:
+        leader = cluster.leader()
+        time.sleep(SETTLE_S)
+        others = [m for m in cluster.members if m is not leader]
+        before = [_bytes(leader), _bytes(others[0])]
+        cpu = _cpu_s()
+        time.sleep(IDLE_S)
+        cpu = (_cpu_s() - cpu) / IDLE_S / members * 100
+        after = [_bytes(leader), _bytes(others[0])]
+    finally:
+        cluster.stop()
+    rates = [(a - b) / IDLE_S / 1_000 for a, b in zip(after, before, strict=True)]
+    name = f"{members} members"
+    return [
+        BenchRow(
+            f"idle sent, leader of {name}", IDLE_BYTES_BOUND, rates[0], "KB/s", ""
+        ),
+        BenchRow(
+            f"idle sent, follower of {name}", IDLE_BYTES_BOUND, rates[1], "KB/s", ""
+        ),
+        BenchRow(f"idle processor, mean of {name}", IDLE_CPU_BOUND, cpu, "%", ""),
+    ]
+
+
+def _bytes(member: LinkMember) -> int:
+    return member.link.bytes_sent
+
+
+def _cpu_s() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def run_bench() -> list[BenchRow]:
+    """Return every figure of the replicated log; takes about a minute."""
+    parts: list[Callable[[], list[BenchRow]]] = [
+        bench_storage,
+        lambda: bench_commit(3),
+        lambda: bench_commit(5),
+        bench_failover,
+        bench_catch_up,
+        lambda: bench_idle(3),
+        lambda: bench_idle(5),
+        lambda: bench_idle(7),
+    ]
+    return [row for part in parts for row in part()]
+
+
+if __name__ == "__main__":
+    for row in run_bench():
+        sys.stdout.write(
+            f"{row.name:48} {row.figure:10.2f} {row.unit:9} "
+            f"bound {row.bound:20} {row.baseline}\n"
+        )
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_links.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_links.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from foxspring_control.raft.tests.link_cluster import LinkCluster, wait_until
+from foxspring_control.raft._bench_cluster import LinkCluster, wait_until
 
 
 class LinkClusterTest(unittest.TestCase):
