--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/__init__.py
@@ -0,0 +1,20 @@
+"""The leader's duties: leases, ownership, placement and answers to entries."""
+
+from foxspring_control.service._messages import LogHandle, SendMessage
+from foxspring_control.service._scheduling import (
+    MakeScheduler,
+    SchedulerHandle,
+    make_scheduler,
+)
+from foxspring_control.service._service import ControlService
+from foxspring_control.service._settings import ServiceSettings
+
+__all__ = [
+    "ControlService",
+    "LogHandle",
+    "MakeScheduler",
+    "SchedulerHandle",
+    "SendMessage",
+    "ServiceSettings",
+    "make_scheduler",
+]
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -0,0 +1,389 @@
+"""Every decision of an entry: events in, effects out, no I/O and no clock."""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from foxspring_model import (
+    CHECKS,
+    AnnounceBody,
+    Configuration,
+    ConfigurationPush,
+    EntryInfo,
+    EntryLeaseGrant,
+    EntryLoad,
+    ForwardedReport,
+    HeartbeatRejected,
+    Invariant,
+    OwnedTarget,
+    OwnershipUpdate,
+    RefusalReason,
+    RelayAnswer,
+    RelayRequest,
+    ReportBody,
+    RunTask,
+    StopTask,
+    TaskEventsAck,
+    ThrottleTask,
+    UsageBatch,
+    Verdict,
+)
+
+from foxspring_entry._effects import Effects, SendMessage
+from foxspring_entry._heartbeats import Heartbeats, LoadReports
+from foxspring_entry._intake import Acked, Intake
+from foxspring_entry._lease import EntryLease, renew
+from foxspring_entry._loads import LoadBook
+from foxspring_entry._messages import ReportAcks, TargetReleased
+from foxspring_entry._origin import Origin
+from foxspring_entry._outbox import EventOutbox
+from foxspring_entry._owner_requests import OwnerRequests, TargetOutcome
+from foxspring_entry._owner_targets import CallAnswer, OwnerTargets
+from foxspring_entry._ownership import OwnershipTable
+from foxspring_entry._reports import MalformedBodyError
+from foxspring_entry._retries import RetryBudget
+from foxspring_entry._settings import EntrySettings
+
+_LOG = logging.getLogger(__name__)
+
+Parse = Callable[[str], Configuration]
+
+
+class EntryCore:
+    """The state of one entry and its reactions to events.
+
+    Every method takes the entry's clock as ``now_ms`` and returns effects to
+    be carried out in order. Only one thread may use it.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        link_address: str,
+        http_address: str,
+        parse: Parse,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.parse = parse
+        self.info = EntryInfo(
+            settings.entry_id,
+            settings.incarnation,
+            link_address,
+            http_address,
+            settings.failure_domain,
+        )
+        self.lease = EntryLease()
+        self.lease_held = False
+        self.revision = 0
+        self.table = OwnershipTable()
+        self.loads = LoadBook(settings.load_max_age_ms)
+        self.requests = OwnerRequests(settings, rng)
+        self.targets = OwnerTargets(settings)
+        self.requests.targets = self.targets.targets
+        self.outbox = EventOutbox(settings.entry_id, settings.incarnation)
+        self.origin = Origin(
+            settings.entry_id,
+            link_address,
+            settings.failure_domain,
+            self.table,
+            self.loads,
+            RetryBudget(settings.retry_budget_percent),
+            settings.max_attempts,
+            rng,
+        )
+        self.heartbeats = Heartbeats(settings)
+        self.load_reports = LoadReports(settings)
+        self.intake = Intake(
+            settings.entry_id, self.table, self.targets, settings.seen_interval_ms
+        )
+
+    def is_ready(self, now_ms: int) -> bool:
+        """Tell whether callers should be sent here."""
+        return (
+            self.lease.is_valid(now_ms)
+            and not self.info.draining
+            and self.table.version > 0
+        )
+
+    def submit(self, relay: RelayRequest, now_ms: int) -> Effects:
+        """Take a caller's request; its outcome comes as ``ReplyToCaller``."""
+        if not self.lease.is_valid(now_ms):
+            return self.origin.refuse(relay, self._lease_refusal(relay))
+        return self._own(self.origin.submit(relay, now_ms), now_ms)
+
+    def message(self, sender: str, message: Any, now_ms: int) -> Effects:
+        """Take a message from another process."""
+        handler = self._handlers().get(type(message))
+        if handler is None:
+            _LOG.warning("event=message_ignored kind=%s", type(message).__name__)
+            return []
+        effects = handler(sender, message, now_ms)
+        return self._own(effects, now_ms)
+
+    def not_sent(self, message: Any, now_ms: int) -> Effects:
+        """Take note that a message surely did not reach its receiver."""
+        if not isinstance(message, RelayRequest):
+            return []
+        return self._own(self.origin.not_sent(message, now_ms), now_ms)
+
+    def request_done(self, hold_id: str, result: TargetOutcome, now_ms: int) -> Effects:
+        """Take what became of a request at a target."""
+        running = self.requests.running.get(hold_id)
+        effects = self.requests.done(hold_id, result, now_ms)
+        if running is not None and self.lease.is_valid(now_ms):
+            service = running.item.relay.service
+            effects.extend(self.requests.pump(service, now_ms))
+        return self._own(effects, now_ms)
+
+    def call_done(self, call_id: int, answer: CallAnswer, now_ms: int) -> Effects:
+        """Take what became of a call of the platform contract."""
+        self.targets.call_done(call_id, answer, now_ms)
+        return self._send_events(now_ms)
+
+    def announce(self, body: AnnounceBody, now_ms: int) -> Effects:
+        """Take a target's announcement and pass it on to control."""
+        seen = self.intake.announcement(body, now_ms)
+        return self._to_leader(seen) if seen is not None else []
+
+    def report(
+        self, report: ReportBody, raw: bytes, now_ms: int
+    ) -> tuple[Effects, Acked]:
+        """Take a target's report; return the tasks that it may forget."""
+        effects, acked = self.intake.report(report, raw, now_ms)
+        return effects + self._send_events(now_ms), acked
+
+    def tick(self, now_ms: int) -> Effects:
+        """Do what is due at ``now_ms``."""
+        effects: Effects = []
+        valid = self.lease.is_valid(now_ms)
+        if self.lease_held and not valid:
+            effects.extend(self._lease_lost())
+        self.lease_held = valid
+        effects.extend(self._heartbeat(now_ms))
+        if valid:
+            effects.extend(self.requests.tick(now_ms))
+        else:
+            effects.extend(self.requests.expire(now_ms))
+        effects.extend(self.origin.tick(now_ms))
+        effects.extend(self.targets.tick(valid, now_ms))
+        effects.extend(self._load(now_ms))
+        effects.extend(self._usage(now_ms))
+        effects.extend(self._send_events(now_ms))
+        return self._own(effects, now_ms)
+
+    def drain(self, now_ms: int) -> Effects:
+        """Turn unready and ask control to give the targets to others."""
+        self.info = self.info._replace(draining=True)
+        self.heartbeats.pace.hurry()
+        return self._heartbeat(now_ms)
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing is owned, in flight, waiting or unsaid."""
+        return (
+            not self.targets.targets
+            and not self.requests.running
+            and not self.origin.pending
+            and self.outbox.is_empty()
+        )
+
+    def _handlers(self) -> dict[type, Callable[[str, Any, int], Effects]]:
+        return {
+            EntryLeaseGrant: self._on_grant,
+            HeartbeatRejected: lambda *_: [],
+            ConfigurationPush: self._on_configuration,
+            OwnershipUpdate: self._on_ownership,
+            RelayRequest: self._on_relay,
+            RelayAnswer: lambda _s, answer, now: self.origin.answered(answer, now),
+            EntryLoad: self._on_load,
+            ForwardedReport: self._on_forwarded,
+            ReportAcks: self._on_acks,
+            TargetReleased: self._on_released,
+            RunTask: self._on_run,
+            StopTask: self._on_stop,
+            ThrottleTask: self._on_throttle,
+            TaskEventsAck: self._on_events_ack,
+        }
+
+    def _own(self, effects: Effects, now_ms: int) -> Effects:
+        """Carry out messages to this entry itself, without the link."""
+        own = self.info.link_address
+        result: Effects = []
+        waiting = list(effects)
+        while waiting:
+            effect = waiting.pop(0)
+            if isinstance(effect, SendMessage) and effect.address == own:
+                handler = self._handlers()[type(effect.message)]
+                waiting.extend(handler(own, effect.message, now_ms))
+            else:
+                result.append(effect)
+        return result
+
+    def _on_grant(self, sender: str, grant: EntryLeaseGrant, now_ms: int) -> Effects:
+        self.lease = renew(self.lease, grant, sender, now_ms)
+        self.requests.lease_until_ms = self.lease.until_ms
+        if self.lease.leader_address == sender:
+            self.heartbeats.granted_ms = now_ms
+        return []
+
+    def _on_configuration(
+        self, _sender: str, push: ConfigurationPush, now_ms: int
+    ) -> Effects:
+        if push.revision <= self.revision:
+            return []
+        try:
+            configuration = self.parse(push.text)
+        except ValueError as error:
+            _LOG.error("event=configuration_unreadable reason=%r", str(error))
+            return []
+        CHECKS.check(Invariant.REVISION_NEVER_FALLS, push.revision > self.revision)
+        self.revision = push.revision
+        self.requests.configure(configuration)
+        self.heartbeats.pace.hurry()
+        return self._heartbeat(now_ms)
+
+    def _on_ownership(
+        self, _sender: str, update: OwnershipUpdate, now_ms: int
+    ) -> Effects:
+        change = self.table.apply(update)
+        self.intake.forget_absent()
+        effects: Effects = []
+        for changed in change.changed:
+            if changed.owned.owner == self.info.entry_id:
+                self.targets.assign(changed, now_ms)
+            else:
+                effects.extend(self._release(changed.owned))
+        for owned in change.removed:
+            effects.extend(self._give_away(owned.info.target_id))
+        if change.entries_changed:
+            effects.extend(self.origin.entries_changed(now_ms))
+        return effects
+
+    def _release(self, owned: OwnedTarget) -> Effects:
+        """Stop owning a target and tell its next owner, who waits for that."""
+        target_id = owned.info.target_id
+        owner = self.table.entries.get(owned.owner)
+        if target_id not in self.targets.targets or owner is None:
+            return self._give_away(target_id)
+        released = TargetReleased(target_id, owned.owner_epoch)
+        message = SendMessage(owner.link_address, released)
+        return [*self._give_away(target_id), message]
+
+    def _on_released(
+        self, _sender: str, message: TargetReleased, now_ms: int
+    ) -> Effects:
+        self.targets.released(message.target_id, message.owner_epoch, now_ms)
+        return []
+
+    def _give_away(self, target_id: str) -> Effects:
+        self.outbox.add(self.targets.take_events())
+        return self.targets.give_away(target_id)
+
+    def _on_relay(self, sender: str, relay: RelayRequest, now_ms: int) -> Effects:
+        if self.lease.is_valid(now_ms):
+            return self.requests.request(relay, sender, now_ms)
+        return [SendMessage(sender, self._lease_refusal(relay))]
+
+    def _lease_refusal(self, relay: RelayRequest) -> RelayAnswer:
+        return RelayAnswer(
+            relay.request_id,
+            relay.attempt,
+            Verdict.NOT_RUN,
+            RefusalReason.LEASE_EXPIRED,
+            f"entry {self.info.entry_id} has no lease from control; use another",
+            self.settings.heartbeat_ms,
+        )
+
+    def _on_load(self, _sender: str, load: EntryLoad, now_ms: int) -> Effects:
+        self.loads.store(load, now_ms)
+        return []
+
+    def _on_forwarded(
+        self, sender: str, forwarded: ForwardedReport, now_ms: int
+    ) -> Effects:
+        try:
+            effects = self.intake.forwarded(sender, forwarded, now_ms)
+        except MalformedBodyError as error:
+            _LOG.warning("event=report_refused reason=%r", str(error))
+            return []
+        return effects + self._send_events(now_ms)
+
+    def _on_acks(self, _sender: str, acks: ReportAcks, _now_ms: int) -> Effects:
+        self.intake.acks(acks)
+        return []
+
+    def _on_run(self, _sender: str, run: RunTask, now_ms: int) -> Effects:
+        if self.lease.is_valid(now_ms):
+            self.targets.run(run, now_ms)
+        return self._send_events(now_ms)
+
+    def _on_stop(self, _sender: str, stop: StopTask, now_ms: int) -> Effects:
+        if self.lease.is_valid(now_ms):
+            self.targets.stop(stop, now_ms)
+        return self._send_events(now_ms)
+
+    def _on_throttle(self, _sender: str, throttle: ThrottleTask, _ms: int) -> Effects:
+        self.targets.throttle(throttle)
+        return []
+
+    def _on_events_ack(self, _sender: str, ack: TaskEventsAck, now_ms: int) -> Effects:
+        self.targets.commit(self.outbox.acknowledge(ack.batch_id))
+        return self._send_events(now_ms)
+
+    def _lease_lost(self) -> Effects:
+        _LOG.warning("event=lease_lost entry=%s", self.info.entry_id)
+        effects = self.requests.refuse_queued(
+            RefusalReason.LEASE_EXPIRED, "the owner's lease ended while it waited"
+        )
+        return effects + self.targets.lease_lost()
+
+    def _heartbeat(self, now_ms: int) -> Effects:
+        due = self.heartbeats.due(
+            self.info,
+            self.revision,
+            self.table.version,
+            self.lease.leader_address,
+            now_ms,
+        )
+        if due is None:
+            return []
+        receivers, heartbeat = due
+        return [SendMessage(address, heartbeat) for address in receivers]
+
+    def _load(self, now_ms: int) -> Effects:
+        if not self.load_reports.pace.is_due(now_ms):
+            return []
+        names = sorted(
+            {name for t in self.targets.targets.values() for name in t.owned.services}
+        )
+        services = tuple(
+            (name, *self.requests.free_and_queued(name, now_ms)) for name in names
+        )
+        load = self.load_reports.next(services)
+        self.loads.store(load, now_ms)
+        if not self.load_reports.is_news(services, now_ms):
+            return []
+        return [
+            SendMessage(entry.link_address, load)
+            for entry in self.table.entries.values()
+            if entry.entry_id != self.info.entry_id
+        ]
+
+    def _usage(self, now_ms: int) -> Effects:
+        samples = self.intake.usage.take_due(now_ms)
+        if not samples:
+            return []
+        return self._to_leader(UsageBatch(self.info.entry_id, samples))
+
+    def _send_events(self, now_ms: int) -> Effects:
+        self.outbox.add(self.targets.take_events())
+        if not self.lease.leader_address:
+            return []
+        batch = self.outbox.due(now_ms)
+        return self._to_leader(batch) if batch is not None else []
+
+    def _to_leader(self, message: Any) -> Effects:
+        if not self.lease.leader_address:
+            return []
+        return [SendMessage(self.lease.leader_address, message)]
--- a/packages/foxspring-model/foxspring_model/_commands.py
+++ b/packages/foxspring-model/foxspring_model/_commands.py
@@ -112,9 +112,14 @@
 
 
 class RecordTaskEvents(NamedTuple):
-    """Apply what owners learnt; events of an older epoch change nothing."""
+    """Apply what owners learnt; events of an older epoch change nothing.
+
+    ``entry_id`` names the reporter; it is empty where control itself knows
+    that every lease has ended.
+    """
 
     events: tuple[TaskEvent, ...]
+    entry_id: str = ""
 
 
 class EndTasks(NamedTuple):
@@ -127,19 +132,23 @@
 class ClaimKey(NamedTuple):
     """Claim an idempotency key for one entry before its request is sent.
 
-    ``fingerprint`` is a digest of the request that the key came with.
+    ``fingerprint`` is a digest of the request that the key came with. A claim
+    sent again with its own ``claim_id`` is still claimed; control fills in the
+    proposal's id where it is empty.
     """
 
     key: str
     fingerprint: str
     entry_id: str
     incarnation: int
+    claim_id: str = ""
 
 
 class CompleteKey(NamedTuple):
     """Record the outcome of a claimed key.
 
-    ``verdict`` of ``not_run`` frees the key.
+    ``verdict`` of ``not_run`` frees the key, if ``claim_id`` is that of the
+    claim: another arrival at the same entry may be the one that runs.
     """
 
     key: str
@@ -149,6 +158,16 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    claim_id: str = ""
+
+
+class RecordMemberChange(NamedTuple):
+    """Note in the audit that a person added or removed a control member."""
+
+    operator: str
+    action: str
+    member_id: str
+    outcome: str
 
 
 COMMANDS = (
@@ -167,4 +186,5 @@
     EndTasks,
     ClaimKey,
     CompleteKey,
+    RecordMemberChange,
 )
