--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -14,6 +14,7 @@
 from foxspring_control.raft._sending_snapshots import needs_snapshot, send_chunk
 from foxspring_control.raft._state import Progress, RaftState, Role
 
+SILENT_HEARTBEATS = 2
 EMPTIED_DISK = (
     "the data folder is empty but the group counts this member as a voter; "
     "remove this member from the group and start it under a new member id"
@@ -35,7 +36,7 @@
     state: RaftState, member_id: str, progress: Progress, now_ms: int
 ) -> None:
     lacks = progress.next_index <= state.log.last_index
-    may_send = lacks and not (progress.probing and progress.waiting)
+    may_send = lacks and progress.may_send_more()
     if not may_send and not progress.heartbeat_due:
         return
     last = progress.next_index - 1
@@ -49,6 +50,7 @@
     progress.waiting = True
     if may_send and not progress.probing:
         progress.next_index = last + 1
+        progress.in_flight += 1
 
 
 def _send_heartbeat(
@@ -135,6 +137,14 @@
             return
 
 
+def note_silence(state: RaftState, progress: Progress, now_ms: int) -> None:
+    """Send a follower that doesn't answer heartbeats alone until it does."""
+    silent_ms = now_ms - max(progress.acked_sent_ms, state.lead_since_ms)
+    if silent_ms > SILENT_HEARTBEATS * state.settings.heartbeat_ms:
+        progress.probe_from(progress.match_index + 1)
+        progress.waiting = True
+
+
 def _reply(
     state: RaftState,
     sender: str,
@@ -168,6 +178,7 @@
         return
     progress.acked_sent_ms = max(progress.acked_sent_ms, reply.sent_ms)
     progress.waiting = False
+    progress.in_flight = max(0, progress.in_flight - 1)
     if not reply.success:
         _step_back(state, progress, reply)
         return
@@ -185,8 +196,7 @@
     if reply.member_id in state.membership.joining:
         # A learner whose disk was emptied starts again from what it holds.
         progress.match_index = min(progress.match_index, reply.log_index)
-    progress.probing = True
-    progress.next_index = max(reply.log_index, 0) + 1
+    progress.probe_from(max(reply.log_index, 0) + 1)
 
 
 def commit_if_quorum(state: RaftState) -> None:
--- a/packages/foxspring-control/foxspring_control/raft/_bench.py
+++ b/packages/foxspring-control/foxspring_control/raft/_bench.py
@@ -12,7 +12,12 @@
 from collections.abc import Callable
 
 from foxspring_control._replication import ProposeOutcome
-from foxspring_control.raft._bench_cluster import LinkCluster, LinkMember, wait_until
+from foxspring_control.raft._bench_cluster import (
+    DEFAULT_PING_MS,
+    LinkCluster,
+    LinkMember,
+    wait_until,
+)
 from foxspring_control.raft._bench_storage import BenchRow, bench_storage
 
 BODY = b"x" * 200
@@ -20,9 +25,10 @@
 THROUGHPUT_S = 3.0
 LATENCY_SAMPLES = 300
 IDLE_S = 5.0
-FAILOVERS = 5
+FAILOVERS = 8
 CATCH_UP_CHANGES = 500
 SETTLE_S = 1.5
+SLOW_PING_MS = 1_000
 
 FAILOVER_BOUND = "<= 2 s"
 IDLE_BYTES_BOUND = "<= 3 KB/s"
@@ -89,8 +95,8 @@
 def bench_failover() -> list[BenchRow]:
     """Return the time from killing the leader to the next commit."""
     times = []
-    for _ in range(FAILOVERS):
-        cluster = LinkCluster(3)
+    for seed in range(FAILOVERS):
+        cluster = LinkCluster(3, seed=seed)
         try:
             times.append(_failover_s(cluster))
         finally:
@@ -142,35 +148,40 @@
     return time.perf_counter() - begun
 
 
-def bench_idle(members: int) -> list[BenchRow]:
+def bench_idle(members: int, ping_ms: int = DEFAULT_PING_MS) -> list[BenchRow]:
     """Return bytes and processor share of idle members."""
-    cluster = LinkCluster(members)
+    cluster = LinkCluster(members, ping_ms=ping_ms)
     try:
         leader = cluster.leader()
         time.sleep(SETTLE_S)
-        others = [m for m in cluster.members if m is not leader]
-        before = [_bytes(leader), _bytes(others[0])]
+        follower = next(m for m in cluster.members if m is not leader)
         cpu = _cpu_s()
+        before = _carried(leader) + _carried(follower)
         time.sleep(IDLE_S)
+        after = _carried(leader) + _carried(follower)
         cpu = (_cpu_s() - cpu) / IDLE_S / members * 100
-        after = [_bytes(leader), _bytes(others[0])]
     finally:
         cluster.stop()
     rates = [(a - b) / IDLE_S / 1_000 for a, b in zip(after, before, strict=True)]
-    name = f"{members} members"
+    name = f"{members} members, pings every {ping_ms} ms"
+    labels = (
+        f"idle sent, leader of {name}",
+        f"idle received, leader of {name}",
+        f"idle sent, follower of {name}",
+        f"idle received, follower of {name}",
+    )
+    rows = [
+        BenchRow(label, IDLE_BYTES_BOUND, rate, "KB/s", "")
+        for label, rate in zip(labels, rates, strict=True)
+    ]
     return [
-        BenchRow(
-            f"idle sent, leader of {name}", IDLE_BYTES_BOUND, rates[0], "KB/s", ""
-        ),
-        BenchRow(
-            f"idle sent, follower of {name}", IDLE_BYTES_BOUND, rates[1], "KB/s", ""
-        ),
+        *rows,
         BenchRow(f"idle processor, mean of {name}", IDLE_CPU_BOUND, cpu, "%", ""),
     ]
 
 
-def _bytes(member: LinkMember) -> int:
-    return member.link.bytes_sent
+def _carried(member: LinkMember) -> list[int]:
+    return [member.link.bytes_sent, member.link.bytes_received]
 
 
 def _cpu_s() -> float:
@@ -189,6 +200,7 @@
         lambda: bench_idle(3),
         lambda: bench_idle(5),
         lambda: bench_idle(7),
+        lambda: bench_idle(7, ping_ms=SLOW_PING_MS),
     ]
     return [row for part in parts for row in part()]
 
@@ -196,6 +208,6 @@
 if __name__ == "__main__":
     for row in run_bench():
         sys.stdout.write(
-            f"{row.name:48} {row.figure:10.2f} {row.unit:9} "
+            f"{row.name:60} {row.figure:10.2f} {row.unit:9} "
             f"bound {row.bound:20} {row.baseline}\n"
         )
--- a/packages/foxspring-control/foxspring_control/raft/_bench_cluster.py
+++ b/packages/foxspring-control/foxspring_control/raft/_bench_cluster.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import msgspec
-from foxspring_link import Codec, Link, SystemClock
+from foxspring_link import Codec, Link, LinkSettings, SystemClock
 from foxspring_model import MESSAGES
 
 from foxspring_control._replication import LogEntry, ProposeOutcome
@@ -17,6 +17,7 @@
 from foxspring_control.raft._status import LeadershipChange
 
 DEADLINE_S = 20.0
+DEFAULT_PING_MS = LinkSettings().ping_interval_ms
 _CODEC = Codec(b"secret", (*MESSAGES, *RAFT_MESSAGES))
 
 
@@ -64,7 +65,7 @@
 class LinkMember:
     """One member with its link, folder and state machine."""
 
-    def __init__(self, member_id: str, folder: Path) -> None:
+    def __init__(self, member_id: str, folder: Path, ping_ms: int) -> None:
         self.member_id = member_id
         self.folder = folder
         self.clock = SystemClock()
@@ -72,10 +73,18 @@
         self.fatal: list[str] = []
         self.log: ReplicatedLog | None = None
         self.machine = RecordingMachine()
-        self.link = Link("127.0.0.1:0", _CODEC, self._receive, self.clock)
+        self.link = Link(
+            "127.0.0.1:0",
+            _CODEC,
+            self._receive,
+            self.clock,
+            LinkSettings(ping_interval_ms=ping_ms),
+        )
         self.member = Member(member_id, self.link.address)
 
-    def start(self, group: tuple[Member, ...], snapshot_every: int = 5_000) -> None:
+    def start(
+        self, group: tuple[Member, ...], snapshot_every: int, seed: int = 0
+    ) -> None:
         """Open the folder and take part."""
         settings = RaftSettings(
             self.member_id,
@@ -84,6 +93,7 @@
             group,
             snapshot_every_entries=snapshot_every,
             keep_entries=snapshot_every // 5,
+            seed=seed,
         )
         self.log = ReplicatedLog(
             settings,
@@ -128,18 +138,26 @@
 class LinkCluster:
     """Some members, started together in a temporary folder."""
 
-    def __init__(self, count: int, snapshot_every: int = 5_000) -> None:
+    def __init__(
+        self,
+        count: int,
+        snapshot_every: int = 5_000,
+        ping_ms: int = DEFAULT_PING_MS,
+        seed: int = 0,
+    ) -> None:
+        self.ping_ms = ping_ms
+        self.seed = seed
         self.folder = tempfile.TemporaryDirectory()
         self.snapshot_every = snapshot_every
         self.members = [self._make(f"m{n}") for n in range(1, count + 1)]
         group = tuple(member.member for member in self.members)
         for member in self.members:
-            member.start(group, snapshot_every)
+            member.start(group, snapshot_every, seed)
 
     def _make(self, member_id: str) -> LinkMember:
         folder = Path(self.folder.name) / member_id
         folder.mkdir()
-        return LinkMember(member_id, folder)
+        return LinkMember(member_id, folder, self.ping_ms)
 
     def add(self, member_id: str) -> LinkMember:
         """Start a member that no group knows yet."""
--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -131,7 +131,11 @@
         self._inbox.put(Received(sender_address, message))
 
     def propose(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
-        """Append an entry and call back once it is applied here, or not."""
+        """Append an entry and call back once it is applied here, or not.
+
+        With ``max_pending`` callers waiting the answer is ``not_leader``, on
+        the calling thread: try again later.
+        """
         at_ms = self.clock.wall_ms()
         self._ask(on_done, lambda token: Propose(token, kind, body, at_ms))
 
@@ -173,11 +177,12 @@
     def _ask(self, on_done: ProposeCallback, event: Callable[[int], Event]) -> None:
         token = next(self._tokens)
         with self._lock:
-            closed = self._closed
-            if not closed:
+            full = len(self._waiting) >= self.settings.max_pending
+            refused = self._closed or full
+            if not refused:
                 self._waiting[token] = on_done
                 self._inbox.put(event(token))
-        if closed:
+        if refused:
             on_done(ProposeOutcome("not_leader"))
 
     def _run(self) -> None:
--- a/packages/foxspring-control/foxspring_control/raft/_settings.py
+++ b/packages/foxspring-control/foxspring_control/raft/_settings.py
@@ -30,13 +30,13 @@
     link_address: str
     data_folder: Path
     initial_members: tuple[Member, ...]
-    election_timeout_ms: int = 600
-    heartbeat_ms: int = 200
+    election_timeout_ms: int = 700
+    heartbeat_ms: int = 250
     lease_percent: int = 75
     snapshot_every_entries: int = 5_000
     keep_entries: int = 1_000
     max_batch: int = 256
-    max_append_bytes: int = 1 * MIB
+    max_append_bytes: int = 256 * KIB
     max_pending: int = 4_096
     snapshot_chunk_bytes: int = 256 * KIB
     segment_bytes: int = 4 * MIB
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -57,14 +57,18 @@
     """What a leader knows of one other member.
 
     While ``probing``, one message at a time finds where the logs match; after
-    that ``next_index`` runs ahead of the replies.
+    that ``next_index`` runs ahead of the replies by up to ``MAX_IN_FLIGHT``
+    messages, which bounds what a silent member makes the leader hold.
     """
 
+    MAX_IN_FLIGHT = 8
+
     def __init__(self, next_index: int, now_ms: int) -> None:
         self.next_index = next_index
         self.match_index = 0
         self.probing = True
         self.waiting = False
+        self.in_flight = 0
         self.acked_sent_ms = 0
         self.heartbeat_ms = 0
         self.advanced_ms = now_ms
@@ -73,6 +77,18 @@
         self.chunk_sent_ms = 0
         self.heartbeat_due = True
 
+    def may_send_more(self) -> bool:
+        """Tell whether entries may be sent before another reply."""
+        if self.probing:
+            return not self.waiting
+        return self.in_flight < self.MAX_IN_FLIGHT
+
+    def probe_from(self, next_index: int) -> None:
+        """Find out anew where the logs match, from ``next_index`` back."""
+        self.probing = True
+        self.next_index = next_index
+        self.in_flight = 0
+
 
 class Incoming(NamedTuple):
     """The snapshot being received from a term's leader, and how much of it."""
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -4,6 +4,7 @@
     accept_leader,
     commit_if_quorum,
     flush,
+    note_silence,
     on_append_entries,
     on_append_reply,
     refuses_as_emptied,
@@ -111,6 +112,7 @@
     for progress in state.progress.values():
         if now_ms >= progress.heartbeat_ms + state.settings.heartbeat_ms:
             progress.heartbeat_due = True
+            note_silence(state, progress, now_ms)
     promote_learner(state, now_ms)
 
 
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
@@ -6,12 +6,13 @@
 from foxspring_control.raft._events import Received
 from foxspring_control.raft._messages import RequestVote
 from foxspring_control.raft._state import Role
+from foxspring_control.raft.tests import builders
 from foxspring_control.raft.tests.simulated_network import Network
 from foxspring_control.raft.tests.simulation import Simulation
 
 QUIET = Network(drop=0, duplicate=0, late=0)
-ELECTION_MS = 600
-LEASE_MS = 450
+ELECTION_MS = builders.settings().election_timeout_ms
+LEASE_MS = builders.settings().lease_ms()
 
 
 class FailureTest(unittest.TestCase):
