--- a/packages/foxspring-control/foxspring_control/raft/_bench_cluster.py
+++ b/packages/foxspring-control/foxspring_control/raft/_bench_cluster.py
@@ -71,6 +71,7 @@
         self.clock = SystemClock()
         self.changes: list[LeadershipChange] = []
         self.fatal: list[str] = []
+        self.received = 0
         self.log: ReplicatedLog | None = None
         self.machine = RecordingMachine()
         self.link = Link(
@@ -131,6 +132,7 @@
         return outcomes[0]
 
     def _receive(self, sender: str, message: object) -> None:
+        self.received += 1
         if self.log is not None:
             self.log.receive(sender, message)
 
--- a/packages/foxspring-control/foxspring_control/raft/_events.py
+++ b/packages/foxspring-control/foxspring_control/raft/_events.py
@@ -154,6 +154,12 @@
     log_index: int
 
 
+class ReadReady(NamedTuple):
+    """Answer the read of ``token`` once all that is committed is applied."""
+
+    token: int
+
+
 class Answer(NamedTuple):
     """Answer the caller of ``token`` now."""
 
@@ -190,6 +196,7 @@
     | SaveCommit
     | Accepted
     | Answer
+    | ReadReady
     | LeaderChanged
     | Diagnosed
 )
--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -6,6 +6,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 from foxspring_model import Clock
@@ -86,6 +87,7 @@
         self._lock = threading.Lock()
         self._closed = False
         self._runtime: Runtime | None = None
+        self._aside = ThreadPoolExecutor(1, f"raft-snapshot-{settings.member_id}")
         self._thread = threading.Thread(
             target=self._run, name=f"raft-{settings.member_id}", daemon=True
         )
@@ -107,6 +109,7 @@
             self._send,
             self.clock,
             self._on_leadership,
+            self._run_aside,
         )
         runtime.waiting = self._waiting
         self._runtime = runtime
@@ -124,6 +127,7 @@
         self._inbox.put(None)
         if self._thread.is_alive() and threading.current_thread() != self._thread:
             self._thread.join()
+        self._aside.shutdown()
         self._storage.close()
 
     def receive(self, sender_address: str, message: Any) -> None:
@@ -185,6 +189,11 @@
         if refused:
             on_done(ProposeOutcome("not_leader"))
 
+    def _run_aside(self, work: Callable[[], int]) -> "Future[int]":
+        future = self._aside.submit(work)
+        future.add_done_callback(lambda done: self._inbox.put(Tick()))
+        return future
+
     def _run(self) -> None:
         runtime = self._runtime
         if runtime is None:
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -2,12 +2,16 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from pathlib import Path
 from typing import Any
 
-from foxspring_model import Clock
+from foxspring_model import CHECKS, Clock, Invariant
 
 from foxspring_control._replication import LogEntry, ProposeOutcome, StateMachine
+from foxspring_control.raft._compaction import (
+    RunAside,
+    SnapshotWriter,
+    run_at_once,
+)
 from foxspring_control.raft._events import (
     Accepted,
     Answer,
@@ -19,15 +23,17 @@
     Flush,
     InstallSnapshot,
     LeaderChanged,
+    ReadReady,
+    Received,
     SaveCommit,
     Send,
     SendChunk,
     SendEntries,
-    SnapshotStored,
     StoreChunk,
     Synced,
 )
 from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._messages import AppendEntries
 from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
 from foxspring_control.raft._status import (
     Counters,
@@ -61,6 +67,7 @@
         send: SendMessage,
         clock: Clock,
         on_leadership: Callable[[LeadershipChange], None],
+        run_aside: RunAside = run_at_once,
     ) -> None:
         self.state = state
         self.storage = storage
@@ -71,6 +78,8 @@
         self.waiting: dict[int, AnswerCallback] = {}
         self.accepted: dict[int, int] = {}
         self.applied_index = 0
+        self.snapshots = SnapshotWriter(machine, run_aside)
+        self.deferred: list[Effect] = []
         self._recover()
 
     def _recover(self) -> None:
@@ -92,8 +101,10 @@
 
     def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
         """Decide on a batch, write and sync once, then send and answer."""
+        self._take_snapshot(now_ms)
         effects: list[Effect] = []
         for event in events:
+            self._check_event(event)
             effects += step(self.state, event, now_ms)[1]
         effects += step(self.state, Flush(), now_ms)[1]
         while effects:
@@ -109,8 +120,8 @@
                 self._send_entries(effect)
         self._persist(effects)
         for effect in effects:
-            self._act(effect)
-        self._take_snapshot_if_due(now_ms)
+            self._act_or_defer(effect)
+        self._begin_snapshot_if_due()
         if not entries or self.state.role is not Role.LEADER:
             return []
         synced = Synced(self.state.term, self.state.log.last_index)
@@ -139,16 +150,54 @@
     def _save(self, entries: list[LogEntry], force: bool) -> None:
         state = self.state
         commit = state.commit_index
+        if entries:
+            self._check_committed_stays(entries[0].log_index)
         self.storage.save(state.term, state.voted_for, commit, entries, force)
 
     def _install(self, effect: InstallSnapshot) -> None:
         state = self.state
+        self.snapshots.take(wait=True)
         path = self.storage.accept_incoming(effect.snapshot)
         if effect.reset:
             self.storage.reset_log(state.term, state.voted_for, effect.snapshot)
         if self.machine.applied_index() < effect.snapshot.state_index:
             self.machine.install_snapshot(path)
         self.applied_index = max(self.applied_index, effect.snapshot.snapshot_index)
+        self._act_on_deferred()
+
+    def _check_event(self, event: Event) -> None:
+        message = event.message if isinstance(event, Received) else None
+        if not isinstance(message, AppendEntries):
+            return
+        state = self.state
+        leads = state.role is Role.LEADER and message.term == state.term
+        detail = f"term={message.term} leaders={state.member_id},{message.leader_id}"
+        if not CHECKS.check(Invariant.ONE_LEADER_A_TERM, not leads, detail):
+            raise DamagedLogError(
+                f"two leaders in one term ({detail}); check that no two members "
+                "share an id or a copied data folder"
+            )
+
+    def _check_committed_stays(self, first_replaced: int) -> None:
+        holds = first_replaced > self.applied_index
+        detail = f"replaced={first_replaced} applied={self.applied_index}"
+        if not CHECKS.check(Invariant.COMMITTED_STAYS, holds, detail):
+            raise DamagedLogError(
+                f"an applied entry would be replaced ({detail}); replace this "
+                "member under a new id"
+            )
+
+    def _act_or_defer(self, effect: Effect) -> None:
+        waits = isinstance(effect, Commit | ReadReady | LeaderChanged)
+        if waits and self.snapshots.is_writing():
+            self.deferred.append(effect)
+        else:
+            self._act(effect)
+
+    def _act_on_deferred(self) -> None:
+        deferred, self.deferred = self.deferred, []
+        for effect in deferred:
+            self._act(effect)
 
     def _act(self, effect: Effect) -> None:
         match effect:
@@ -162,6 +211,9 @@
                 self.accepted[effect.log_index] = effect.token
             case Answer():
                 self._answer(effect)
+            case ReadReady():
+                member = self.state.member_id
+                self._finish(effect.token, ProposeOutcome("applied", member))
             case LeaderChanged():
                 self._change_leader(effect)
             case Diagnosed():
@@ -238,23 +290,25 @@
         member = self.state.member_id
         _LOG.warning("event=%s member=%s %s", effect.event, member, effect.detail)
 
-    def _take_snapshot_if_due(self, now_ms: int) -> None:
+    def _begin_snapshot_if_due(self) -> None:
         state = self.state
         held = state.snapshot.snapshot_index if state.snapshot else 0
-        if self.applied_index - held < state.settings.snapshot_every_entries:
+        index = self.applied_index
+        due = index - held >= state.settings.snapshot_every_entries
+        if not due or self.snapshots.is_writing():
             return
-        snapshot = self._write_snapshot(self.storage.snapshot_path(self.applied_index))
-        self.storage.record_snapshot(snapshot)
-        step(state, snapshot, now_ms)
-        self.storage.log.compact(state.log.base_index + 1)
+        term = state.log.term_at(index) or 0
+        path = self.storage.snapshot_path(index)
+        self.snapshots.begin(path, index, term, state.membership_at(index))
 
-    def _write_snapshot(self, path: Path) -> SnapshotStored:
-        state_index = self.machine.write_snapshot(path)
-        index = self.applied_index
-        term = self.state.log.term_at(index) or 0
-        membership = self.state.membership_at(index)
-        total = path.stat().st_size
-        return SnapshotStored(index, term, state_index, membership, total)
+    def _take_snapshot(self, now_ms: int) -> None:
+        snapshot = self.snapshots.take()
+        if snapshot is None:
+            return
+        self.storage.record_snapshot(snapshot)
+        step(self.state, snapshot, now_ms)
+        self.storage.log.compact(self.state.log.base_index)
+        self._act_on_deferred()
 
     def status(self) -> RaftStatus:
         """Return the member's status now."""
--- a/packages/foxspring-control/foxspring_control/raft/_segments.py
+++ b/packages/foxspring-control/foxspring_control/raft/_segments.py
@@ -38,7 +38,7 @@
 
 
 class _Place(NamedTuple):
-    """Where a frame with entries stands."""
+    """Where a frame with entries, or one that resets the log, stands."""
 
     first_index: int
     segment: int
@@ -98,6 +98,7 @@
         self.torn_bytes = 0
         self._sync = sync
         self._places = _PlaceTable()
+        self._reset = _Place(0, 0, 0)
         self._segment = 0
         self._descriptor = -1
         self._sizes: dict[int, int] = {}
@@ -172,6 +173,7 @@
     def _note_place(self, frame: Frame, segment: int, offset: int) -> None:
         if frame.reset_index:
             self._places.clear()
+            self._reset = _Place(frame.reset_index, segment, offset)
         if frame.entries:
             first = frame.entries[0].log_index
             self._places.add(_Place(first, segment, offset))
@@ -232,13 +234,11 @@
         return found.frame
 
     def compact(self, first_kept: int) -> None:
-        """Delete segments that hold nothing from ``first_kept`` on."""
-        keep = self._segment
-        if self._sizes[keep] == 0:
-            keep -= 1
-        position = self._places.position(first_kept)
-        if position >= 0:
-            keep = min(keep, int(self._places.segments[position]))
+        """Delete segments that hold nothing from ``first_kept`` on.
+
+        Keep the entry whose term the next one is checked against.
+        """
+        keep = self._first_needed(first_kept)
         for number in range(self._oldest, keep):
             self._path(number).unlink(missing_ok=True)
             self._sizes.pop(number, None)
@@ -247,6 +247,18 @@
             self._oldest = keep
             self._places.drop_segments_below(keep)
 
+    def _first_needed(self, first_kept: int) -> int:
+        needed = self._segment
+        if self._sizes[needed] == 0:
+            # The newest hard state stands in the segment before.
+            needed -= 1
+        if len(self._places) > 0:
+            position = max(0, self._places.position(first_kept))
+            needed = min(needed, int(self._places.segments[position]))
+        if first_kept <= self._reset.first_index:
+            needed = min(needed, self._reset.segment)
+        return max(needed, self._oldest)
+
     def disk_bytes(self) -> int:
         """Return the size of all segments."""
         return sum(list(self._sizes.values()))
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -24,6 +24,7 @@
     Flush,
     Propose,
     ReadBarrier,
+    ReadReady,
     Received,
     RemoveMember,
     SnapshotStored,
@@ -164,7 +165,7 @@
 
 def _on_read_barrier(state: RaftState, event: ReadBarrier, now_ms: int) -> None:
     if state.announced and state.lease_valid(now_ms):
-        state.emit(Answer(event.token, "applied", state.member_id))
+        state.emit(ReadReady(event.token))
         return
     other = "" if state.leader_id == state.member_id else state.leader_id
     state.emit(Answer(event.token, "not_leader", other))
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -42,6 +42,7 @@
         self.voted_for = ""
         self.commit_index = 0
         self.sequence = 0
+        self.must_reset = False
         self.memberships: list[tuple[int, Membership]] = []
 
     def on_frame(self, frame: Frame) -> None:
@@ -76,9 +77,10 @@
         memberships = self.memberships
         if snapshot is not None:
             index = snapshot.snapshot_index
-            if log.last_index < index:
+            if log.term_at(index) != snapshot.snapshot_term:
                 log = TermTable(index, snapshot.snapshot_term)
-            later = [m for m in memberships if m[0] > index]
+                self.must_reset = True
+            later = [m for m in memberships if index < m[0] <= log.last_index]
             memberships = [(index, snapshot.membership), *later]
         elif log.base_index > 0:
             raise DamagedLogError(
@@ -96,6 +98,16 @@
         )
 
 
+def _newest(entries: Iterable[LogEntry]) -> tuple[LogEntry, ...]:
+    """Return entries without those that a later one of the batch replaces."""
+    kept: list[LogEntry] = []
+    for entry in entries:
+        while kept and kept[-1].log_index >= entry.log_index:
+            kept.pop()
+        kept.append(entry)
+    return tuple(kept)
+
+
 class Storage:
     """One member's log, hard state and latest snapshot in its data folder.
 
@@ -135,6 +147,10 @@
         stored = replay.result()
         self._sequence = replay.sequence
         self._hard_state = (stored.term, stored.voted_for)
+        if replay.must_reset and stored.snapshot is not None:
+            # The process ended between recording a received snapshot and
+            # emptying the log behind it.
+            self.reset_log(stored.term, stored.voted_for, stored.snapshot)
         return stored
 
     def _lock(self) -> None:
@@ -172,7 +188,7 @@
 
         Returns whether anything was written.
         """
-        fresh = tuple(entries)
+        fresh = _newest(entries)
         if not fresh and not force and (term, voted_for) == self._hard_state:
             return False
         self._write(Frame(0, term, voted_for, commit_index, 0, 0, fresh))
--- a/packages/foxspring-control/foxspring_control/raft/tests/builders.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/builders.py
@@ -71,4 +71,5 @@
         snapshot_every_entries=snapshot_every,
         keep_entries=snapshot_every // 5,
         seed=seed,
+        snapshot_chunk_bytes=100,
     )
--- a/packages/foxspring-control/foxspring_control/raft/tests/simulated_node.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/simulated_node.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from concurrent.futures import Future
 from pathlib import Path
 from typing import Any
 
@@ -86,6 +87,20 @@
         self.durable = (self.index, list(self.bodies))
 
 
+class SimulatedWork(Future[int]):
+    """Work aside whose end is known at ``until_ms``, or when waited for."""
+
+    def __init__(self, until_ms: int, value: int) -> None:
+        super().__init__()
+        self.until_ms = until_ms
+        self.value = value
+
+    def result(self, timeout: float | None = None) -> int:
+        if not self.done():
+            self.set_result(self.value)
+        return super().result(timeout)
+
+
 class Node:
     """One member and everything of it that outlives a crash."""
 
@@ -99,6 +114,18 @@
         self.group: tuple[Member, ...] = ()
         self.paused_inbox: list[Event] | None = None
         self.next_tick_ms = 0
+        self.writing: SimulatedWork | None = None
+
+    def run_aside(self, work: Callable[[], int], until_ms: int) -> "Future[int]":
+        """Run ``work`` but let its end be known only at ``until_ms``."""
+        self.writing = SimulatedWork(until_ms, work())
+        return self.writing
+
+    def end_writing(self, now_ms: int) -> None:
+        """Make the end of the work known if it is time."""
+        if self.writing is not None and now_ms >= self.writing.until_ms:
+            self.writing.result()
+            self.writing = None
 
 
 class Recorder:
--- a/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from foxspring_control._replication import LogEntry, ProposeOutcome
-from foxspring_control.raft import LeadershipChange, Member, Membership
+from foxspring_control.raft import DamagedLogError, LeadershipChange, Member, Membership
 from foxspring_control.raft._events import (
     AddMember,
     Event,
@@ -126,6 +126,7 @@
             lambda address, message: self.send(name, address, message),
             node.clock,
             lambda change: self.on_leadership(name, change),
+            lambda work: node.run_aside(work, self.now_ms + self.chance.randint(0, 99)),
         )
         self._schedule_tick(node)
 
@@ -136,6 +137,7 @@
         node.storage = None
         node.runtime = None
         node.paused_inbox = None
+        node.writing = None
         node.machine.crash()
         node.disk.lose_unsynced(self.chance)
 
@@ -291,10 +293,13 @@
         if node.runtime is None:
             return
         self.steps += 1
+        node.end_writing(self.now_ms)
         try:
             node.runtime.run_batch(events, node.clock.monotonic_ms())
         except (CrashError, OSError):
             self.crash(name)
+        except DamagedLogError as error:
+            raise BrokenPromiseError(f"at {self.now_ms} ms: {error}") from error
         self.check()
         if node.runtime is not None and node.paused_inbox is None:
             self._schedule_tick(node)
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
@@ -1,14 +1,16 @@
 """One test for each failure that the log is built for, in simulated time."""
 
 import unittest
+from typing import Any
+from unittest import mock
 
 from foxspring_control.raft import Member
 from foxspring_control.raft._events import Received
 from foxspring_control.raft._messages import RequestVote
-from foxspring_control.raft._state import Role
+from foxspring_control.raft._state import RaftState
 from foxspring_control.raft.tests import builders
 from foxspring_control.raft.tests.simulated_network import Network
-from foxspring_control.raft.tests.simulation import Simulation
+from foxspring_control.raft.tests.simulation import BrokenPromiseError, Simulation
 
 QUIET = Network(drop=0, duplicate=0, late=0)
 ELECTION_MS = builders.settings().election_timeout_ms
@@ -31,7 +33,7 @@
         leader = simulation.leader()
         return [name for name in simulation.nodes if name != leader]
 
-    def state(self, simulation: Simulation, name: str):  # type: ignore[no-untyped-def]
+    def state(self, simulation: Simulation, name: str) -> RaftState:
         runtime = simulation.nodes[name].runtime
         assert runtime is not None
         return runtime.state
@@ -158,19 +160,31 @@
                     simulation.heal()
                     simulation.commit()
 
-    def test_a_restarted_member_keeps_the_promise_it_made_to_a_leader(self) -> None:
+    def restart_a_voter_beside_a_candidate(self) -> Simulation:
+        """Restart a follower again and again while the third can't hear the leader."""
         simulation = self.start()
         leader = simulation.elect()
-        others = self.followers(simulation)
-        simulation.isolate(leader)
-        for name in others:
-            simulation.crash(name)
-            simulation.restart(name)
-        while simulation.leader() == leader:
-            simulation.run(10)
-            self.assertNotIn(
-                Role.LEADER, [self.state(simulation, n).role for n in others]
-            )
+        voter, candidate = self.followers(simulation)
+        simulation.network.blocked |= {(leader, candidate), (candidate, leader)}
+        for _ in range(40):
+            simulation.run(400)
+            simulation.crash(voter)
+            simulation.restart(voter)
+        return simulation
+
+    def test_a_restarted_member_keeps_the_promise_it_made_to_a_leader(self) -> None:
+        simulation = self.restart_a_voter_beside_a_candidate()
+        self.assertEqual(1, len(simulation.leader_of_term))
+
+    def test_forgetting_that_promise_is_seen(self) -> None:
+        class Forgetful(RaftState):
+            def __init__(self, *arguments: Any) -> None:
+                super().__init__(*arguments)
+                self.heard_leader_ms = 0
+
+        path = "foxspring_control.raft.tests.simulation.RaftState"
+        with mock.patch(path, Forgetful), self.assertRaises(BrokenPromiseError):
+            self.restart_a_voter_beside_a_candidate()
 
 
 class DiskTest(FailureTest):
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
@@ -59,6 +59,13 @@
         self.assertEqual(wanted, storage.read(1, 99, 1 << 20))
         self.assertEqual((7, 2), (stored.log.last_index, stored.log.last_term))
 
+    def test_entries_replaced_within_one_group_commit(self) -> None:
+        storage, _ = self.open()
+        batch = [entry(1), entry(2), entry(3), entry(2, 2), entry(3, 2)]
+        storage.save(2, "", 0, batch)
+        wanted = [entry(1), entry(2, 2), entry(3, 2)]
+        self.assertEqual(wanted, storage.log.read(1, 9, 1 << 20))
+
     def test_a_torn_end_is_dropped(self) -> None:
         self.write(30)
         last = self.segments()[-1]
@@ -124,6 +131,38 @@
         stored = SnapshotStored(log_index, 1, log_index, Membership(), 5)
         storage.record_snapshot(stored)
 
+    def test_a_snapshot_recorded_before_the_log_was_emptied(self) -> None:
+        for snapshot_index in (5, 40):
+            with self.subTest(snapshot_index=snapshot_index):
+                self.write(10)
+                storage, _ = self.open()
+                storage.snapshot_path(snapshot_index).write_bytes(b"state")
+                received = SnapshotStored(
+                    snapshot_index, 2, snapshot_index, Membership(), 5
+                )
+                storage.record_snapshot(received)
+                storage.close()
+                for _ in range(2):
+                    storage, stored = self.open()
+                    last = (stored.log.last_index, stored.log.last_term)
+                    storage.close()
+                    self.assertEqual((snapshot_index, 2), last)
+                self.continue_behind(snapshot_index)
+                for path in self.folder.iterdir():
+                    path.unlink()
+
+    def continue_behind(self, snapshot_index: int) -> None:
+        storage, _ = self.open()
+        fresh = [entry(snapshot_index + n, 2) for n in range(1, 60)]
+        for one in fresh:
+            storage.save(2, "", snapshot_index, [one])
+            storage.log.compact(snapshot_index)
+        storage.close()
+        storage, stored = self.open()
+        self.assertEqual(snapshot_index, stored.log.base_index)
+        self.assertEqual(fresh, storage.read(snapshot_index + 1, 999, 1 << 20))
+        storage.close()
+
     def test_a_lost_snapshot_file_is_refused(self) -> None:
         storage, _ = self.open()
         self.snapshot(storage, 10)
--- a/packages/foxspring-model/foxspring_model/_invariant.py
+++ b/packages/foxspring-model/foxspring_model/_invariant.py
@@ -17,6 +17,8 @@
     WHOLE_ANSWER = "whole_answer"
     NOT_RUN_IS_TRUE = "not_run_is_true"
     AT_MOST_ONCE = "at_most_once"
+    ONE_LEADER_A_TERM = "one_leader_a_term"
+    COMMITTED_STAYS = "committed_stays"
     LEAVING_GETS_NOTHING = "leaving_gets_nothing"
     STOP_CUTS_NOTHING = "stop_cuts_nothing"
     REVISION_NEVER_FALLS = "revision_never_falls"
