Judge ends told after an owner change; keep tasks off unheard targets

Cause: in the demo a task that its target's new owner refused stayed stopping for good, a refused task was lost to the scheduler, a job was placed again on the target that had just been killed, and targets without an owner waited for the next rebalance. Change: until a former owner's leases have surely ended, the present owner's word only begins a stop, after that it ends the run; the scheduler hears of refusals before their task is queued again; targets are closed to placement while unheard for 4 s or without an owner; owners are given at once.

--- a/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
@@ -43,7 +43,8 @@
         self.send = send
         self.leases = EntryLeases(settings, now_ms)
         self.updates = OwnershipUpdates(view.state)
-        self.next_plan_ms = now_ms
+        self.next_moves_ms = now_ms
+        self._last_live: tuple[str, ...] = ()
         self._pushed: dict[str, tuple[int, int, int]] = {}
 
     def heartbeat(self, sender: str, heartbeat: EntryHeartbeat, now_ms: int) -> None:
@@ -91,8 +92,7 @@
             if self.leases.is_gone(entry_id, now_ms):
                 command = RemoveEntry(entry_id, entry.incarnation)
                 self.proposer.propose(f"entry/{entry_id}", command)
-        if now_ms >= self.next_plan_ms:
-            self._assign(unassignable, now_ms)
+        self._assign(unassignable, now_ms)
 
     def waiting_for(self, revision: int, now_ms: int) -> list[str]:
         """Return the entries where ``revision`` may not be in force yet."""
@@ -163,11 +163,16 @@
     def _assign(self, unassignable: frozenset[str], now_ms: int) -> None:
         candidates = self._candidates(now_ms)
         moves = self._moves_allowed(now_ms)
+        orphans = self.view.unowned_since_ms.keys() - unassignable
+        if not moves and not orphans and candidates.live == self._last_live:
+            return
         plan = plan_owners(self.view.owners(), unassignable, candidates, moves)
-        if not plan:
+        if plan and not self.proposer.propose("owners", AssignOwners(plan)):
             return
-        if self.proposer.propose("owners", AssignOwners(plan)):
-            self.next_plan_ms = now_ms + self.settings.rebalance_interval_ms
+        self._last_live = candidates.live
+        if moves:
+            self.next_moves_ms = now_ms + self.settings.rebalance_interval_ms
+        if plan:
             _LOG.info("event=owners_assigned targets=%d", len(plan))
 
     def _candidates(self, now_ms: int) -> Candidates:
@@ -183,7 +188,7 @@
         return Candidates(tuple(live), tuple(steady or granted), tuple(stable))
 
     def _moves_allowed(self, now_ms: int) -> int:
-        if now_ms < self.leases.unknown_until_ms:
+        if now_ms < max(self.leases.unknown_until_ms, self.next_moves_ms):
             return 0
         share = len(self.view.targets) * self.settings.moves_percent // 100
         return max(self.settings.moves_a_round, share)
--- a/packages/foxspring-control/foxspring_control/service/_leader.py
+++ b/packages/foxspring-control/foxspring_control/service/_leader.py
@@ -65,6 +65,7 @@
         self.tasks = TaskKeeper(
             settings, self.view, self.proposer, send, scheduler, now_ms
         )
+        self._next_fleet_ms = now_ms
         self.members = MemberChanges(log, self.proposer, send)
         self._handlers: dict[type, Callable[[str, Any, int], None]] = {
             EntryHeartbeat: self.entries.heartbeat,
@@ -92,8 +93,11 @@
     def tick(self) -> None:
         """Do what is due."""
         now_ms = self.clock.monotonic_ms()
-        self.targets.tick(now_ms)
-        self.entries.tick(self.targets.silent(now_ms), now_ms)
+        if now_ms >= self._next_fleet_ms:
+            self._next_fleet_ms = now_ms + self.settings.fleet_interval_ms
+            self.targets.tick(now_ms)
+            self.tasks.set_suspects(self.targets.suspect(now_ms))
+            self.entries.tick(self.targets.silent(now_ms), now_ms)
         self.tasks.tick(now_ms)
 
     def _usage(self, _: str, batch: UsageBatch, now_ms: int) -> None:
--- a/packages/foxspring-control/foxspring_control/service/_settings.py
+++ b/packages/foxspring-control/foxspring_control/service/_settings.py
@@ -9,7 +9,8 @@
     ``entry_lease_ms`` is an entry's lease and ``task_lease_ms`` a task's; both
     are stretched by ``drift_percent`` and ``margin_ms`` before they count as
     surely ended. A target is silent after ``target_silence_ms`` without an
-    announcement or a usage sample. An entry must have held its lease for
+    announcement or a usage sample; nothing is placed on it from
+    ``target_suspect_ms`` on. An entry must have held its lease for
     ``stable_ms`` before targets are moved to it; that time doubles with each
     loss of its lease within ``flap_memory_ms``, up to ``stable_most_ms``.
     ``drift_percent`` covers two clocks that are each 10% off, in opposite ways.
@@ -19,10 +20,12 @@
     task_lease_ms: int = 5_000
     drift_percent: int = 25
     margin_ms: int = 200
+    target_suspect_ms: int = 4_000
     target_silence_ms: int = 8_000
     stable_ms: int = 5_000
     stable_most_ms: int = 300_000
     flap_memory_ms: int = 600_000
+    fleet_interval_ms: int = 200
     rebalance_interval_ms: int = 2_000
     moves_a_round: int = 8
     moves_percent: int = 5
--- a/packages/foxspring-control/foxspring_control/service/_target_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_target_keeper.py
@@ -58,12 +58,11 @@
 
     def silent(self, now_ms: int) -> frozenset[str]:
         """Return the targets that have been silent for too long."""
-        limit_ms = now_ms - self.settings.target_silence_ms
-        return frozenset(
-            target_id
-            for target_id in self.view.targets
-            if self.seen_ms.setdefault(target_id, now_ms) <= limit_ms
-        )
+        return self._unheard_for(self.settings.target_silence_ms, now_ms)
+
+    def suspect(self, now_ms: int) -> frozenset[str]:
+        """Return the targets that nothing new should be placed on for now."""
+        return self._unheard_for(self.settings.target_suspect_ms, now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Take the next step with each silent target."""
@@ -80,6 +79,14 @@
             if now_ms - self.seen_ms[target_id] > self.settings.target_silence_ms:
                 del self.seen_ms[target_id]
 
+    def _unheard_for(self, duration_ms: int, now_ms: int) -> frozenset[str]:
+        limit_ms = now_ms - duration_ms
+        return frozenset(
+            target_id
+            for target_id in self.view.targets
+            if self.seen_ms.setdefault(target_id, now_ms) <= limit_ms
+        )
+
     def _surely_free(self, target_id: str, now_ms: int) -> bool:
         since_ms = self.view.unowned_since_ms.get(target_id, now_ms)
         return now_ms - since_ms >= self.settings.target_leases_surely_ms()
--- a/packages/foxspring-control/foxspring_control/service/_task_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -8,6 +8,8 @@
     EvictTasks,
     PlaceTasks,
     RecordTaskEvents,
+    Task,
+    TaskEvent,
     TaskEvents,
     TaskEventsAck,
     TaskState,
@@ -17,6 +19,7 @@
 
 from foxspring_control._replication import ProposeOutcome
 from foxspring_control.service._duties import Duties, duty_of
+from foxspring_control.service._end_proof import judge_end
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._proposer import Proposer
 from foxspring_control.service._replica_updates import next_replacements
@@ -61,6 +64,7 @@
         self.scheduler = scheduler
         self.duties = Duties()
         self.running_check = RunningCheck(settings.unconfirmed_ms)
+        self._suspects: frozenset[str] = frozenset()
         self._replicas_outdated = True
         self._next_replica_check_ms = now_ms
         self._proposal_number = 0
@@ -86,16 +90,24 @@
                 for record in tables.tasks.on_target(target_id):
                     self._set_duty(tables, record)
 
+    def set_suspects(self, suspects: frozenset[str]) -> None:
+        """Keep new tasks off targets that have not been heard of late."""
+        changed, self._suspects = self._suspects ^ suspects, suspects
+        for target_id in changed:
+            self._take_target(target_id)
+
     def events(self, sender: str, batch: TaskEvents) -> None:
         """Commit what an owner learnt, then acknowledge it."""
-        command = RecordTaskEvents(batch.events, batch.entry_id)
+        with self.state.reading() as tables:
+            events = tuple(self._judged(tables, event) for event in batch.events)
+        command = RecordTaskEvents(events, batch.entry_id)
 
         def done(outcome: ProposeOutcome) -> None:
             if outcome.status != "applied":
                 return
             self.send(sender, TaskEventsAck(batch.batch_id))
-            self._note_refusals(batch)
 
+        self._note_refusals(batch)
         self.proposer.propose(f"events/{batch.batch_id}", command, done)
 
     def usage(self, batch: UsageBatch, now_ms: int) -> None:
@@ -138,7 +150,9 @@
             self.scheduler.remove_target(target_id)
             self.running_check.forget(target_id)
             return
-        self.scheduler.upsert_target(record.info, record.draining)
+        # Without an owner nobody could start a task there.
+        closed = record.draining or not record.owner or target_id in self._suspects
+        self.scheduler.upsert_target(record.info, closed)
 
     def _take_task(self, tables: Tables, task_id: str, now_ms: int) -> None:
         record = tables.tasks.get(task_id)
@@ -162,6 +176,13 @@
         keep = record.intent is StopIntent.REQUEUE
         self.duties.set(task.task_id, duty_of(task, spec, owner_epoch, keep))
 
+    def _judged(self, tables: Tables, event: TaskEvent) -> TaskEvent:
+        target = self.view.targets.get(event.target_id)
+        now_ms = self.proposer.clock.monotonic_ms()
+        since_ms = self.view.owner_since_ms.get(event.target_id, now_ms)
+        ended = now_ms - since_ms >= self.settings.target_leases_surely_ms()
+        return judge_end(event, tables.tasks.get(event.task_id), target, ended)
+
     def _check_running(self, sample: UsageSample, now_ms: int) -> None:
         with self.state.reading() as tables:
             placed = tables.tasks.on_target(sample.target_id)
@@ -183,10 +204,19 @@
             self._propose(EvictTasks(evictions))
 
     def _note_refusals(self, batch: TaskEvents) -> None:
+        """Tell the scheduler of refusals before the log queues their tasks.
+
+        A repeated refusal is not told: its task may be waiting again already.
+        """
+        refusals = [event for event in batch.events if event.kind == "refused"]
+        if not refusals:
+            return
         now_ms = self.proposer.clock.monotonic_ms()
-        for event in batch.events:
-            if event.kind == "refused":
-                self.scheduler.task_refused(event.task_id, event.target_id, now_ms)
+        with self.state.reading() as tables:
+            for event in refusals:
+                record = tables.tasks.get(event.task_id)
+                if record is not None and _is_offered(record.task, event):
+                    self.scheduler.task_refused(event.task_id, event.target_id, now_ms)
 
     def _send_duties(self, now_ms: int) -> None:
         due = self.duties.due(
@@ -205,6 +235,10 @@
         self.proposer.propose(f"decision/{self._proposal_number}", command)
 
 
+def _is_offered(task: Task, event: TaskEvent) -> bool:
+    return task.state is TaskState.STARTING and task.epoch == event.epoch
+
+
 def _open_tasks(tables: Tables) -> Iterator[TaskRecord]:
     for state in _OPEN_STATES:
         yield from tables.tasks.in_state(state)
--- a/packages/foxspring-control/foxspring_control/service/_view.py
+++ b/packages/foxspring-control/foxspring_control/service/_view.py
@@ -13,7 +13,8 @@
     ``must_know`` is the ownership version that an entry has to hold before it
     is granted a lease, because a target was taken from it there.
     ``unowned_since_ms`` says since when each target without an owner has been
-    seen without one. ``owner_changed`` collects targets with a new owner until
+    seen without one, and ``owner_since_ms`` since when its owner epoch is the
+    present one. ``owner_changed`` collects targets with a new owner until
     they are taken.
     """
 
@@ -25,6 +26,7 @@
         self.ownership_version = 0
         self.must_know: dict[str, int] = {}
         self.unowned_since_ms: dict[str, int] = {}
+        self.owner_since_ms: dict[str, int] = {}
         self.owner_changed: set[str] = set()
         with state.reading() as tables:
             self._load(tables, now_ms)
@@ -80,6 +82,7 @@
         if record is None:
             self.targets.pop(target_id, None)
             self.unowned_since_ms.pop(target_id, None)
+            self.owner_since_ms.pop(target_id, None)
             return
         self.targets[target_id] = record
         if record.owner:
@@ -88,6 +91,7 @@
             self.unowned_since_ms.setdefault(target_id, now_ms)
         if held is None or record.owner_epoch != held.owner_epoch:
             self.owner_changed.add(target_id)
+            self.owner_since_ms[target_id] = now_ms
 
     def _taken_from(self, held: TargetRecord, record: TargetRecord | None) -> None:
         if not held.owner:
