--- a/packages/foxspring-control/foxspring_control/service/_core.py
+++ b/packages/foxspring-control/foxspring_control/service/_core.py
@@ -15,6 +15,11 @@
 
 from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._leader import Leader
+from foxspring_control.service._member_metrics import (
+    MEMBER_METRICS,
+    Figures,
+    answer_member_metrics,
+)
 from foxspring_control.service._messages import LogHandle, Post, SendMessage
 from foxspring_control.service._scheduling import MakeScheduler
 from foxspring_control.service._settings import ServiceSettings
@@ -37,7 +42,9 @@
         clock: Clock,
         post: Post,
         make_scheduler: MakeScheduler,
+        more_figures: Figures = dict,
     ) -> None:
+        self.more_figures = more_figures
         self.settings = settings
         self.log = log
         self.state = state
@@ -63,6 +70,12 @@
 
     def receive(self, sender: str, message: Any) -> None:
         """Handle a message of an entry, or name the leader."""
+        if isinstance(message, Query) and message.kind == MEMBER_METRICS:
+            leading = self.leader is not None
+            answer_member_metrics(
+                message, self.log.status(), leading, self.send, self.more_figures
+            )
+            return
         if self.leader is not None:
             self.leader.receive(sender, message)
             return
--- a/packages/foxspring-entry/foxspring_entry/_task_state.py
+++ b/packages/foxspring-entry/foxspring_entry/_task_state.py
@@ -3,7 +3,29 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from foxspring_model import NOTHING, Resources, RunTask, TaskEvent
+from foxspring_model import NOTHING, Resources, RunTask, TaskStatusBody
+
+RETRY_CALL_MS = 300
+START_LIMIT_MS = 10_000
+STOP_LIMIT_MS = 60_000
+READING_MAX_AGE_MS = 2_500
+
+EVENT_OF_STATE = {
+    "finished": "finished",
+    "failed": "failed",
+    "stopped": "stopped",
+    "expired": "lost",
+}
+
+
+def hold_id(task_id: str) -> str:
+    """Return the ledger's id of a task."""
+    return f"task:{task_id}"
+
+
+def used_by(status: TaskStatusBody) -> Resources:
+    """Return what a task uses, for a target that does not tell its size."""
+    return Resources(cores_milli=status["cores_milli"], memory_mb=status["memory_mb"])
 
 
 class TaskPhase(StrEnum):
@@ -22,7 +44,7 @@
     once a byte of a start may have reached the target. ``stop_by_ms`` ends the
     renewals of a task that does not stop. ``missing_ms`` is the target's reading
     at which it answered not to run the task; a later report tells what became
-    of it.
+    of it. ``size_known`` is false while ``resources`` is only what it uses.
     """
 
     task_id: str
@@ -32,23 +54,14 @@
     run: RunTask | None = None
     lease_end_ms: int = 0
     next_call_ms: int = 0
+    offered_ms: int = 0
     calling: bool = False
     maybe_sent: bool = False
     checkpoint: str = ""
     save_checkpoint: bool = False
     stop_by_ms: int = 0
     missing_ms: int | None = None
-
-
-class EndedTask(NamedTuple):
-    """The last event of a task, kept so that nothing starts its epoch again.
-
-    ``committed`` is set once the replicated log has the event.
-    """
-
-    event: TaskEvent
-    ended_ms: int
-    committed: bool = False
+    size_known: bool = True
 
 
 class TaskCallKind(StrEnum):
