Cross each task state with the loss of target, owner and leader

Change: a run that was reported as started ends at the present owner's word; the check judges only what the first report lacks. Conclusion: a task known to run moves on within the next stop's answer.

--- a/packages/foxspring-control/foxspring_control/service/_end_proof.py
+++ b/packages/foxspring-control/foxspring_control/service/_end_proof.py
@@ -1,8 +1,8 @@
 """When an owner's word that a task does not run is proof of it.
 
-A task that was offered to a former owner may still be started by it until
-that owner's lease and then the task's own lease have ended. Until then the
-present owner can only say that it has not seen the task.
+A task that was offered to a former owner and never seen to start may still be
+started by it until that owner's lease and then the task's own lease have
+ended. Until then the present owner can only say that it has not seen the task.
 """
 
 from foxspring_model import TaskEvent, TaskState
@@ -10,6 +10,7 @@
 from foxspring_control.state import TargetRecord, TaskRecord
 
 _ENDS = frozenset({"refused", "stopped", "lost"})
+_UNSEEN_STATES = frozenset({TaskState.STARTING, TaskState.STOPPING})
 _UNPROVEN = "refused"
 _PROVEN = "lost"
 
@@ -31,7 +32,7 @@
     task = record.task
     if task.epoch != event.epoch or record.owner_epoch == target.owner_epoch:
         return event
-    if task.state not in (TaskState.STARTING, TaskState.STOPPING):
+    if record.started or task.state not in _UNSEEN_STATES:
         return event
     if not former_leases_ended:
         return event._replace(kind=_UNPROVEN)
--- a/packages/foxspring-control/foxspring_control/service/_running_check.py
+++ b/packages/foxspring-control/foxspring_control/service/_running_check.py
@@ -8,7 +8,6 @@
 from foxspring_control.state import TaskRecord
 
 REASON_MISSING = "its target does not run it"
-_SAMPLES_NEEDED = 2
 
 
 class Findings(NamedTuple):
@@ -19,26 +18,28 @@
 
 
 class _Check(NamedTuple):
-    since_ms: int
     measured_ms: int = -1
-    samples: int = 0
+    first_ms: int = 0
+    suspects: frozenset[tuple[str, int]] = frozenset()
 
 
 class RunningCheck:
     """Targets that are checked until a report shows what the state has.
 
     A check begins where an owner changed, and on every target at an election,
-    because events may have been lost with the last owner. A task counts as
-    missing when reports over ``patience_ms`` did not show it.
+    because events may have been lost with the last owner. A task that the
+    first report does not show is missing when none shows it for
+    ``patience_ms``; reports are late, so tasks that started after the first
+    one are not judged.
     """
 
     def __init__(self, patience_ms: int) -> None:
         self.patience_ms = patience_ms
         self._checks: dict[str, _Check] = {}
 
-    def begin(self, target_id: str, now_ms: int) -> None:
-        """Check a target from now on."""
-        self._checks[target_id] = _Check(now_ms)
+    def begin(self, target_id: str) -> None:
+        """Check a target from its next report on."""
+        self._checks[target_id] = _Check()
 
     def is_open(self, target_id: str) -> bool:
         """Tell whether the target is being checked."""
@@ -62,18 +63,26 @@
             StopTask(task_id, epoch, sample.target_id, checkpoint=False)
             for task_id, epoch in sorted(running - known)
         )
-        missing = tuple(
-            Eviction(task.task_id, task.epoch, REASON_MISSING)
+        unseen = frozenset(
+            (task.task_id, task.epoch)
             for task in held
             if task.state is TaskState.RUNNING
-            and (task.task_id, task.epoch) not in running
         )
-        if not strays and not missing:
+        unseen -= running
+        if check.measured_ms < 0:
+            check = _Check(sample.measured_ms, now_ms, unseen)
+        suspects = check.suspects & unseen
+        if not strays and not suspects:
             self.forget(sample.target_id)
             return Findings()
-        samples = check.samples + 1
-        seen = check._replace(measured_ms=sample.measured_ms, samples=samples)
-        self._checks[sample.target_id] = seen
-        if now_ms - check.since_ms < self.patience_ms or samples < _SAMPLES_NEEDED:
-            missing = ()
-        return Findings(missing, strays)
+        measured_ms = sample.measured_ms
+        self._checks[sample.target_id] = _Check(measured_ms, check.first_ms, suspects)
+        if now_ms - check.first_ms < self.patience_ms:
+            return Findings(strays=strays)
+        return Findings(_evictions(suspects), strays)
+
+
+def _evictions(runs: frozenset[tuple[str, int]]) -> tuple[Eviction, ...]:
+    return tuple(
+        Eviction(task_id, epoch, REASON_MISSING) for task_id, epoch in sorted(runs)
+    )
--- a/packages/foxspring-control/foxspring_control/service/_task_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -86,7 +86,7 @@
             for task_id in changes.tasks:
                 self._take_task(tables, task_id, now_ms)
             for target_id in self.view.take_owner_changed():
-                self.running_check.begin(target_id, now_ms)
+                self.running_check.begin(target_id)
                 for record in tables.tasks.on_target(target_id):
                     self._set_duty(tables, record)
 
@@ -138,7 +138,7 @@
             self.scheduler.set_configuration(self.state.configuration(tables))
             for target_id in self.view.targets:
                 self._take_target(target_id)
-                self.running_check.begin(target_id, now_ms)
+                self.running_check.begin(target_id)
             for record in _open_tasks(tables):
                 self.scheduler.upsert_task(record.task, now_ms)
                 self._set_duty(tables, record)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
@@ -0,0 +1,312 @@
+"""Tasks and targets through losses of target, owner and leader."""
+
+import unittest
+
+from foxspring_model import (
+    CancelJobs,
+    Eviction,
+    EvictTasks,
+    Placement,
+    PlaceTasks,
+    RunTask,
+    StopTask,
+    Task,
+    TaskEvent,
+    TaskEventsAck,
+    TaskState,
+)
+
+from foxspring_control.service._end_proof import judge_end
+from foxspring_control.service._replica_updates import next_replacements
+from foxspring_control.service.tests.builders import Site
+from foxspring_control.state import TargetRecord, TaskRecord
+from foxspring_control.state.tests.builders import (
+    CONFIGURATION,
+    SERVICE,
+    SMALL,
+    StateDriver,
+    target_info,
+)
+
+STATES = ("starting", "running", "evicting", "cancelling")
+
+
+class SiteTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.site = Site()
+        self.addCleanup(self.site.close)
+        self.site.start(entries=3, targets=3)
+        self.site.driver.configure()
+        self.site.run(1_000)
+
+    def task_in(self, state: str) -> Task:
+        """Return a task of a new job in a state, with the leader aware of it."""
+        site = self.site
+        job_id = site.driver.submit()
+        site.run(300)
+        task = site.driver.task(f"{job_id}/0")
+        owner = site.driver.owner(task.target_id)
+        if state != "starting":
+            site.report(owner, self.event(task, "started"))
+        if state == "evicting":
+            eviction = Eviction(task.task_id, task.epoch, "noisy")
+            site.driver.apply(EvictTasks((eviction,)))
+        if state == "cancelling":
+            site.driver.apply(CancelJobs(f"c-{job_id}", "eleni", (job_id,)))
+        return site.driver.task(task.task_id)
+
+    @staticmethod
+    def event(task: Task, kind: str, checkpoint: str = "") -> TaskEvent:
+        return TaskEvent(task.task_id, task.epoch, task.target_id, kind, checkpoint)
+
+    def settle(self, task: Task, duration_ms: int) -> Task:
+        """Let time pass with owners that start and stop as they are told."""
+        site = self.site
+        for _ in range(duration_ms // 100):
+            site.run(100)
+            for entry_id in list(site.entries):
+                for run in site.take(entry_id, RunTask):
+                    if run.target_id in site.alive_targets:
+                        event = TaskEvent(
+                            run.task_id, run.epoch, run.target_id, "started"
+                        )
+                        site.report(entry_id, event)
+                for stop in site.take(entry_id, StopTask):
+                    if stop.target_id in site.alive_targets:
+                        event = TaskEvent(
+                            stop.task_id, stop.epoch, stop.target_id, "stopped"
+                        )
+                        site.report(entry_id, event)
+        return site.driver.task(task.task_id)
+
+
+class LossTest(SiteTestCase):
+    def check_ended_once(self, state: str, before: Task, after: Task) -> None:
+        if state == "cancelling":
+            self.assertIs(after.state, TaskState.CANCELLED)
+            return
+        self.assertIs(after.state, TaskState.RUNNING)
+        self.assertEqual(after.evictions, after.resumed)
+        moved = after.epoch - before.epoch
+        self.assertLessEqual(after.resumed, moved)
+        self.assertEqual(after.resumed, 1 if moved else 0)
+
+    def test_each_state_with_the_loss_of_its_target(self) -> None:
+        for state in STATES:
+            with self.subTest(state):
+                task = self.task_in(state)
+                incarnation = self.site.alive_targets.pop(task.target_id)
+                self.assertIn(
+                    self.settle(task, 8_000).state,
+                    (task.state, TaskState.STOPPING),
+                    "a lease may be left there",
+                )
+                after = self.settle(task, 15_000)
+                self.check_ended_once(state, task, after)
+                self.assertNotEqual(after.target_id, task.target_id)
+                self.assertNotIn(task.target_id, self.site.leader.view.targets)
+                self.site.alive_targets[task.target_id] = incarnation + 1
+                self.settle(task, 5_000)
+
+    def test_each_state_with_the_loss_of_its_owner(self) -> None:
+        for state in STATES:
+            with self.subTest(state):
+                task = self.task_in(state)
+                owner = self.site.driver.owner(task.target_id)
+                gone = self.site.entries.pop(owner)
+                after = self.settle(task, 14_000)
+                self.check_ended_once(state, task, after)
+                self.assertNotEqual(self.site.driver.owner(task.target_id), owner)
+                self.site.entries[owner] = gone
+                self.settle(task, 12_000)
+
+    def test_each_state_with_the_loss_of_the_leader(self) -> None:
+        for state in STATES:
+            for term in (2, 3):
+                with self.subTest(state=state, term=term):
+                    task = self.task_in(state)
+                    self.site.sent.clear()
+                    self.site.elect(term)
+                    after = self.settle(task, 4_000)
+                    self.check_ended_once(state, task, after)
+
+    def test_a_silent_target_that_comes_back_in_time_keeps_its_task(self) -> None:
+        task = self.task_in("running")
+        incarnation = self.site.alive_targets.pop(task.target_id)
+        self.settle(task, 9_500)
+        self.assertEqual(self.site.driver.owner(task.target_id), "")
+        self.site.alive_targets[task.target_id] = incarnation
+        after = self.settle(task, 3_000)
+        self.assertEqual((after.state, after.epoch), (TaskState.RUNNING, task.epoch))
+        self.assertNotEqual(self.site.driver.owner(task.target_id), "")
+
+
+class DutyTest(SiteTestCase):
+    def test_offers_and_stops_are_sent_again_until_an_event_confirms_them(
+        self,
+    ) -> None:
+        site = self.site
+        cases: tuple[tuple[str, type[RunTask] | type[StopTask], str], ...] = (
+            ("starting", RunTask, "started"),
+            ("evicting", StopTask, "stopped"),
+        )
+        for state, kind, event in cases:
+            with self.subTest(state):
+                task = self.task_in(state)
+                owner = site.driver.owner(task.target_id)
+                site.take(owner, kind)
+                site.run(3_000)
+                again = [m for m in site.take(owner, kind) if m.task_id == task.task_id]
+                self.assertEqual({m.epoch for m in again}, {task.epoch})
+                self.assertIn(len(again), (2, 3))
+                site.report(owner, self.event(task, event))
+                site.take(owner, kind)
+                site.run(3_000)
+                left = [m for m in site.take(owner, kind) if m.epoch == task.epoch]
+                self.assertEqual([m for m in left if m.task_id == task.task_id], [])
+
+    def test_events_are_acknowledged_only_once_committed(self) -> None:
+        site = self.site
+        task = self.task_in("running")
+        owner = site.driver.owner(task.target_id)
+        site.take(owner, TaskEventsAck)
+        site.log.held = []
+        finished = self.event(task, "finished")
+        site.report(owner, finished, batch="b1")
+        site.report(owner, finished, batch="b1")
+        self.assertEqual(len(site.log.held), 1)
+        self.assertEqual(site.take(owner, TaskEventsAck), [])
+        site.log.release()
+        self.assertEqual(site.take(owner, TaskEventsAck), [TaskEventsAck("b1")])
+        self.assertIs(site.driver.task(task.task_id).state, TaskState.FINISHED)
+
+    def test_an_unacknowledged_batch_is_committed_by_the_next_leader(self) -> None:
+        site = self.site
+        task = self.task_in("running")
+        owner = site.driver.owner(task.target_id)
+        site.take(owner, TaskEventsAck)
+        site.log.leads = False
+        site.report(owner, self.event(task, "finished"), batch="b1")
+        self.assertEqual(site.take(owner, TaskEventsAck), [])
+        site.log.leads = True
+        site.elect(2)
+        site.report(owner, self.event(task, "finished"), batch="b1")
+        self.assertEqual(site.take(owner, TaskEventsAck), [TaskEventsAck("b1")])
+
+    def test_a_refused_task_goes_elsewhere(self) -> None:
+        site = self.site
+        task = self.task_in("starting")
+        owner = site.driver.owner(task.target_id)
+        for batch in ("b1", "b1", "b2"):
+            site.report(owner, self.event(task, "refused"), batch=batch)
+        after = self.settle(task, 5_000)
+        self.assertIs(after.state, TaskState.RUNNING)
+        self.assertEqual((after.evictions, after.resumed), (0, 0))
+
+    def test_a_wave_of_cancellations_is_one_entry(self) -> None:
+        site = self.site
+        site.run(1_000)
+        job_ids = [site.driver.submit() for _ in range(1_000)]
+        site.run(500)
+        before = len(site.driver.log)
+        answer = site.driver.apply(CancelJobs("wave", "eleni", tuple(job_ids)))
+        self.assertEqual(len(site.driver.log), before + 1)
+        self.assertEqual(len(answer["cancelled"]), 1_000)
+        self.settle(site.driver.task(f"{job_ids[0]}/0"), 12_000)
+        with site.state.reading() as tables:
+            counts = tables.tasks.count_by_state()
+        self.assertEqual(counts, {"cancelled": 1_000})
+
+
+class ReconcileTest(SiteTestCase):
+    def test_a_running_task_that_reports_do_not_show_is_stopped_and_resumed(
+        self,
+    ) -> None:
+        site = self.site
+        task = self.task_in("running")
+        site.elect(2)
+        for second in range(18):
+            self.settle(task, 1_000)
+            site.sample("entry-1", task.target_id)
+            if second < 14:
+                self.assertEqual(site.driver.task(task.task_id).epoch, task.epoch)
+        after = self.settle(task, 3_000)
+        self.assertGreater(after.epoch, task.epoch)
+        self.assertEqual((after.evictions, after.resumed), (1, 1))
+
+    def test_a_task_that_a_report_shows_is_left_alone(self) -> None:
+        site = self.site
+        task = self.task_in("running")
+        site.elect(2)
+        site.sample("entry-1", task.target_id, (task.task_id, task.epoch))
+        for _ in range(20):
+            self.settle(task, 1_000)
+            site.sample("entry-1", task.target_id)
+        self.assertEqual(self.settle(task, 1_000).epoch, task.epoch)
+
+    def test_a_void_run_is_stopped(self) -> None:
+        site = self.site
+        owner = site.driver.owner("target-1")
+        site.elect(2)
+        site.take(owner, StopTask)
+        site.sample(owner, "target-1", ("job-9/0", 4))
+        stops = site.take(owner, StopTask)
+        self.assertEqual(stops, [StopTask("job-9/0", 4, "target-1", False)])
+
+    def test_replicas_of_an_older_size_are_replaced_one_at_a_time(self) -> None:
+        driver = StateDriver()
+        self.addCleanup(driver.close)
+        driver.fleet()
+        driver.configure(CONFIGURATION + SERVICE.format(replicas=3))
+        for number in range(3):
+            driver.report(driver.place(f"service/register/{number}"), "started")
+        sizes = {"register": SMALL}
+        with driver.state.reading() as tables:
+            replicas = tables.tasks.replicas()
+        evictions, left = next_replacements(replicas, sizes)
+        self.assertEqual([e.task_id for e in evictions], ["service/register/0"])
+        self.assertTrue(left)
+        driver.apply(EvictTasks(evictions))
+        with driver.state.reading() as tables:
+            replicas = tables.tasks.replicas()
+        self.assertEqual(next_replacements(replicas, sizes), ((), True))
+
+
+class EndProofTest(unittest.TestCase):
+    def test_an_end_counts_once_former_leases_have_ended(self) -> None:
+        driver = StateDriver()
+        self.addCleanup(driver.close)
+        driver.configure()
+        driver.fleet()
+        task = driver.place(f"{driver.submit()}/0")
+        starting = TaskRecord(task, owner_epoch=3)
+        stopping = TaskRecord(task._replace(state=TaskState.STOPPING), owner_epoch=3)
+        running = TaskRecord(task._replace(state=TaskState.RUNNING), owner_epoch=3)
+        started = stopping._replace(started=True)
+        same = TargetRecord(target_info(1), "entry-1", 3)
+        changed = TargetRecord(target_info(1), "entry-1", 4)
+        cases = (
+            (starting, same, False, "refused", "refused"),
+            (starting, changed, False, "stopped", "refused"),
+            (stopping, changed, False, "lost", "refused"),
+            (stopping, changed, True, "refused", "lost"),
+            (stopping, changed, True, "stopped", "stopped"),
+            (running, changed, False, "lost", "lost"),
+            (started, changed, False, "stopped", "stopped"),
+            (stopping, changed, False, "finished", "finished"),
+        )
+        for record, target, ended, told, expected in cases:
+            with self.subTest(state=record.task.state, told=told, ended=ended):
+                event = TaskEvent(task.task_id, task.epoch, "target-1", told)
+                judged = judge_end(event, record, target, ended)
+                self.assertEqual(judged.kind, expected)
+
+    def test_placements_on_targets_without_an_owner_are_skipped(self) -> None:
+        driver = StateDriver()
+        self.addCleanup(driver.close)
+        driver.configure()
+        driver.fleet()
+        driver.own("target-1", "")
+        job_id = driver.submit()
+        driver.apply(PlaceTasks((Placement(f"{job_id}/0", 1, "target-1"),)))
+        self.assertIs(driver.task(f"{job_id}/0").state, TaskState.QUEUED)
--- a/packages/foxspring-control/foxspring_control/state/_records.py
+++ b/packages/foxspring-control/foxspring_control/state/_records.py
@@ -16,12 +16,14 @@
 class TaskRecord(NamedTuple):
     """A task with what only the state machine needs.
 
-    ``owner_epoch`` is that of the target when the task was placed.
+    ``owner_epoch`` is that of the target when the task was placed, and
+    ``started`` whether this run was ever reported as started.
     """
 
     task: Task
     intent: StopIntent = StopIntent.REQUEUE
     owner_epoch: int = 0
+    started: bool = False
 
 
 class JobRecord(NamedTuple):
--- a/packages/foxspring-control/foxspring_control/state/_task_rules.py
+++ b/packages/foxspring-control/foxspring_control/state/_task_rules.py
@@ -131,7 +131,7 @@
     if record.task.state is not TaskState.STARTING:
         return record
     task = record.task._replace(state=TaskState.RUNNING, changed_ms=now_ms)
-    return record._replace(task=task)
+    return record._replace(task=task, started=True)
 
 
 def _checkpointed(record: TaskRecord, event: TaskEvent, now_ms: int) -> TaskRecord:
