Cause failures of whole entries: deaths, drains, lost leases, resent keys

They found that a repeated attempt waited for its own first one at the same target: each attempt has its own id now. Links to entries that are gone are closed.

--- a/packages/foxspring-entry/foxspring_entry/_actor.py
+++ b/packages/foxspring-entry/foxspring_entry/_actor.py
@@ -16,6 +16,7 @@
     CallTarget,
     CloseConnections,
     Effects,
+    ForgetPeer,
     ReplyToCaller,
     SendMessage,
     SendRequest,
@@ -168,6 +169,8 @@
                 self._client.call(effect)
             case AbortRequest(hold_id):
                 self._client.abort(hold_id)
+            case ForgetPeer(address):
+                self._link.forget(address)
             case CloseConnections(address):
                 self._client.pool.close_idle(address)
         return []
--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -30,7 +30,7 @@
     Verdict,
 )
 
-from foxspring_entry._effects import Effects, SendMessage
+from foxspring_entry._effects import Effects, ForgetPeer, SendMessage
 from foxspring_entry._heartbeats import Heartbeats, LoadReports
 from foxspring_entry._intake import Acked, Intake
 from foxspring_entry._lease import EntryLease, renew
@@ -258,6 +258,9 @@
             effects.extend(self._give_away(owned.info.target_id))
         if change.entries_changed:
             effects.extend(self.origin.entries_changed(now_ms))
+        for entry in change.gone:
+            self.loads.forget(entry.entry_id)
+            effects.append(ForgetPeer(entry.link_address))
         return effects
 
     def _release(self, owned: OwnedTarget) -> Effects:
--- a/packages/foxspring-entry/foxspring_entry/_effects.py
+++ b/packages/foxspring-entry/foxspring_entry/_effects.py
@@ -58,6 +58,12 @@
     address: str
 
 
+class ForgetPeer(NamedTuple):
+    """Close the link to a process that is gone for good."""
+
+    address: str
+
+
 Effect = (
     SendMessage
     | ReplyToCaller
@@ -65,5 +71,6 @@
     | CallTarget
     | AbortRequest
     | CloseConnections
+    | ForgetPeer
 )
 Effects = list[Effect]
--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -170,6 +170,10 @@
         """Return the entry's status now."""
         return cast(EntryStatus, self._ask(AskStatus()))
 
+    def serving(self, service: str) -> tuple[str, ...]:
+        """Return the targets that may get new requests of a service."""
+        return self._core.table.serving(service)
+
     def submit(self, relay: RelayRequest) -> tuple[Outcome, str]:
         """Run a request and return its outcome and the target that ran it."""
         reply: Future[CallerReply] = Future()
--- a/packages/foxspring-entry/foxspring_entry/_owner_requests.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_requests.py
@@ -72,8 +72,8 @@
         if service is None:
             detail = f"no service {relay.service!r} is configured"
             return [_refuse(item, RefusalReason.UNKNOWN_SERVICE, detail)]
-        if relay.request_id in self.running:
-            return [_refuse(item, RefusalReason.NO_ROOM, "an attempt still runs here")]
+        if attempt_id(relay) in self.running:
+            return [_refuse(item, RefusalReason.NO_ROOM, "the attempt runs already")]
         queue = self.queues.setdefault(relay.service, FairQueue())
         if queue.waiting == 0:
             sent = self._dispatch(item, service, now_ms)
@@ -193,16 +193,16 @@
             target
             for target in self._open_targets(service.name, now_ms)
             if target.has_room(service.name, service.per_request, now_ms)
-            and relay.request_id not in target.ledger.holds
         ]
         target = choose_target(
             roomy, service.name, service.per_request, relay.avoid, self.rng
         )
         if target is None or not self._admit(item, service, target):
             return None
-        self.running[relay.request_id] = Running(item, target, now_ms)
+        hold_id = attempt_id(relay)
+        self.running[hold_id] = Running(item, target, now_ms)
         return SendRequest(
-            relay.request_id,
+            hold_id,
             target.target_id,
             target.owned.info.address,
             relay,
@@ -217,7 +217,7 @@
         ):
             return False
         admitted = target.ledger.admit(
-            item.relay.request_id, HoldKind.REQUEST, service.per_request
+            attempt_id(item.relay), HoldKind.REQUEST, service.per_request
         )
         if admitted:
             target.note_sent(service.name)
@@ -284,6 +284,13 @@
         return may_eject(ejected, len(targets))
 
 
+def attempt_id(relay: RelayRequest) -> str:
+    """Return the id of one attempt, as its target is told and reports it."""
+    if relay.attempt == 1:
+        return relay.request_id
+    return f"{relay.request_id}.{relay.attempt}"
+
+
 def answer(item: Waiting, outcome: Outcome, target_id: str = "") -> SendMessage:
     """Return the message that carries an outcome back to the origin."""
     relay = item.relay
--- a/packages/foxspring-entry/foxspring_entry/_ownership.py
+++ b/packages/foxspring-entry/foxspring_entry/_ownership.py
@@ -17,11 +17,15 @@
 
 
 class OwnershipChange(NamedTuple):
-    """What one update changed: targets in their new form, and those removed."""
+    """What one update changed: targets in their new form, and those removed.
+
+    ``gone`` holds the entries that left, or left their link address.
+    """
 
     changed: tuple[TargetChange, ...] = ()
     removed: tuple[OwnedTarget, ...] = ()
     entries_changed: bool = False
+    gone: tuple[EntryInfo, ...] = ()
 
 
 class OwnershipTable:
@@ -41,12 +45,14 @@
             return OwnershipChange()
         entries = {entry.entry_id: entry for entry in update.entries}
         entries_changed = entries != self.entries
+        kept = {entry.link_address for entry in update.entries}
+        gone = tuple(e for e in self.entries.values() if e.link_address not in kept)
         changed = self._store(update.targets, entries)
         self.entries = entries
         removed = self._remove(update)
         self.version = update.version
         self._index()
-        return OwnershipChange(changed, removed, entries_changed)
+        return OwnershipChange(changed, removed, entries_changed, gone)
 
     def owner_of(self, target_id: str) -> EntryInfo | None:
         """Return the entry that owns a target, ``None`` if none is known."""
@@ -57,6 +63,14 @@
         """Return how many targets of ``service`` each owning entry has."""
         return self._owners.get(service, {})
 
+    def serving(self, service: str) -> tuple[str, ...]:
+        """Return the targets of ``service`` that are not leaving."""
+        return tuple(
+            target_id
+            for target_id, target in list(self.targets.items())
+            if service in target.services and not target.info.leaving
+        )
+
     def _store(
         self, targets: tuple[OwnedTarget, ...], entries: dict[str, EntryInfo]
     ) -> tuple[TargetChange, ...]:
--- a/packages/foxspring-entry/foxspring_entry/_target_client.py
+++ b/packages/foxspring-entry/foxspring_entry/_target_client.py
@@ -155,7 +155,7 @@
         service = quote(relay.service, safe="")
         headers = (
             *end_to_end(relay.headers),
-            (HEADER_REQUEST_ID, relay.request_id),
+            (HEADER_REQUEST_ID, effect.hold_id),
         )
         return ExchangeRequest(
             relay.method,
@@ -164,7 +164,7 @@
             relay.body,
             effect.deadline_ms,
             self._settings.max_answer_bytes,
-            relay.request_id,
+            effect.hold_id,
         )
 
     def _keep(
--- a/packages/foxspring-entry/foxspring_entry/tests/builders.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/builders.py
@@ -164,6 +164,7 @@
     def __init__(self, lease_ms: int = 2_000) -> None:
         self.lease_ms = lease_ms
         self.granting = True
+        self.proposals = True
         self.owner_of: Callable[[str], str] = lambda target_id: "e-1"
         self.entries: dict[str, EntryInfo] = {}
         self.targets: dict[str, OwnedTarget] = {}
@@ -187,6 +188,14 @@
                     held._replace(owner=owner, owner_epoch=held.owner_epoch + 1)
                 )
 
+    def remove_entry(self, entry_id: str, heir: str) -> None:
+        """Forget an entry whose lease has ended; ``heir`` gets its targets."""
+        with self._lock:
+            del self.entries[entry_id]
+            for target_id, held in list(self.targets.items()):
+                if held.owner == entry_id:
+                    self.give(target_id, heir)
+
     def leave(self, target_id: str) -> None:
         """Mark a target as leaving."""
         with self._lock:
@@ -222,7 +231,7 @@
             elif isinstance(message, TaskEvents):
                 self.events.extend(message.events)
                 self.link.send(sender, TaskEventsAck(message.batch_id))
-            elif isinstance(message, Proposal):
+            elif isinstance(message, Proposal) and self.proposals:
                 result = self._apply(message)
                 answer = ProposalResult(
                     message.proposal_id, "applied", "c-1", json.dumps(result).encode()
@@ -305,6 +314,7 @@
         self.tasks: dict[tuple[str, int], TaskStatusBody] = {}
         self.renewed: list[Any] = []
         self.leaving = False
+        self.echo = True
         self.incarnation = 1
         self.work: Callable[[HttpRequest], HttpResponse] = lambda request: HttpResponse(
             200, b"answer to " + request.headers[HEADER_REQUEST_ID.lower()].encode()
@@ -381,6 +391,8 @@
         finally:
             with self._lock:
                 self.running.remove(request_id)
+        if not self.echo:
+            return response
         echo = (HEADER_REQUEST_ID, request_id)
         return response._replace(headers=(*response.headers, echo))
 
