--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -174,6 +174,10 @@
         """Return what the links to other daemons have carried."""
         return self._link.figures()
 
+    def serving(self, service: str) -> tuple[str, ...]:
+        """Return the targets that may get new requests of a service."""
+        return self._core.table.serving(service)
+
     def submit(self, relay: RelayRequest) -> tuple[Outcome, str]:
         """Run a request and return its outcome and the target that ran it."""
         reply: Future[CallerReply] = Future()
