Run the soak: seeded faults on a whole site, then every invariant

Cause: the fault network looked for the owner of each connection in its event loop and stalled under redials; SIGTERM left children behind; no soak program.

--- a/packages/foxspring-testing/foxspring_testing/_fault_network.py
+++ b/packages/foxspring-testing/foxspring_testing/_fault_network.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import threading
-from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple, TypeVar
+from collections.abc import Coroutine
+from typing import Any, Final, NamedTuple, TypeVar
 
 from foxspring_testing._ports import HOST
+from foxspring_testing._socket_owner import FindOwners
 
 _CHUNK_BYTES = 64 * 1024
 _HELD_POLL_S = 0.02
@@ -19,7 +21,7 @@
 ANYONE = "*"
 
 T = TypeVar("T")
-SourceFinder = Callable[[int], str]
+_UNKNOWN: Final = None
 
 
 class Fault(NamedTuple):
@@ -40,10 +42,14 @@
 
 
 class _Pipe:
-    """One connection through a proxy; the faults of both its directions."""
+    """One connection through a proxy; the faults of both its directions.
 
-    def __init__(self, source: str, destination: str) -> None:
-        self.source = source
+    ``source`` is unknown until somebody has looked for it.
+    """
+
+    def __init__(self, port: int, destination: str) -> None:
+        self.port = port
+        self.source: str | None = _UNKNOWN
         self.destination = destination
         self.forward_lost = False
         self.back_lost = False
@@ -63,12 +69,13 @@
 class FaultNetwork:
     """Owns the proxies and the faults; every method is safe from any thread.
 
-    ``find_source`` names the process that owns a local port, or gives an
-    empty string for one that is not a process of the site.
+    ``find_owners`` names the processes that own local ports. It is asked only
+    while there are faults, since it costs more than passing bytes on.
     """
 
-    def __init__(self, find_source: SourceFinder = lambda _: "") -> None:
-        self.find_source = find_source
+    def __init__(self, find_owners: FindOwners) -> None:
+        self.find_owners = find_owners
+        self._finding = threading.Lock()
         self._faults: dict[tuple[str, str], Fault] = {}
         self._pipes: set[_Pipe] = set()
         self._servers: list[asyncio.Server] = []
@@ -84,15 +91,16 @@
 
     def set_fault(self, source: str, destination: str, fault: Fault) -> None:
         """Lay a fault between two processes; ``ANYONE`` stands for all."""
+        self._find_sources()
         self._faults = self._faults | {(source, destination): fault}
 
     def partition(self, cut_off: set[str], others: set[str], both: bool = True) -> None:
         """Hold all that ``cut_off`` sends to ``others``, and back if ``both``."""
-        for one in cut_off:
-            for other in others - cut_off:
-                self.set_fault(one, other, Fault(held=True))
-                if both:
-                    self.set_fault(other, one, Fault(held=True))
+        self._find_sources()
+        pairs = [(one, other) for one in cut_off for other in others - cut_off]
+        if both:
+            pairs += [(other, one) for one, other in pairs]
+        self._faults = self._faults | dict.fromkeys(pairs, Fault(held=True))
 
     def silence(
         self, source: str, destination: str, forward: bool = True, back: bool = True
@@ -101,7 +109,7 @@
 
         Returns how many connections went silent.
         """
-        pipes = [p for p in list(self._pipes) if p.matches(source, destination)]
+        pipes = self._matching(source, destination)
         for pipe in pipes:
             pipe.forward_lost = pipe.forward_lost or forward
             pipe.back_lost = pipe.back_lost or back
@@ -109,7 +117,7 @@
 
     def reset(self, source: str, destination: str) -> int:
         """Reset the open connections; returns how many."""
-        pipes = [p for p in list(self._pipes) if p.matches(source, destination)]
+        pipes = self._matching(source, destination)
         for pipe in pipes:
             self._loop.call_soon_threadsafe(pipe.abort)
         return len(pipes)
@@ -130,6 +138,19 @@
         self._thread.join()
         self._loop.close()
 
+    def _matching(self, source: str, destination: str) -> list[_Pipe]:
+        self._find_sources()
+        return [p for p in list(self._pipes) if p.matches(source, destination)]
+
+    def _find_sources(self) -> None:
+        with self._finding:
+            pipes = [pipe for pipe in list(self._pipes) if pipe.source is _UNKNOWN]
+            if not pipes:
+                return
+            owners = self.find_owners({pipe.port for pipe in pipes})
+            for pipe in pipes:
+                pipe.source = owners.get(pipe.port, "")
+
     def _call(self, work: Coroutine[Any, Any, T]) -> T:
         future = asyncio.run_coroutine_threadsafe(work, self._loop)
         return future.result(_CALL_LIMIT_S)
@@ -138,7 +159,9 @@
         async def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await self._carry(destination, address, reader, writer)
+            # The loop reports a cancelled connection as an error of its own.
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._carry(destination, address, reader, writer)
 
         server = await asyncio.start_server(accept, HOST, 0)
         self._servers.append(server)
@@ -162,12 +185,11 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        source = self.find_source(int(writer.get_extra_info("peername")[1]))
-        pipe = _Pipe(source, destination)
+        pipe = _Pipe(int(writer.get_extra_info("peername")[1]), destination)
         pipe.writers.append(writer)
         self._pipes.add(pipe)
         try:
-            await self._while_held(source, destination)
+            await self._while_held(pipe, forward=True)
             host, _, port = address.rpartition(":")
             upstream_reader, upstream = await asyncio.open_connection(host, int(port))
             pipe.writers.append(upstream)
@@ -191,8 +213,7 @@
         passed = 0
         while True:
             chunk = await reader.read(_CHUNK_BYTES)
-            one, other = pipe.source, pipe.destination
-            fault = await self._while_held(*((one, other) if forward else (other, one)))
+            fault = await self._while_held(pipe, forward)
             if pipe.forward_lost if forward else pipe.back_lost:
                 if not chunk:
                     return
@@ -214,19 +235,20 @@
         if writer.can_write_eof():
             writer.write_eof()
 
-    async def _while_held(self, source: str, destination: str) -> Fault:
-        while True:
-            fault = self._fault_between(source, destination)
+    async def _while_held(self, pipe: _Pipe, forward: bool) -> Fault:
+        while self._faults:
+            if pipe.source is _UNKNOWN:
+                await self._loop.run_in_executor(None, self._find_sources)
+            fault = self._fault_of(pipe, forward)
             if not fault.held:
                 return fault
             await asyncio.sleep(_HELD_POLL_S)
+        return NO_FAULT
 
-    def _fault_between(self, source: str, destination: str) -> Fault:
-        for key in (
-            (source, destination),
-            (source, ANYONE),
-            (ANYONE, destination),
-        ):
+    def _fault_of(self, pipe: _Pipe, forward: bool) -> Fault:
+        ends = (pipe.source or "", pipe.destination)
+        source, destination = ends if forward else ends[::-1]
+        for key in ((source, destination), (source, ANYONE), (ANYONE, destination)):
             fault = self._faults.get(key)
             if fault is not None:
                 return fault
--- a/packages/foxspring-testing/foxspring_testing/_process.py
+++ b/packages/foxspring-testing/foxspring_testing/_process.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 _STOP_LIMIT_S = 30.0
+_EXIT_TERMINATED = 143
 _PACKAGES = Path(__file__).resolve().parents[2]
 
 
@@ -16,6 +17,11 @@
     return os.pathsep.join(str(folder) for folder in folders)
 
 
+def exit_on_sigterm() -> None:
+    """Leave by an exception on SIGTERM, so that every child is ended."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(_EXIT_TERMINATED))
+
+
 class ManagedProcess:
     """A Python module run as a process; its output goes to ``log``.
 
--- a/packages/foxspring-testing/foxspring_testing/_site.py
+++ b/packages/foxspring-testing/foxspring_testing/_site.py
@@ -22,7 +22,7 @@
     SiteSize,
     write_daemon_settings,
 )
-from foxspring_testing._socket_owner import source_finder
+from foxspring_testing._socket_owner import owner_finder
 from foxspring_testing._standin_settings import (
     StandInSettings,
     write_standin_settings,
@@ -47,7 +47,7 @@
         self.processes: dict[str, ManagedProcess] = {}
         self.daemons: dict[str, DaemonAddresses] = {}
         self.targets: dict[str, StandInSettings] = {}
-        self.network = FaultNetwork(source_finder(self._pids)) if size.proxied else None
+        self.network = FaultNetwork(owner_finder(self._pids)) if size.proxied else None
         self._ports = PortChooser()
         self._pool = urllib3.PoolManager(retries=False, timeout=3)
         folder.mkdir(parents=True, exist_ok=True)
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/_soak.py
@@ -0,0 +1,163 @@
+"""One soak: a site under a workload and a schedule of faults, then the checks."""
+
+import logging
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from foxspring_testing._audit_view import service_targets
+from foxspring_testing._change_checks import (
+    AuditedChange,
+    SeenRevision,
+    ToldChange,
+    check_revisions,
+)
+from foxspring_testing._check_result import CheckResult
+from foxspring_testing._clients import CallerRecord, OperatorClient
+from foxspring_testing._job_checks import check_jobs, unfinished
+from foxspring_testing._operator_traffic import (
+    SERVICE,
+    OperatorTraffic,
+    ToldJob,
+    soak_configuration,
+)
+from foxspring_testing._revision_watch import RevisionWatch
+from foxspring_testing._schedule import Step
+from foxspring_testing._schedule_runner import ScheduleRunner
+from foxspring_testing._site import Site
+from foxspring_testing._site_checks import (
+    SiteRecords,
+    check_site,
+    logged_violations,
+)
+from foxspring_testing._site_settings import SiteSize
+from foxspring_testing._traffic import Traffic, TrafficSettings
+from foxspring_testing._wait import NotReachedError, wait_until
+
+_LOG = logging.getLogger(__name__)
+_PAGE = 100_000
+_REST_S = 90.0
+SOAK_SIZE = SiteSize(controls=5, entries=4, targets=8, proxied=True)
+SHORT_SIZE = SiteSize(controls=3, entries=2, targets=3, proxied=True)
+
+
+class SoakResult(NamedTuple):
+    """What a soak found.
+
+    ``faults`` are what is wrong beside the invariants: work that never came
+    to rest, or a planned stop that had to be killed.
+    """
+
+    checks: tuple[CheckResult, ...]
+    faults: tuple[str, ...]
+    verdicts: dict[str, int]
+    jobs: dict[str, int]
+    changes: dict[str, int]
+
+    def good(self) -> bool:
+        """Tell whether nothing was found."""
+        return not self.faults and not any(c.violations for c in self.checks)
+
+
+class _Observed(NamedTuple):
+    told: list[CallerRecord]
+    changes: list[ToldChange]
+    seen: list[SeenRevision]
+    jobs: list[ToldJob]
+
+
+def run_soak(
+    folder: Path, size: SiteSize, steps: Sequence[Step], seed: int
+) -> SoakResult:
+    """Run a site under ``steps``, let it come to rest and check everything."""
+    with Site(folder, size) as site:
+        operator = site.operator()
+        site.wait_targets_owned()
+        _configure(operator)
+        runner = ScheduleRunner(site, steps)
+        observed = _under_load(site, runner, seed)
+        faults = [f"{name} had to be killed" for name in runner.failed_stops]
+        faults += _come_to_rest(operator)
+        checks = _check(site, operator, observed, runner)
+        return _result(operator, observed, checks, faults)
+
+
+def _configure(operator: OperatorClient) -> None:
+    operator.apply(soak_configuration(), base=0, change_id="soak-first")
+    wait_until(
+        lambda: bool(service_targets(operator, SERVICE)), f"a replica of {SERVICE}"
+    )
+
+
+def _under_load(site: Site, runner: ScheduleRunner, seed: int) -> _Observed:
+    traffic = Traffic(
+        TrafficSettings(SERVICE, seed=seed), site.caller(), runner.serving
+    )
+    operators = OperatorTraffic(site, seed)
+    watch = RevisionWatch(site)
+    for each in (traffic, operators, watch):
+        each.start()
+    try:
+        runner.run()
+        runner.heal()
+    finally:
+        operators.stop()
+        told = traffic.stop()
+        watch.stop()
+    return _Observed(
+        told, operators.changes, operators.seen + watch.seen, operators.jobs
+    )
+
+
+def _come_to_rest(operator: OperatorClient) -> list[str]:
+    try:
+        wait_until(lambda: not unfinished(_jobs(operator)), "rest", _REST_S)
+    except NotReachedError:
+        left = unfinished(_jobs(operator))
+        return [f"{len(left)} jobs did not end: {' '.join(left[:10])}"]
+    return []
+
+
+def _check(
+    site: Site, operator: OperatorClient, observed: _Observed, runner: ScheduleRunner
+) -> tuple[CheckResult, ...]:
+    results = check_site(site, SiteRecords(observed.told, runner.stops))
+    results.append(check_jobs(observed.jobs, _jobs(operator), site.events()))
+    results.append(
+        check_revisions(
+            observed.changes,
+            observed.seen,
+            _audited(operator),
+            int(operator.get("/v1/configuration")["revision"]),
+        )
+    )
+    return (*results, *logged_violations(site))
+
+
+def _jobs(operator: OperatorClient) -> list[Any]:
+    listed: list[Any] = operator.get(f"/v1/jobs?limit={_PAGE}")["jobs"]
+    return listed
+
+
+def _audited(operator: OperatorClient) -> list[AuditedChange]:
+    records = operator.get(f"/v1/audit?limit={_PAGE}&action=ApplyConfiguration")
+    return [
+        AuditedChange(each["change_id"], each["outcome"], each["log_index"])
+        for each in records["audit"]
+    ]
+
+
+def _result(
+    operator: OperatorClient,
+    observed: _Observed,
+    checks: tuple[CheckResult, ...],
+    faults: list[str],
+) -> SoakResult:
+    return SoakResult(
+        checks,
+        tuple(faults),
+        dict(Counter(record.verdict for record in observed.told)),
+        dict(Counter(job["state"] for job in _jobs(operator))),
+        dict(Counter(change.status or "unknown" for change in observed.changes)),
+    )
--- a/packages/foxspring-testing/foxspring_testing/_socket_owner.py
+++ b/packages/foxspring-testing/foxspring_testing/_socket_owner.py
@@ -1,4 +1,4 @@
-"""Finds which of our own processes owns a local port."""
+"""Finds which of our own processes own local ports."""
 
 import os
 from collections.abc import Callable, Iterable
@@ -6,36 +6,44 @@
 
 _LOCAL_ADDRESS_FIELD = 1
 _INODE_FIELD = 9
+_NO_INODE = "0"
 
+FindOwners = Callable[[set[int]], dict[int, str]]
 
-def owner_of_port(port: int, processes: Iterable[tuple[str, int]]) -> str:
-    """Return the name of the process that holds ``port``, or an empty string.
 
-    ``processes`` holds the name and pid of each process that may own it.
+def owners_of_ports(
+    ports: set[int], processes: Iterable[tuple[str, int]]
+) -> dict[int, str]:
+    """Return the name of the process that holds each port; others are left out.
+
+    ``processes`` holds the name and pid of each process that may own one.
     """
-    inodes = _inodes_of_port(port)
+    ports_of_inodes = _ports_of_inodes(ports)
+    owners: dict[int, str] = {}
     for name, pid in processes:
-        if pid and inodes & _socket_inodes(pid):
-            return name
-    return ""
-
-
-def source_finder(
-    processes: Callable[[], Iterable[tuple[str, int]]],
-) -> Callable[[int], str]:
-    """Return a function from a local port to the name of its process."""
-    return lambda port: owner_of_port(port, processes())
-
-
-def _inodes_of_port(port: int) -> set[str]:
-    suffix = f":{port:04X}"
-    lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
-    fields = [line.split() for line in lines]
-    return {
-        each[_INODE_FIELD]
-        for each in fields
-        if each[_LOCAL_ADDRESS_FIELD].endswith(suffix)
-    }
+        if len(owners) == len(ports_of_inodes):
+            break
+        for inode in _socket_inodes(pid) if pid else ():
+            port = ports_of_inodes.get(inode)
+            if port is not None:
+                owners[port] = name
+    return owners
+
+
+def owner_finder(processes: Callable[[], Iterable[tuple[str, int]]]) -> FindOwners:
+    """Return a function from local ports to the names of their processes."""
+    return lambda ports: owners_of_ports(ports, processes())
+
+
+def _ports_of_inodes(ports: set[int]) -> dict[str, int]:
+    wanted = {f"{port:04X}": port for port in ports}
+    found = {}
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        fields = line.split()
+        port = wanted.get(fields[_LOCAL_ADDRESS_FIELD][-4:])
+        if port is not None and fields[_INODE_FIELD] != _NO_INODE:
+            found[fields[_INODE_FIELD]] = port
+    return found
 
 
 def _socket_inodes(pid: int) -> set[str]:
--- a/packages/foxspring-testing/foxspring_testing/demo.py
+++ b/packages/foxspring-testing/foxspring_testing/demo.py
@@ -20,6 +20,7 @@
     wait_job_ended,
 )
 from foxspring_testing._clients import CallerRecord, OperatorClient
+from foxspring_testing._process import exit_on_sigterm
 from foxspring_testing._site import Site
 from foxspring_testing._site_checks import (
     SiteRecords,
@@ -60,6 +61,7 @@
 
 def main() -> int:
     """Run the demo; return 0 if everything was as it must be."""
+    exit_on_sigterm()
     begun = time.monotonic()
     with tempfile.TemporaryDirectory(prefix="foxspring-demo-") as folder:
         site = Site(Path(folder), _SIZE)
--- a/packages/foxspring-testing/foxspring_testing/tests/test_fault_network.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_fault_network.py
@@ -4,7 +4,7 @@
 
 from foxspring_testing._fault_network import ANYONE, Fault, FaultNetwork
 from foxspring_testing._http_server import HttpServer, Received, Reply
-from foxspring_testing._socket_owner import owner_of_port
+from foxspring_testing._socket_owner import owners_of_ports
 
 HEAD = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
 BODY = b"whole answer"
@@ -19,7 +19,7 @@
         self.server = HttpServer("127.0.0.1:0", serve)
         self.server.start()
         self.addCleanup(self.server.stop)
-        self.network = FaultNetwork(lambda _: "client")
+        self.network = FaultNetwork(lambda ports: dict.fromkeys(ports, "client"))
         self.addCleanup(self.network.stop)
         self.proxy = self.network.add_proxy("server", self.server.address)
 
@@ -85,5 +85,6 @@
     def test_owner_of_a_port_is_found_among_our_processes(self) -> None:
         connection = self.connect()
         port = connection.getsockname()[1]
-        self.assertEqual("me", owner_of_port(port, [("me", os.getpid())]))
-        self.assertEqual("", owner_of_port(port, []))
+        owners = owners_of_ports({port}, [("me", os.getpid())])
+        self.assertEqual({port: "me"}, owners)
+        self.assertEqual({}, owners_of_ports({port}, []))
