Reply before applying; split large group commits into frames

Cause: a follower applied what was committed before it answered its leader, so a slow state machine slowed the next commit; a group commit of more than 64 MB would have been written and then not been readable.

Change: messages go out right after the sync, then entries are applied; a frame holds at most 4 MB of bodies beyond its first entry, and a proposal over 16 MB raises ValueError.

--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -39,6 +39,7 @@
 
 MAX_BATCH_EVENTS = 512
 MAX_WAIT_MS = 1_000
+MAX_BODY_BYTES = 16 * 1024 * 1024
 EXIT_STORAGE_FAILED = 74
 
 
@@ -139,7 +140,15 @@
 
         With ``max_pending`` callers waiting the answer is ``not_leader``, on
         the calling thread: try again later.
+
+        Raises:
+            ValueError: ``body`` is over ``MAX_BODY_BYTES``; split the command.
         """
+        if len(body) > MAX_BODY_BYTES:
+            raise ValueError(
+                f"a {kind} of {len(body)} bytes is over {MAX_BODY_BYTES}; "
+                "split it into several commands"
+            )
         at_ms = self.clock.wall_ms()
         self._ask(on_done, lambda token: Propose(token, kind, body, at_ms))
 
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -119,6 +119,10 @@
             if isinstance(effect, SendEntries):
                 self._send_entries(effect)
         self._persist(effects)
+        # Replies first: applying takes time that the sender needn't wait for.
+        for effect in effects:
+            if isinstance(effect, Send | SendChunk):
+                self._send_out(effect)
         for effect in effects:
             self._act_or_defer(effect)
         self._begin_snapshot_if_due()
@@ -201,10 +205,6 @@
 
     def _act(self, effect: Effect) -> None:
         match effect:
-            case Send():
-                self.send(effect.address, effect.message)
-            case SendChunk():
-                self._send_chunk(effect)
             case Commit():
                 self._apply(effect.commit_index)
             case Accepted():
@@ -226,6 +226,12 @@
         entries = self.storage.read(effect.first_index, effect.last_index, limit)
         self.send(effect.address, effect.header._replace(entries=tuple(entries)))
 
+    def _send_out(self, effect: Send | SendChunk) -> None:
+        if isinstance(effect, SendChunk):
+            self._send_chunk(effect)
+        else:
+            self.send(effect.address, effect.message)
+
     def _send_chunk(self, effect: SendChunk) -> None:
         header = effect.header
         size = self.state.settings.snapshot_chunk_bytes
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -23,6 +23,7 @@
 _IDENTITY = "member.json"
 _SNAPSHOT = "snapshot.json"
 _INCOMING = "incoming.part"
+FRAME_BODY_BYTES = 4 * 1024 * 1024
 
 
 class WrongMemberError(Exception):
@@ -108,6 +109,19 @@
     return tuple(kept)
 
 
+def _frame_parts(
+    entries: tuple[LogEntry, ...],
+) -> Iterable[tuple[LogEntry, ...]]:
+    """Yield the entries in parts that fit one frame, at least one part."""
+    first, held = 0, 0
+    for position, entry in enumerate(entries):
+        if held and held + len(entry.body) > FRAME_BODY_BYTES:
+            yield entries[first:position]
+            first, held = position, 0
+        held += len(entry.body)
+    yield entries[first:]
+
+
 class Storage:
     """One member's log, hard state and latest snapshot in its data folder.
 
@@ -191,7 +205,8 @@
         fresh = _newest(entries)
         if not fresh and not force and (term, voted_for) == self._hard_state:
             return False
-        self._write(Frame(0, term, voted_for, commit_index, 0, 0, fresh))
+        for part in _frame_parts(fresh):
+            self._write(Frame(0, term, voted_for, commit_index, 0, 0, part))
         return True
 
     def reset_log(self, term: int, voted_for: str, snapshot: SnapshotStored) -> None:
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
@@ -66,6 +66,18 @@
         wanted = [entry(1), entry(2, 2), entry(3, 2)]
         self.assertEqual(wanted, storage.log.read(1, 9, 1 << 20))
 
+    def test_a_large_group_commit_is_split_into_frames(self) -> None:
+        storage, _ = self.open()
+        bodies = [b"x" * 3_000_000, b"y", b"z" * 3_000_000, b"w" * 5_000_000]
+        batch = [
+            LogEntry(n, 1, "Test", body, 0) for n, body in enumerate(bodies, start=1)
+        ]
+        storage.save(1, "", 0, batch)
+        storage.close()
+        storage, stored = self.open()
+        self.assertEqual(batch, storage.read(1, 9, 1 << 30))
+        self.assertEqual(4, stored.log.last_index)
+
     def test_a_torn_end_is_dropped(self) -> None:
         self.write(30)
         last = self.segments()[-1]
