--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -11,7 +11,7 @@
     SendEntries,
 )
 from foxspring_control.raft._messages import AppendEntries, AppendReply
-from foxspring_control.raft._sending_snapshots import needs_snapshot, send_chunk
+from foxspring_control.raft._snapshots import needs_snapshot, send_chunk
 from foxspring_control.raft._state import Progress, RaftState, Role
 
 SILENT_HEARTBEATS = 2
--- a/packages/foxspring-control/foxspring_control/raft/_bench.py
+++ b/packages/foxspring-control/foxspring_control/raft/_bench.py
@@ -25,6 +25,8 @@
 THROUGHPUT_S = 3.0
 LATENCY_SAMPLES = 300
 IDLE_S = 5.0
+START_RATE = 160
+START_S = 4.0
 FAILOVERS = 8
 CATCH_UP_CHANGES = 500
 SETTLE_S = 1.5
@@ -92,6 +94,26 @@
     ]
 
 
+def bench_task_starts() -> list[BenchRow]:
+    """Return the processor share of 3 members at the peak of task starts."""
+    cluster = LinkCluster(3)
+    try:
+        leader = cluster.leader()
+        cpu = _cpu_s()
+        begun = time.perf_counter()
+        load = _Load(leader)
+        load.running = False
+        for started in range(int(START_RATE * START_S)):
+            time.sleep(max(0.0, begun + started / START_RATE - time.perf_counter()))
+            load.propose()
+        seconds = time.perf_counter() - begun
+        cpu = (_cpu_s() - cpu) / seconds * 100
+    finally:
+        cluster.stop()
+    name = f"processor of 3 members together at {START_RATE} changes/s"
+    return [BenchRow(name, "<= 50 % of a core", cpu, "%", "")]
+
+
 def bench_failover() -> list[BenchRow]:
     """Return the time from killing the leader to the next commit."""
     times = []
@@ -195,6 +217,7 @@
         bench_storage,
         lambda: bench_commit(3),
         lambda: bench_commit(5),
+        bench_task_starts,
         bench_failover,
         bench_catch_up,
         lambda: bench_idle(3),
--- a/packages/foxspring-control/foxspring_control/raft/_election.py
+++ b/packages/foxspring-control/foxspring_control/raft/_election.py
@@ -2,8 +2,8 @@
 
 from foxspring_control.raft._events import Answer, Diagnosed, LeaderChanged, Send
 from foxspring_control.raft._messages import RequestVote, TimeoutNow, VoteReply
+from foxspring_control.raft._proposals import append_first_entry
 from foxspring_control.raft._state import Progress, RaftState, Role
-from foxspring_control.raft._writing import append_first_entry
 
 
 def become_follower(state: RaftState, term: int, leader_id: str, now_ms: int) -> None:
--- a/packages/foxspring-control/foxspring_control/raft/_membership.py
+++ b/packages/foxspring-control/foxspring_control/raft/_membership.py
@@ -10,9 +10,9 @@
     Transfer,
 )
 from foxspring_control.raft._messages import Membership, TimeoutNow
+from foxspring_control.raft._proposals import append_membership
 from foxspring_control.raft._settings import Member
 from foxspring_control.raft._state import MemberChange, RaftState, Role
-from foxspring_control.raft._writing import append_membership
 
 PROMOTE_WITHIN_ENTRIES = 64
 
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -49,13 +49,13 @@
     TimeoutNow,
     VoteReply,
 )
-from foxspring_control.raft._sending_snapshots import (
+from foxspring_control.raft._proposals import on_propose
+from foxspring_control.raft._snapshots import (
     on_snapshot_reply,
     on_snapshot_stored,
     take_chunk,
 )
 from foxspring_control.raft._state import RaftState, Role
-from foxspring_control.raft._writing import on_propose
 
 
 def step(state: RaftState, event: Event, now_ms: int) -> tuple[RaftState, list[Effect]]:
--- a/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
@@ -4,6 +4,8 @@
 what was not synced, leaving a torn end. The promises are checked at each step.
 """
 
+import contextlib
+import itertools
 import random
 import tempfile
 from pathlib import Path
@@ -42,6 +44,8 @@
     SimMachine,
 )
 
+Ask = AddMember | RemoveMember | ReadBarrier | Transfer
+
 
 class BrokenPromiseError(AssertionError):
     """The simulation saw a promise broken."""
@@ -69,15 +73,14 @@
         self.committed: dict[int, tuple[int, str, bytes]] = {}
         self.acked: dict[bytes, int] = {}
         self.not_run: set[bytes] = set()
-        self.tokens = 0
+        self.tokens = itertools.count(1)
         self.proposed = 0
-        self._folder = tempfile.TemporaryDirectory()
-        self._patches = [
-            mock.patch(f"foxspring_control.raft.{module}.sync_folder")
-            for module in ("_segments", "_storage")
-        ]
-        for patch in self._patches:
-            patch.start()
+        self._resources = contextlib.ExitStack()
+        folder = tempfile.TemporaryDirectory()
+        self._folder = Path(self._resources.enter_context(folder))
+        for module in ("_segments", "_storage"):
+            name = f"foxspring_control.raft.{module}.sync_folder"
+            self._resources.enter_context(mock.patch(name))
         group = members(count)
         for position, member in enumerate(group):
             rate = rates[position] if position < len(rates) else 100
@@ -90,16 +93,12 @@
         for node in self.nodes.values():
             if node.storage is not None:
                 node.storage.close()
-        for patch in self._patches:
-            patch.stop()
-        self._folder.cleanup()
-
-    # Members.
+        self._resources.close()
 
     def add_node(
         self, member: Member, group: tuple[Member, ...], rate: int = 100
     ) -> Node:
-        folder = Path(self._folder.name) / member.member_id
+        folder = self._folder / member.member_id
         node = Node(member, Disk(folder), NodeClock(lambda: self.now_ms, rate))
         node.group = group
         self.nodes[member.member_id] = node
@@ -167,28 +166,22 @@
     def heal(self) -> None:
         self.network.blocked.clear()
 
-    # Callers.
-
-    def ask(self, name: str, event: Event) -> list[ProposeOutcome]:
+    def ask(self, name: str, event: Ask) -> list[ProposeOutcome]:
         """Feed an event with a token; the list fills with its outcome."""
         outcomes: list[ProposeOutcome] = []
         runtime = self.nodes[name].runtime
         if runtime is not None:
-            runtime.waiting[self.tokens] = outcomes.append
+            runtime.waiting[event.token] = outcomes.append
             self.feed(name, event)
         return outcomes
 
-    def _token(self) -> int:
-        self.tokens += 1
-        return self.tokens
-
     def propose(self, name: str) -> bytes:
         self.proposed += 1
         body = f"change {self.proposed}".encode()
         runtime = self.nodes[name].runtime
         if runtime is None:
             return body
-        token = self._token()
+        token = next(self.tokens)
         runtime.waiting[token] = lambda outcome: self._note(body, outcome)
         self.feed(name, Propose(token, "Test", body, 0))
         return body
@@ -201,7 +194,7 @@
 
     def read(self, name: str) -> bool:
         """Read under the lease; a stale answer breaks a promise."""
-        outcomes = self.ask(name, ReadBarrier(self._token()))
+        outcomes = self.ask(name, ReadBarrier(next(self.tokens)))
         if not outcomes or outcomes[0].status != "applied":
             return False
         lost = set(self.acked) - set(self.nodes[name].machine.bodies)
@@ -209,10 +202,10 @@
         return True
 
     def add_member(self, name: str, member: Member) -> list[ProposeOutcome]:
-        return self.ask(name, AddMember(self._token(), member, 0))
+        return self.ask(name, AddMember(next(self.tokens), member, 0))
 
     def remove_member(self, name: str, gone: str) -> list[ProposeOutcome]:
-        return self.ask(name, RemoveMember(self._token(), gone, 0))
+        return self.ask(name, RemoveMember(next(self.tokens), gone, 0))
 
     def replace(self, gone: str, fresh: str) -> None:
         """Empty a member's disk for good and let a new member take its place."""
@@ -243,9 +236,7 @@
             self.run(300)
 
     def transfer(self, name: str) -> list[ProposeOutcome]:
-        return self.ask(name, Transfer(self._token()))
-
-    # Time and messages.
+        return self.ask(name, Transfer(next(self.tokens)))
 
     def send(self, source: str, target: str, message: Any) -> None:
         if source in self.nodes and target in self.nodes:
@@ -304,8 +295,6 @@
         if node.runtime is not None and node.paused_inbox is None:
             self._schedule_tick(node)
 
-    # What must always hold.
-
     def on_leadership(self, name: str, change: LeadershipChange) -> None:
         if change.is_leader:
             self._note_leader(name, change.term)
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
@@ -6,8 +6,8 @@
 
 from foxspring_control.raft import Member
 from foxspring_control.raft._events import Received
-from foxspring_control.raft._messages import RequestVote
-from foxspring_control.raft._state import RaftState
+from foxspring_control.raft._messages import AppendEntries, RequestVote
+from foxspring_control.raft._state import Progress, RaftState
 from foxspring_control.raft.tests import builders
 from foxspring_control.raft.tests.simulated_network import Network
 from foxspring_control.raft.tests.simulation import BrokenPromiseError, Simulation
@@ -136,6 +136,27 @@
         self.assertEqual({}, simulation.nodes[leader].runtime.waiting)  # type: ignore[union-attr]
         self.assertNotIn(body, simulation.acked)
 
+    def test_a_silent_member_is_sent_heartbeats_alone(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        cut = self.followers(simulation)[0]
+        simulation.isolate(cut)
+        carried: list[int] = []
+        send = simulation.network.send
+
+        def count(now_ms: int, source: str, target: str, message: Any) -> None:
+            if target == cut and isinstance(message, AppendEntries):
+                carried.append(len(message.entries))
+            send(now_ms, source, target, message)
+
+        with mock.patch.object(simulation.network, "send", count):
+            for _ in range(60):
+                simulation.propose(leader)
+                simulation.run(50)
+        self.assertGreater(len(carried), 10)
+        self.assertLessEqual(sum(map(bool, carried)), Progress.MAX_IN_FLIGHT + 1)
+        simulation.settle()
+
 
 class ClockTest(FailureTest):
     def test_a_paused_leader_that_wakes_has_no_lease(self) -> None:
