--- a/packages/foxspring-control/foxspring_control/state/_operator_commands.py
+++ b/packages/foxspring-control/foxspring_control/state/_operator_commands.py
@@ -2,6 +2,7 @@
 
 from foxspring_model import (
     CHECKS,
+    ENDED_STATES,
     ApplyConfiguration,
     AuditRecord,
     CancelJobs,
@@ -10,7 +11,6 @@
     DrainTarget,
     Invariant,
     RecordMemberChange,
-    Resources,
     SubmitJob,
     TaskState,
 )
@@ -51,7 +51,7 @@
     reason = job_rules.reject_reason(
         command.spec,
         work.configuration(),
-        _capacities(work),
+        work.tables.targets.capacities(),
         work.settings.tasks_a_job_limit,
     )
     if reason:
@@ -200,9 +200,16 @@
 
 
 def _cancel_job(work: Work, job: JobRecord, moment: Moment) -> None:
-    work.tables.jobs.update(job._replace(cancelled=True))
+    ended = 0
     for record in work.tables.tasks.of_job(job.job_id):
-        work.save_task(record, _cancelled(record, moment), moment)
+        after = _cancelled(record, moment)
+        if after.task.state is not record.task.state:
+            ended += after.task.state in ENDED_STATES
+        work.put_batch_task(record, after)
+    left = job.open_tasks - ended
+    ended_ms = moment.at_ms if left == 0 else 0
+    cancelled = job._replace(cancelled=True, open_tasks=left, ended_ms=ended_ms)
+    work.tables.jobs.update(cancelled)
 
 
 def _cancelled(record: TaskRecord, moment: Moment) -> TaskRecord:
@@ -223,10 +230,6 @@
     return answer
 
 
-def _capacities(work: Work) -> set[Resources]:
-    return {target.info.capacity for target in work.tables.targets.every()}
-
-
 def _shown(ids: list[str]) -> str:
     shown = ",".join(ids[:_IDS_SHOWN])
     return (
--- a/packages/foxspring-control/foxspring_control/state/_schema.py
+++ b/packages/foxspring-control/foxspring_control/state/_schema.py
@@ -30,8 +30,9 @@
     WHERE state IN ('queued', 'starting', 'running', 'stopping');
 CREATE TABLE target (
     target_id TEXT PRIMARY KEY, owner TEXT NOT NULL, version INTEGER NOT NULL,
-    body BLOB NOT NULL
+    capacity BLOB NOT NULL, body BLOB NOT NULL
 ) WITHOUT ROWID;
+CREATE INDEX target_by_capacity ON target (capacity);
 CREATE INDEX target_by_version ON target (version);
 CREATE TABLE removed_target (
     version INTEGER NOT NULL, target_id TEXT NOT NULL,
--- a/packages/foxspring-control/foxspring_control/state/_tables.py
+++ b/packages/foxspring-control/foxspring_control/state/_tables.py
@@ -21,6 +21,7 @@
 _TASK = msgspec.msgpack.Decoder(TaskRecord)
 _JOB = msgspec.msgpack.Decoder(JobRecord)
 _TARGET = msgspec.msgpack.Decoder(TargetRecord)
+_CAPACITY = msgspec.msgpack.Decoder(Resources)
 _ENTRY = msgspec.msgpack.Decoder(EntryInfo)
 _CONFIGURATION = msgspec.msgpack.Decoder(ConfigurationRecord)
 
@@ -184,10 +185,15 @@
 
     def put(self, record: TargetRecord) -> None:
         """Add or replace the target."""
-        target_id, body = record.info.target_id, _ENCODER.encode(record)
         self._connection.execute(
-            "REPLACE INTO target VALUES (?, ?, ?, ?)",
-            (target_id, record.owner, record.version, body),
+            "REPLACE INTO target VALUES (?, ?, ?, ?, ?)",
+            (
+                record.info.target_id,
+                record.owner,
+                record.version,
+                _ENCODER.encode(record.info.capacity),
+                _ENCODER.encode(record),
+            ),
         )
 
     def remove(self, target_id: str, version: int) -> None:
@@ -203,6 +209,12 @@
         for row in self._connection.execute(query):
             yield _TARGET.decode(row[0])
 
+    def capacities(self) -> list[Resources]:
+        """Return each kind of capacity that a target has."""
+        query = "SELECT DISTINCT capacity FROM target ORDER BY capacity"
+        rows = self._connection.execute(query)
+        return [_CAPACITY.decode(row[0]) for row in rows]
+
     def owned_by(self, entry_id: str) -> list[TargetRecord]:
         """Return the targets that the entry owns, by id."""
         query = "SELECT body FROM target WHERE owner = ? ORDER BY target_id"
--- a/packages/foxspring-control/foxspring_control/state/_work.py
+++ b/packages/foxspring-control/foxspring_control/state/_work.py
@@ -112,16 +112,21 @@
 
     def save_task(self, before: TaskRecord, after: TaskRecord, moment: Moment) -> None:
         """Store a task's transition with what follows from it."""
-        if after == before:
-            return
-        self.changed_tasks[after.task.task_id] = None
         if after.task.kind is TaskKind.SERVICE:
-            self._save_replica(before, after)
+            if after != before:
+                self.changed_tasks[after.task.task_id] = None
+                self._save_replica(before, after)
             return
-        self.tables.tasks.put(after)
+        self.put_batch_task(before, after)
         if _ends(before, after):
             self._task_ended(after, moment)
 
+    def put_batch_task(self, before: TaskRecord, after: TaskRecord) -> None:
+        """Store a batch task's transition without counting it in its job."""
+        if after != before:
+            self.changed_tasks[after.task.task_id] = None
+            self.tables.tasks.put(after)
+
     def save_target(self, record: TargetRecord) -> None:
         """Store a target at the next ownership version."""
         version = self.tables.counters.increment(OWNERSHIP_VERSION)
