Let the entry tests' control judge completions by their claim

Change: the fake takes the claim id and frees a key only for its own claim, as the state machine does.

--- a/packages/foxspring-entry/foxspring_entry/tests/builders.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/builders.py
@@ -284,10 +284,12 @@
             if held["claim"] == claim_id:
                 return {"status": "ok", "key_state": "claimed"}
             return {"status": "ok", "key_state": "pending"}
-        key, entry_id, _, verdict, status, headers, body = command
+        key, entry_id, _, verdict, status, headers, body, claim_id = command
         held = self.keys.get(key)
         if held is not None and held["owner"] == entry_id and "done" not in held:
             if verdict == "not_run":
+                if held["claim"] != claim_id:
+                    return {"status": "rejected", "reason": "another claim holds it"}
                 del self.keys[key]
             else:
                 held["done"] = {
