--- a/packages/foxspring-model/foxspring_model/scheduling/_explain.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_explain.py
@@ -66,7 +66,13 @@
         return []
     pressed = sum(1 for load in site.loads.values() if load.state.steps)
     name = record.group.shape.work_class
+    tried = sum(
+        1
+        for target_id, load in site.loads.items()
+        if site.rooms.class_tasks_on(target_id, name) >= load.trials.limit(name)
+    )
     return [
         f"{pressed} of {site.rooms.known} targets are avoided for services under"
-        f" pressure; work class {name} waits for one where it disturbs less"
+        f" pressure; {tried} already try work class {name}, which more tasks may"
+        " join after their next reports; it waits for one where it disturbs less"
     ]
--- a/packages/foxspring-model/foxspring_model/scheduling/_placing.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_placing.py
@@ -34,7 +34,7 @@
     """Return the cost that weighs learnt interference beside the load.
 
     A batch target is avoided while its pressure is high or would become high,
-    or while a pair that is not known yet is already tried there.
+    or while a pair that is not known yet is tried there by as many tasks as may.
     """
 
     def cost(group: TaskGroup, room: Room) -> float:
@@ -76,7 +76,8 @@
     weight = site.configuration.weights.tail_latency / _PERCENT
     total = 0.0
     for service in room.replicas:
-        if not site.model.known(service, name) and room.class_tasks.get(name):
+        tried = room.class_tasks.get(name, 0) >= load.trials.limit(name)
+        if tried and not site.model.known(service, name):
             return AVOIDED
         level = load.levels.get(service, 0)
         before = site.model.predict(service, level, shares)
--- a/packages/foxspring-model/foxspring_model/scheduling/_relief.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_relief.py
@@ -1,10 +1,12 @@
 """Learning from measurements, and relief where they show too much pressure."""
 
+from collections import Counter
 from typing import NamedTuple
 
 from foxspring_model._commands import Eviction
 from foxspring_model._job import TaskKind, TaskState
 from foxspring_model._messages import ThrottleTask, UsageSample
+from foxspring_model.scheduling._latency_window import LatencyWindow, add_measurement
 from foxspring_model.scheduling._memory_relief import memory_victims
 from foxspring_model.scheduling._pressure import PressureState, Step, advance
 from foxspring_model.scheduling._records import (
@@ -53,6 +55,7 @@
         shares = self._shares_then(sample, room.info.capacity.cores_milli)
         worst = self._learn_pairs(sample, shares, load, newest)
         if newest:
+            self._note_trials(sample, load, worst)
             self._watch_pressure(room, load, worst)
             self._watch_memory(sample, room)
 
@@ -117,9 +120,12 @@
         model = self._site.model
         for service, _, p99_us, requests in sample.latencies:
             objective_us = self._site.objective_us(service)
-            if not objective_us or requests < self._site.settings.least_requests:
+            if not objective_us:
                 continue
-            pressure = p99_us / objective_us
+            window = self._full_window(load, service, requests, p99_us)
+            if window is None:
+                continue
+            pressure = window.p99_us / objective_us
             level = model.level_of(service, requests)
             if shares is not None:
                 model.learn(service, level, shares, pressure)
@@ -128,6 +134,31 @@
             worst = max(worst, (service, pressure), key=lambda pair: pair[1])
         return worst
 
+    def _full_window(
+        self, load: TargetLoad, service: str, requests: int, p99_us: int
+    ) -> LatencyWindow | None:
+        window = load.windows.get(service, LatencyWindow())
+        least = self._site.settings.least_requests
+        load.windows[service], full = add_measurement(window, requests, p99_us, least)
+        return full
+
+    def _note_trials(
+        self, sample: UsageSample, load: TargetLoad, worst: tuple[str, float]
+    ) -> None:
+        service, pressure = worst
+        if not service and any(each.requests for each in load.windows.values()):
+            return
+        if pressure > self._site.limits.high:
+            load.trials.failed()
+            return
+        ran: Counter[str] = Counter()
+        for task_id, epoch in sample.running:
+            record = self._site.book.records.get(task_id)
+            if record is not None and record.epoch == epoch:
+                ran[record.group.shape.work_class] += 1
+        for work_class, count in ran.items():
+            load.trials.passed(work_class, count)
+
     def _watch_pressure(
         self, room: Room, load: TargetLoad, worst: tuple[str, float]
     ) -> None:
@@ -135,7 +166,7 @@
         if not room.class_tasks:
             load.state = PressureState()
             return
-        if not service:
+        if not service and load.windows:
             return
         load.state, step = advance(load.state, pressure, self._site.limits)
         if step is not Step.NONE:
--- a/packages/foxspring-model/foxspring_model/scheduling/_rooms.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_rooms.py
@@ -159,6 +159,11 @@
         """Return the replicas of ``service`` placed in a rack."""
         return self._spread.get((service, domain, rack), 0)
 
+    def class_tasks_on(self, target_id: str, work_class: str) -> int:
+        """Return how many tasks of a work class a target holds."""
+        room = self.by_id.get(target_id)
+        return room.class_tasks.get(work_class, 0) if room is not None else 0
+
     @property
     def known(self) -> int:
         """How many targets have announced themselves."""
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -9,6 +9,7 @@
 from foxspring_model.scheduling._blame import FailureLedger
 from foxspring_model.scheduling._book import TaskBook
 from foxspring_model.scheduling._interference import PairModel
+from foxspring_model.scheduling._latency_window import LatencyWindow
 from foxspring_model.scheduling._pressure import (
     PressureLimits,
     PressureState,
@@ -21,6 +22,7 @@
 from foxspring_model.scheduling._samples import SampleOrder, ShapeMemory
 from foxspring_model.scheduling._settings import SchedulerSettings
 from foxspring_model.scheduling._sizes import corrected_size
+from foxspring_model.scheduling._trials import Trials
 
 _US_PER_MS = 1_000
 
@@ -31,7 +33,15 @@
     ``resend`` counts the times its throttles are still to be sent again.
     """
 
-    __slots__ = ("levels", "order", "pressures", "resend", "state")
+    __slots__ = (
+        "levels",
+        "order",
+        "pressures",
+        "resend",
+        "state",
+        "trials",
+        "windows",
+    )
 
     def __init__(self, remembered_samples: int) -> None:
         self.order = SampleOrder(remembered_samples)
@@ -39,6 +49,8 @@
         self.levels: dict[str, int] = {}
         self.pressures: dict[str, float] = {}
         self.resend = 0
+        self.trials = Trials()
+        self.windows: dict[str, LatencyWindow] = {}
 
 
 class Site:
