--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
@@ -66,7 +66,8 @@
 class StepTest(unittest.TestCase):
     def test_steps_follow_each_other_with_hysteresis(self) -> None:
         limits = limits_for(SETTINGS, Weights())
-        high, low, between = 2.0, 0.1, 0.9
+        high, low = 2.0, 0.1
+        between = (limits.low + limits.high) / 2
         act, relax = limits.to_act, limits.to_relax
         cases: tuple[tuple[str, list[float], list[Step]], ...] = (
             ("one spike does nothing", [high], []),
@@ -178,8 +179,10 @@
         self.assertEqual(before, self.scheduler.site.load_of("t0").order.newest_ms)
 
     def test_unknown_pair_is_tried_with_one_task_a_target(self) -> None:
+        size = Resources(0, 0, 1_000, 1_000, 0)
         for number in range(4):
-            self.scheduler.upsert_task(a_task(number, "new", work_class="new"), 0)
+            task = a_task(number, "new", resources=size, work_class="new")
+            self.scheduler.upsert_task(task, 0)
         placed = len(self.scheduler.decide(1).placements)
         placed += len(self.scheduler.decide(2).placements)
         self.assertEqual(1, placed)
