Let an unknown work class widen beside services at ease

Cause: a class whose pair with a service was not known could have one task on a target, and beside an idle service no measurement ever made it known: 150 small tasks on 4 targets stayed at 4 running for 120 s. A service with fewer than 20 requests a report was never judged, so never protected. Ruled out: quota, slots and room (jobs show named the interference rule).

--- a/packages/foxspring-model/foxspring_model/scheduling/_relief.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_relief.py
@@ -150,6 +150,7 @@
             return
         if pressure > self._site.limits.high:
             load.trials.failed()
+        if pressure > self._site.limits.low:
             return
         ran: Counter[str] = Counter()
         for task_id, epoch in sample.running:
@@ -157,7 +158,7 @@
             if record is not None and record.epoch == epoch:
                 ran[record.group.shape.work_class] += 1
         for work_class, count in ran.items():
-            load.trials.passed(work_class, count)
+            load.trials.passed(work_class, count, not service)
 
     def _watch_pressure(
         self, room: Room, load: TargetLoad, worst: tuple[str, float]
