--- a/packages/foxspring-control/foxspring_control/service/_leader.py
+++ b/packages/foxspring-control/foxspring_control/service/_leader.py
@@ -91,7 +91,9 @@
             self.entries.push_changes(now_ms)
 
     def tick(self) -> None:
-        """Do what is due."""
+        """Do what is due, unless another leader may have been elected."""
+        if not self.log.status().lease_valid:
+            return
         now_ms = self.clock.monotonic_ms()
         if now_ms >= self._next_fleet_ms:
             self._next_fleet_ms = now_ms + self.settings.fleet_interval_ms
--- a/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
+++ b/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
@@ -165,6 +165,15 @@
                 left = [m for m in site.take(owner, kind) if m.epoch == task.epoch]
                 self.assertEqual([m for m in left if m.task_id == task.task_id], [])
 
+    def test_a_leader_without_its_own_lease_offers_nothing(self) -> None:
+        site = self.site
+        task = self.task_in("starting")
+        owner = site.driver.owner(task.target_id)
+        site.take(owner, RunTask)
+        site.log.leads = False
+        site.run(3_000)
+        self.assertEqual(site.take(owner, RunTask), [])
+
     def test_events_are_acknowledged_only_once_committed(self) -> None:
         site = self.site
         task = self.task_in("running")
--- a/packages/foxspring-control/foxspring_control/state/_bench.py
+++ b/packages/foxspring-control/foxspring_control/state/_bench.py
@@ -72,10 +72,24 @@
     return msgspec.json.decode(done.stdout.splitlines()[-1], type=list[BenchRow])
 
 
-def _parse(_: str) -> Configuration:
+def parse_nothing(_: str) -> Configuration:
+    """Return one configuration whatever the text."""
     return Configuration(teams=(Team("pipes", 1_000_000),))
 
 
+def fill_state(state: ControlState, size: int) -> None:
+    """Fill an empty state with ``size`` running tasks on targets of one entry."""
+    feeder = _Feeder(state)
+    _site(feeder, size // TASKS_A_TARGET)
+    feeder.feed(_jobs(size // TASKS_A_JOB, TASKS_A_JOB, "fill"))
+    feeder.feed(_placed(_task_ids(size), size // TASKS_A_TARGET))
+
+
+def _task_ids(size: int) -> list[str]:
+    jobs = size // TASKS_A_JOB
+    return [f"job-{j + 1}/{t}" for j in range(jobs) for t in range(TASKS_A_JOB)]
+
+
 class _Feeder:
     """Feeds commands to a state in batches, as the log does."""
 
@@ -136,14 +150,14 @@
     base_kb = _resident_kb()
     targets = size // TASKS_A_TARGET
     with tempfile.TemporaryDirectory() as folder:
-        state = ControlState(Path(folder), _parse)
+        state = ControlState(Path(folder), parse_nothing)
         feeder = _Feeder(state)
         _site(feeder, targets)
         jobs = size // TASKS_A_JOB
         begun = time.process_time()
         submitted = feeder.feed(_jobs(jobs, TASKS_A_JOB, "fill"))
         submit_s = time.process_time() - begun
-        tasks = [f"job-{j + 1}/{t}" for j in range(jobs) for t in range(TASKS_A_JOB)]
+        tasks = _task_ids(size)
         begun = time.process_time()
         placed = feeder.feed(_placed(tasks, targets))
         place_s = time.process_time() - begun
@@ -202,7 +216,7 @@
 
 def _cancel_wave() -> list[BenchRow]:
     with tempfile.TemporaryDirectory() as folder:
-        state = ControlState(Path(folder), _parse)
+        state = ControlState(Path(folder), parse_nothing)
         feeder = _Feeder(state)
         _site(feeder, 1)
         feeder.feed(_jobs(WAVE, 1, "wave"))
