--- a/packages/foxspring-control/foxspring_control/service/_core.py
+++ b/packages/foxspring-control/foxspring_control/service/_core.py
@@ -13,15 +13,21 @@
     QueryResult,
 )
 
+from foxspring_control.raft import LeadershipChange
 from foxspring_control.service._leader import Leader
-from foxspring_control.service._messages import Leadership, LogHandle, Post, SendMessage
+from foxspring_control.service._member_metrics import (
+    MEMBER_METRICS,
+    Figures,
+    answer_member_metrics,
+)
+from foxspring_control.service._messages import LogHandle, Post, SendMessage
 from foxspring_control.service._scheduling import MakeScheduler
 from foxspring_control.service._settings import ServiceSettings
 from foxspring_control.state import ControlState, StateChanges
 
 _LOG = logging.getLogger(__name__)
 
-NO_LEADER = Leadership(False, 0, "", "")
+NO_LEADER = LeadershipChange(False, 0, "", "")
 
 
 class ServiceCore:
@@ -36,7 +42,9 @@
         clock: Clock,
         post: Post,
         make_scheduler: MakeScheduler,
+        more_figures: Figures = dict,
     ) -> None:
+        self.more_figures = more_figures
         self.settings = settings
         self.log = log
         self.state = state
@@ -47,7 +55,7 @@
         self.leadership = NO_LEADER
         self.leader: Leader | None = None
 
-    def on_leadership(self, leadership: Leadership) -> None:
+    def on_leadership(self, leadership: LeadershipChange) -> None:
         """Begin or end the leader's duties."""
         self.leadership = leadership
         self.leader = None
@@ -62,6 +70,12 @@
 
     def receive(self, sender: str, message: Any) -> None:
         """Handle a message of an entry, or name the leader."""
+        if isinstance(message, Query) and message.kind == MEMBER_METRICS:
+            leading = self.leader is not None
+            answer_member_metrics(
+                message, self.log.status(), leading, self.send, self.more_figures
+            )
+            return
         if self.leader is not None:
             self.leader.receive(sender, message)
             return
@@ -98,7 +112,7 @@
     def _declined(self, message: Any) -> Any:
         leader_id = self.leadership.leader_id
         if isinstance(message, EntryHeartbeat):
-            return HeartbeatRejected(self.settings.member_id, leader_id)
+            return HeartbeatRejected(self.log.status().member_id, leader_id)
         if isinstance(message, Proposal):
             return ProposalResult(message.proposal_id, "not_leader", leader_id)
         if isinstance(message, Query):
--- a/packages/foxspring-daemon/foxspring_daemon/_control_process.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_control_process.py
@@ -50,7 +50,12 @@
             self._on_leadership,
         )
         self.service = ControlService(
-            service_settings(settings), self.log, self.state, self.link.send, clock
+            service_settings(settings),
+            self.log,
+            self.state,
+            self.link.send,
+            clock,
+            more_figures=self._link_figures,
         )
         self._ending = threading.Event()
         self._stopped = threading.Event()
@@ -81,6 +86,10 @@
     def reload(self, settings: Settings) -> None:
         """Take over nothing; the level of the logs is the daemon's matter."""
 
+    def _link_figures(self) -> dict[str, int]:
+        figures = self.link.figures()._asdict()
+        return {f"link_{name}_total": amount for name, amount in figures.items()}
+
     def _hand_over(self) -> None:
         done = threading.Event()
 
@@ -127,8 +136,7 @@
 def service_settings(settings: Settings) -> ServiceSettings:
     """Return what the leader's service is told, from a daemon's settings."""
     return ServiceSettings(
-        member_id=settings.daemon.id,
-        lease_ms=settings.control.entry_lease_ms,
+        entry_lease_ms=settings.control.entry_lease_ms,
         task_lease_ms=settings.control.task_lease_ms,
     )
 
--- a/packages/foxspring-entry/foxspring_entry/_loads.py
+++ b/packages/foxspring-entry/foxspring_entry/_loads.py
@@ -6,9 +6,15 @@
 
 from foxspring_model import EntryLoad
 
+OWN_ROOM_A_TARGET = 1
+
 
 class Figure(NamedTuple):
-    """What an owner last told of one service; ``sends`` counts ours since."""
+    """What an owner last told of one service.
+
+    ``sends`` is how many more of our requests are there than at that time; it
+    is negative when more were answered than sent since.
+    """
 
     free: int
     queued: int
@@ -49,6 +55,13 @@
         if figure is not None:
             figures[service] = figure._replace(sends=figure.sends + 1)
 
+    def note_answer(self, entry_id: str, service: str) -> None:
+        """Count an answer of an owner since its figures."""
+        figures = self._figures.get(entry_id, {})
+        figure = figures.get(service)
+        if figure is not None:
+            figures[service] = figure._replace(sends=figure.sends - 1)
+
     def figure(self, entry_id: str, service: str, now_ms: int) -> Figure | None:
         """Return an owner's figures if they are young enough to use."""
         figure = self._figures.get(entry_id, {}).get(service)
@@ -63,20 +76,28 @@
 
 
 class Candidate(NamedTuple):
-    """An owner that may take a request; ``weight`` is its number of targets."""
+    """An owner that may take a request; ``weight`` is its number of targets.
+
+    The figures of ``own``, this entry itself, are not aged.
+    """
 
     entry_id: str
     weight: int
     figure: Figure | None
     near: bool
+    own: bool = False
 
 
 def choose_owner(candidates: Sequence[Candidate], rng: random.Random) -> Candidate:
-    """Return the better of two owners drawn at random by weight.
+    """Return this entry while it has room, else the better of two owners.
 
-    Drawing two keeps many entries with the same figures from all choosing the
-    same owner. Between equals the one in our failure domain is taken.
+    The two are drawn at random by weight, which keeps many entries with the
+    same figures from all choosing the same owner. Between equals the one in
+    our failure domain is taken.
     """
+    for candidate in candidates:
+        if candidate.own and _has_ample_room(candidate):
+            return candidate
     if len(candidates) == 1:
         return candidates[0]
     first = _draw(candidates, rng)
@@ -84,6 +105,11 @@
     return min((first, second), key=_cost)
 
 
+def _has_ample_room(candidate: Candidate) -> bool:
+    room = -candidate.figure.pressure if candidate.figure else 0
+    return room >= max(1, candidate.weight * OWN_ROOM_A_TARGET)
+
+
 def _draw(candidates: Sequence[Candidate], rng: random.Random) -> Candidate:
     weights = [max(1, candidate.weight) for candidate in candidates]
     return rng.choices(candidates, weights=weights)[0]
