--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_bench_choice.py
@@ -0,0 +1,222 @@
+"""Measures choices in virtual time, with the entry's own decision functions.
+
+Arrivals and service times are drawn with a fixed seed; nothing sleeps.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from foxspring_model import EntryLoad, OwnedTarget, Resources, TargetInfo
+
+from foxspring_entry._ledger import HoldKind
+from foxspring_entry._loads import Candidate, Figure, LoadBook, choose_owner
+from foxspring_entry._target import ManagedTarget, choose_target
+
+SERVICE = "bench"
+NEED = Resources(slots=1, connections=1)
+SLOTS = 8
+TARGETS = 34
+OWNERS = 8
+MEAN_MS = 20.0
+SLOW_FACTOR = 10.0
+REQUESTS = 20_000
+LOAD = 0.6
+FIGURES_EVERY_MS = 150.0
+_P99 = 0.99
+
+Choice = Callable[[Sequence[ManagedTarget]], ManagedTarget | None]
+
+
+class Arrival(NamedTuple):
+    """A request and when it arrived."""
+
+    number: int
+    at_ms: float
+
+
+def managed(number: int) -> ManagedTarget:
+    """Return a target past its takeover."""
+    capacity = Resources(SLOTS, 64, 64_000, 250_000, 0)
+    info = TargetInfo(f"t-{number}", 1, "", "fd-1", "rack-1", capacity)
+    target = ManagedTarget(OwnedTarget(info, "e-1", 1, (SERVICE,)), 5_000, 0, 0)
+    target.takeover = None
+    return target
+
+
+def ours(rng: random.Random) -> Choice:
+    """Return the entry's own choice of a target."""
+
+    def choose(targets: Sequence[ManagedTarget]) -> ManagedTarget | None:
+        roomy = [t for t in targets if t.has_room(SERVICE, NEED, 0)]
+        return choose_target(roomy, SERVICE, NEED, (), rng)
+
+    return choose
+
+
+def at_random(rng: random.Random) -> Choice:
+    """Return a choice of any target with a free slot."""
+
+    def choose(targets: Sequence[ManagedTarget]) -> ManagedTarget | None:
+        roomy = [t for t in targets if NEED.fits_in(t.ledger.free)]
+        return rng.choice(roomy) if roomy else None
+
+    return choose
+
+
+def round_robin() -> Choice:
+    """Return a choice of the next target in turn that has a free slot."""
+    turn = [0]
+
+    def choose(targets: Sequence[ManagedTarget]) -> ManagedTarget | None:
+        for step in range(1, len(targets) + 1):
+            target = targets[(turn[0] + step) % len(targets)]
+            if NEED.fits_in(target.ledger.free):
+                turn[0] = (turn[0] + step) % len(targets)
+                return target
+        return None
+
+    return choose
+
+
+def p99_with_slow_targets(choice: Choice, seed: int) -> float:
+    """Return the p99 in ms with 34 targets, two of them ten times slower."""
+    rng = random.Random(seed)
+    targets = [managed(number) for number in range(TARGETS)]
+    slow = frozenset(("t-0", "t-1"))
+    queue: deque[Arrival] = deque()
+    ends: list[tuple[float, int, ManagedTarget, float, Arrival]] = []
+    latencies: list[float] = []
+    rate = LOAD * TARGETS * SLOTS / MEAN_MS
+    now = 0.0
+
+    def dispatch() -> None:
+        while queue and (target := choice(targets)) is not None:
+            arrival = queue.popleft()
+            target.ledger.admit(str(arrival.number), HoldKind.REQUEST, NEED)
+            target.note_sent(SERVICE)
+            mean = MEAN_MS * (SLOW_FACTOR if target.target_id in slow else 1.0)
+            took = rng.expovariate(1 / mean)
+            heapq.heappush(ends, (now + took, arrival.number, target, took, arrival))
+
+    def finish() -> None:
+        _, number, target, took, arrival = heapq.heappop(ends)
+        target.ledger.release(str(number))
+        before = target.note_done(SERVICE)
+        target.note_answer(SERVICE, int(took * 1_000), before)
+        latencies.append(now - arrival.at_ms)
+
+    next_arrival = 0.0
+    for number in range(REQUESTS):
+        next_arrival += rng.expovariate(rate)
+        while ends and ends[0][0] <= next_arrival:
+            now = ends[0][0]
+            finish()
+            dispatch()
+        now = next_arrival
+        queue.append(Arrival(number, now))
+        dispatch()
+    return percentile(latencies, _P99)
+
+
+class Share(NamedTuple):
+    """The slots that one entry may fill, and its queue."""
+
+    slots: int
+    queue: deque[Arrival]
+
+
+def p99_by_shares(
+    shares: int, owned: bool, load: float, first_share: float, seed: int
+) -> float:
+    """Return the p99 in ms of requests that reach entries at random.
+
+    All slots are divided into ``shares``; the first entry gets ``first_share``
+    of the requests. With ``owned`` entries choose between the shares as origins
+    choose owners, by figures up to 150 ms old; without, a request stays where
+    it arrived, as with static shares.
+    """
+    rng = random.Random(seed)
+    slots = TARGETS * SLOTS // shares
+    busy = [0] * shares
+    queues: list[deque[Arrival]] = [deque() for _ in range(shares)]
+    books = [LoadBook(10**9) for _ in range(shares)]
+    ends: list[tuple[float, int, Arrival]] = []
+    origins: dict[int, int] = {}
+    latencies: list[float] = []
+    rate = load * slots * shares / MEAN_MS
+    weight = TARGETS // shares
+    now = next_arrival = next_figures = 0.0
+    sequence = 0
+
+    def begin(share: int) -> None:
+        while queues[share] and busy[share] < slots:
+            busy[share] += 1
+            arrival = queues[share].popleft()
+            end = now + rng.expovariate(1 / MEAN_MS)
+            heapq.heappush(ends, (end, share, arrival))
+
+    def arrive() -> int:
+        if rng.random() < first_share:
+            return 0
+        return rng.randrange(1, shares) if shares > 1 else 0
+
+    def pick(origin: int) -> int:
+        if not owned:
+            return origin
+        book = books[origin]
+        live = Figure(slots - busy[origin], len(queues[origin]), 0, 0)
+        candidates = [
+            Candidate(
+                str(n),
+                weight,
+                live if n == origin else book.figure(str(n), SERVICE, 0),
+                False,
+                n == origin,
+            )
+            for n in range(shares)
+        ]
+        chosen = choose_owner(candidates, rng).entry_id
+        book.note_send(chosen, SERVICE)
+        return int(chosen)
+
+    for number in range(REQUESTS):
+        next_arrival += rng.expovariate(rate)
+        while ends and ends[0][0] <= next_arrival:
+            now, share, arrival = heapq.heappop(ends)
+            busy[share] -= 1
+            books[origins.pop(arrival.number)].note_answer(str(share), SERVICE)
+            latencies.append(now - arrival.at_ms)
+            begin(share)
+        now = next_arrival
+        if owned and now >= next_figures:
+            sequence += 1
+            next_figures = now + FIGURES_EVERY_MS
+            _tell(books, busy, queues, slots, sequence)
+        origins[number] = arrive()
+        share = pick(origins[number])
+        queues[share].append(Arrival(number, now))
+        begin(share)
+    return percentile(latencies, _P99)
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the value below which ``share`` of the values lie."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def _tell(
+    books: list[LoadBook],
+    busy: list[int],
+    queues: list[deque[Arrival]],
+    slots: int,
+    sequence: int,
+) -> None:
+    for share, held in enumerate(busy):
+        figures = ((SERVICE, slots - held, len(queues[share]), 0),)
+        load = EntryLoad(str(share), 1, sequence, figures)
+        for book in books:
+            book.store(load, 0)
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_bench_load.py
@@ -0,0 +1,69 @@
+"""An open-loop load of HTTP requests, with each request's latency."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
+
+import urllib3
+
+_THREADS = 200
+_TIMEOUT_S = 10.0
+
+
+class Sample(NamedTuple):
+    """One request's status and how long it took, in milliseconds."""
+
+    status: int
+    took_ms: float
+
+
+class Load:
+    """Sends requests to a list of URLs at a rate, whatever comes back."""
+
+    def __init__(self, headers: dict[str, str]) -> None:
+        self._headers = headers
+        self._pool = urllib3.PoolManager(retries=False, maxsize=_THREADS, block=False)
+        self._threads = ThreadPoolExecutor(_THREADS)
+
+    def run(self, urls: Callable[[], str], rate: float, seconds: float) -> list[Sample]:
+        """Return the samples of a run at ``rate`` requests a second."""
+        rng = random.Random(1)
+        samples: list[Sample] = []
+        lock = threading.Lock()
+
+        def send(url: str) -> None:
+            sample = self._send(url)
+            with lock:
+                samples.append(sample)
+
+        begun = time.perf_counter()
+        due = 0.0
+        futures = []
+        while due < seconds:
+            due += rng.expovariate(rate)
+            wait = begun + due - time.perf_counter()
+            if wait > 0:
+                time.sleep(wait)
+            futures.append(self._threads.submit(send, urls()))
+        for future in futures:
+            future.result()
+        return samples
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._threads.shutdown()
+        self._pool.clear()
+
+    def _send(self, url: str) -> Sample:
+        begun = time.perf_counter()
+        try:
+            answer = self._pool.request(
+                "GET", url, headers=self._headers, timeout=_TIMEOUT_S
+            )
+            status = answer.status
+        except urllib3.exceptions.HTTPError:
+            status = 0
+        return Sample(status, (time.perf_counter() - begun) * 1_000)
--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -91,6 +91,7 @@
             self.loads,
             RetryBudget(settings.retry_budget_percent),
             settings.max_attempts,
+            self.requests.free_and_queued,
             rng,
         )
         self.heartbeats = Heartbeats(settings)
--- a/packages/foxspring-entry/foxspring_entry/_origin.py
+++ b/packages/foxspring-entry/foxspring_entry/_origin.py
@@ -1,6 +1,7 @@
 """Requests at the entry that the callers reached."""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from foxspring_model import (
@@ -16,11 +17,12 @@
 )
 
 from foxspring_entry._effects import Effects, ReplyToCaller, SendMessage
-from foxspring_entry._loads import Candidate, LoadBook, choose_owner
+from foxspring_entry._loads import Candidate, Figure, LoadBook, choose_owner
 from foxspring_entry._ownership import OwnershipTable
 from foxspring_entry._retries import RetryBudget, costs_budget, may_retry
 
 ANSWER_GRACE_MS = 30
+OwnLoad = Callable[[str, int], tuple[int, int, int]]
 _NO_TARGET_RETRY_AFTER_MS = 1_000
 
 
@@ -45,6 +47,7 @@
         loads: LoadBook,
         budget: RetryBudget,
         max_attempts: int,
+        own_load: OwnLoad,
         rng: random.Random,
     ) -> None:
         self.own_id = own_id
@@ -54,6 +57,7 @@
         self.loads = loads
         self.budget = budget
         self.max_attempts = max_attempts
+        self.own_load = own_load
         self.rng = rng
         self.pending: dict[str, Pending] = {}
         self.late_answers = 0
@@ -75,6 +79,8 @@
         if pending is None or pending.relay.attempt != answer.attempt:
             self.late_answers += 1
             return []
+        if pending.owner is not None:
+            self.loads.note_answer(pending.owner.entry_id, pending.relay.service)
         if self._may_retry(pending, answer, now_ms):
             self.retries += 1
             return self._again(pending, answer, now_ms)
@@ -181,7 +187,10 @@
     ) -> Candidate:
         figure = self.loads.figure(entry_id, service, now_ms)
         domain = self.table.entries[entry_id].failure_domain
-        return Candidate(entry_id, count, figure, domain == self.failure_domain)
+        own = entry_id == self.own_id
+        if own:
+            figure = Figure(*self.own_load(service, now_ms), now_ms)
+        return Candidate(entry_id, count, figure, domain == self.failure_domain, own)
 
     def _finish(
         self, pending: Pending, outcome: Outcome, target_id: str = ""
