--- a/packages/foxspring-testing/foxspring_testing/_schedule_runner.py
+++ b/packages/foxspring-testing/foxspring_testing/_schedule_runner.py
@@ -13,7 +13,6 @@
 
 _LOG = logging.getLogger(__name__)
 _CUT_AFTER_BYTES = 30
-_BALANCER_POLL_S = 0.05
 _BEHAVIOURS: dict[FaultKind, dict[str, Any]] = {
     FaultKind.HANG: {"hang": True},
     FaultKind.CUT_ANSWERS: {"cut_answer_after": _CUT_AFTER_BYTES},
@@ -24,18 +23,13 @@
 
 
 class ScheduleRunner:
-    """Begins and ends each step in time; :meth:`heal` ends all that is left.
-
-    ``serving`` names the entries that a balancer would send to: those that
-    run, are not paused and are not being stopped.
-    """
+    """Begins and ends each step in time; :meth:`heal` ends all that is left."""
 
     def __init__(self, site: Site, steps: Sequence[Step]) -> None:
         self.site = site
         self.steps = tuple(steps)
         self.stops: list[PlannedStop] = []
         self.failed_stops: list[str] = []
-        self._stopping: set[str] = set()
         self._busy: set[str] = set()
         self._threads: list[threading.Thread] = []
 
@@ -62,18 +56,6 @@
         for name in self.site.targets:
             self.site.behave(name)
 
-    def serving(self) -> list[str]:
-        """Return the HTTP addresses of entries a balancer would send to."""
-        return [
-            self.site.daemons[name].http
-            for name in self.site.names("entry")
-            if name not in self._stopping and self._answers(name)
-        ]
-
-    def _answers(self, name: str) -> bool:
-        process = self.site.processes[name]
-        return process.alive() and not process.paused
-
     def _carry_out(self, step: Step) -> None:
         # A process has one fault of its own at a time; the next one is left out.
         if step.name in self._busy:
@@ -123,16 +105,9 @@
             self.site.network.heal(step.name)
 
     def _planned_stop(self, name: str) -> None:
-        # The balancer sends on until the entry says that it is not ready.
         address = self.site.daemons[name].http
         begun_ms = self.site.clock.monotonic_ms()
-        process = self.site.processes[name]
-        process.begin_stop()
-        while process.alive() and self.site.entry_ready(name):
-            time.sleep(_BALANCER_POLL_S)
-        self._stopping.add(name)
         if not self.site.stop(name):
             self.failed_stops.append(name)
-        self._stopping.discard(name)
         ended_ms = self.site.clock.monotonic_ms()
         self.stops.append(PlannedStop(address, begun_ms, ended_ms))
--- a/packages/foxspring-testing/foxspring_testing/_soak.py
+++ b/packages/foxspring-testing/foxspring_testing/_soak.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from foxspring_testing._audit_view import service_targets
+from foxspring_testing._balancer import Balancer
 from foxspring_testing._change_checks import (
     AuditedChange,
     SeenRevision,
@@ -91,12 +92,13 @@
 
 
 def _under_load(site: Site, runner: ScheduleRunner, seed: int) -> _Observed:
+    balancer = Balancer(site)
     traffic = Traffic(
-        TrafficSettings(SERVICE, seed=seed), site.caller(), runner.serving
+        TrafficSettings(SERVICE, seed=seed), site.caller(), balancer.serving
     )
     operators = OperatorTraffic(site, seed)
     watch = RevisionWatch(site)
-    for each in (traffic, operators, watch):
+    for each in (balancer, traffic, operators, watch):
         each.start()
     try:
         runner.run()
@@ -105,6 +107,7 @@
         operators.stop()
         told = traffic.stop()
         watch.stop()
+        balancer.stop()
     return _Observed(
         told, operators.changes, operators.seen + watch.seen, operators.jobs
     )
--- a/packages/foxspring-testing/foxspring_testing/demo.py
+++ b/packages/foxspring-testing/foxspring_testing/demo.py
@@ -19,6 +19,7 @@
     service_targets,
     wait_job_ended,
 )
+from foxspring_testing._balancer import Balancer
 from foxspring_testing._clients import CallerRecord, OperatorClient
 from foxspring_testing._process import exit_on_sigterm
 from foxspring_testing._site import Site
@@ -77,15 +78,9 @@
     site.wait_targets_owned()
     _apply(operator)
     _say(f"{_SERVICE} runs on {_wait_replicas(operator)}")
-    traffic = Traffic(
-        TrafficSettings(_SERVICE),
-        site.caller(),
-        lambda: [
-            site.daemons[name].http
-            for name in site.names("entry")
-            if site.processes[name].alive()
-        ],
-    )
+    balancer = Balancer(site)
+    balancer.start()
+    traffic = Traffic(TrafficSettings(_SERVICE), site.caller(), balancer.serving)
     traffic.start()
     job_id = operator.submit(demo_job()).body["job_id"]
     lost_target = _wait_checkpoint(operator, job_id)
@@ -96,6 +91,7 @@
     _say(f"job {job_id} {ended['state']}: {_brief(ended)}")
     _say_answered_after(traffic)
     told = traffic.stop()
+    balancer.stop()
     return _report(site, operator, told, count_tasks([ended]))
 
 
