--- a/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
@@ -62,9 +62,9 @@
         wait_ms = 0
         if failed and task.state is TaskState.QUEUED:
             wait_ms = self._retry_delay(task.attempts)
-        record = self.site.book.upsert(task, wait_ms, now_ms)
-        if record is not None and before is None:
-            self._remember_shape(record)
+        if before is not None and task.state in ENDED_STATES:
+            self._remember_shape(before)
+        self.site.book.upsert(task, wait_ms, now_ms)
         if was_at in self.site.failures.isolated:
             self.site.sync_quarantine(was_at)
         self._forget_idle_job(task)
@@ -142,7 +142,7 @@
             last = task.failed_targets[-1] if task.failed_targets else ""
             self._failed(job_id, before.target_id or last, now_ms)
             return True
-        saved = task.evictions > before.evictions and bool(task.checkpoint)
+        saved = hash(task.checkpoint) != before.checkpoint_hash
         if (task.state is TaskState.FINISHED or saved) and before.target_id:
             self._succeeded(job_id, before.target_id)
         return False
