Send lists of running tasks only when they change, reports to the owner

Cause: link traffic grew by 0.22 kB/s for each running task at an entry and 0.047 kB/s at the leader: targets report to any entry, which passes the whole report to the owner, and every sample names every running task. Change: a report's answer names the owner, where the target sends the next one; samples leave out lists that the leader has (version, whole again every 30, after a change, and to a new leader); a link pings only a peer it has not heard.

--- a/packages/foxspring-control/foxspring_control/service/_leader.py
+++ b/packages/foxspring-control/foxspring_control/service/_leader.py
@@ -24,6 +24,7 @@
 from foxspring_control.service._messages import LogHandle, Post, SendMessage
 from foxspring_control.service._proposer import Proposer
 from foxspring_control.service._queries import QUERIES, QueryError, UnknownError
+from foxspring_control.service._running_lists import RunningLists
 from foxspring_control.service._scheduling import SchedulerHandle
 from foxspring_control.service._settings import ServiceSettings
 from foxspring_control.service._target_keeper import TargetKeeper
@@ -66,6 +67,7 @@
             settings, self.view, self.proposer, send, scheduler, now_ms
         )
         self._next_fleet_ms = now_ms
+        self.running_lists = RunningLists()
         self.members = MemberChanges(log, self.proposer, send)
         self._handlers: dict[type, Callable[[str, Any, int], None]] = {
             EntryHeartbeat: self.entries.heartbeat,
@@ -86,6 +88,9 @@
         """Take what a batch of entries changed."""
         now_ms = self.clock.monotonic_ms()
         self.view.update(changes, now_ms)
+        for target_id in changes.targets:
+            if target_id not in self.view.targets:
+                self.running_lists.forget(target_id)
         self.tasks.state_changed(changes, now_ms)
         if changes.configuration or changes.entries or changes.targets:
             self.entries.push_changes(now_ms)
@@ -105,7 +110,7 @@
     def _usage(self, _: str, batch: UsageBatch, now_ms: int) -> None:
         for sample in batch.samples:
             self.targets.sampled(sample.target_id, now_ms)
-        self.tasks.usage(batch, now_ms)
+        self.tasks.usage(self.running_lists.completed(batch), now_ms)
 
     def _propose(self, _: str, proposal: Proposal, now_ms: int) -> None:
         def done(outcome: ProposeOutcome) -> None:
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/service/_running_lists.py
@@ -0,0 +1,43 @@
+"""Puts back the lists of running tasks that entries leave out of samples."""
+
+from typing import NamedTuple
+
+from foxspring_model import UsageBatch, UsageSample
+
+
+class _Known(NamedTuple):
+    entry_id: str
+    version: int
+    running: tuple[tuple[str, int], ...]
+
+
+class RunningLists:
+    """The last whole list of each target, with the entry that sent it.
+
+    A sample whose list is not known is dropped: learning from it would take
+    a busy target for an empty one.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+
+    def completed(self, batch: UsageBatch) -> UsageBatch:
+        """Return the batch with whole samples only."""
+        samples = (self._complete(batch.entry_id, sample) for sample in batch.samples)
+        return batch._replace(samples=tuple(s for s in samples if s is not None))
+
+    def forget(self, target_id: str) -> None:
+        """Drop the list of a target that is gone."""
+        self._known.pop(target_id, None)
+
+    def _complete(self, entry_id: str, sample: UsageSample) -> UsageSample | None:
+        if sample.has_running:
+            known = _Known(entry_id, sample.running_version, sample.running)
+            self._known[sample.target_id] = known
+            return sample
+        held = self._known.get(sample.target_id)
+        if held is None:
+            return None
+        if held[:2] != (entry_id, sample.running_version):
+            return None
+        return sample._replace(running=held.running, has_running=True)
--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -97,7 +97,11 @@
         self.heartbeats = Heartbeats(settings)
         self.load_reports = LoadReports(settings)
         self.intake = Intake(
-            settings.entry_id, self.table, self.targets, settings.seen_interval_ms
+            settings.entry_id,
+            settings.incarnation,
+            self.table,
+            self.targets,
+            settings.seen_interval_ms,
         )
 
     def is_ready(self, now_ms: int) -> bool:
@@ -375,7 +379,7 @@
         ]
 
     def _usage(self, now_ms: int) -> Effects:
-        samples = self.intake.usage.take_due(now_ms)
+        samples = self.intake.usage.take_due(self.lease.leader_address, now_ms)
         if not samples:
             return []
         return self._to_leader(UsageBatch(self.info.entry_id, samples))
--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -228,7 +228,7 @@
         return [
             Route("GET", "/healthz", Role.ANYONE, self._healthz),
             Route("GET", "/readyz", Role.ANYONE, self._readyz),
-            *target_routes(self._announced, self._reported),
+            *target_routes(self._announced, self._reported, self._owner_address),
             *service_routes(
                 self.settings, self.control, self._clock, self._services, self.submit
             ),
@@ -245,6 +245,10 @@
         message = Reported(report, raw)
         return cast(list[list[str | int]], self._ask(message) or [])
 
+    def _owner_address(self, target_id: str) -> str:
+        owner = self._core.table.owner_of(target_id)
+        return owner.http_address if owner is not None else ""
+
     def _healthz(self, _request: HttpRequest) -> HttpResponse:
         return HttpResponse(200, b"live\n", (("Content-Type", "text/plain"),))
 
--- a/packages/foxspring-entry/foxspring_entry/_heartbeats.py
+++ b/packages/foxspring-entry/foxspring_entry/_heartbeats.py
@@ -1,10 +1,9 @@
-"""What an entry sends at a steady pace: heartbeats, load figures, usage."""
+"""What an entry sends at a steady pace: heartbeats and load figures."""
 
-from foxspring_model import EntryHeartbeat, EntryInfo, EntryLoad, UsageSample
+from foxspring_model import EntryHeartbeat, EntryInfo, EntryLoad
 
 from foxspring_entry._settings import EntrySettings
 
-USAGE_INTERVAL_MS = 1_000
 LOAD_REFRESH_MS = 600
 _NEVER_MS = -1_000_000
 
@@ -78,18 +77,3 @@
             return False
         self._last, self._sent_ms = services, now_ms
         return True
-
-
-class UsageSamples:
-    """Measurements of targets on their way to the leader."""
-
-    def __init__(self) -> None:
-        self.pace = Pace(USAGE_INTERVAL_MS)
-        self.waiting: list[UsageSample] = []
-
-    def take_due(self, now_ms: int) -> tuple[UsageSample, ...]:
-        """Return the samples to send now; empty if none are due."""
-        if not self.waiting or not self.pace.is_due(now_ms):
-            return ()
-        samples, self.waiting = tuple(self.waiting), []
-        return samples
--- a/packages/foxspring-entry/foxspring_entry/_intake.py
+++ b/packages/foxspring-entry/foxspring_entry/_intake.py
@@ -8,11 +8,11 @@
 )
 
 from foxspring_entry._effects import Effects, SendMessage
-from foxspring_entry._heartbeats import UsageSamples
 from foxspring_entry._messages import ReportAcks
 from foxspring_entry._owner_targets import OwnerTargets
 from foxspring_entry._ownership import OwnershipTable
 from foxspring_entry._reports import decode_report, target_info, usage_sample
+from foxspring_entry._usage_samples import UsageSamples
 
 Acked = list[list[str | int]]
 
@@ -21,12 +21,17 @@
     """Takes what any target posts here, whoever owns it."""
 
     def __init__(
-        self, entry_id: str, table: OwnershipTable, targets: OwnerTargets, every_ms: int
+        self,
+        entry_id: str,
+        incarnation: int,
+        table: OwnershipTable,
+        targets: OwnerTargets,
+        every_ms: int,
     ) -> None:
         self.entry_id = entry_id
         self.table = table
         self.targets = targets
-        self.usage = UsageSamples()
+        self.usage = UsageSamples(incarnation)
         self._seen_interval_ms = every_ms
         self._seen: dict[str, tuple[AnnounceBody, int]] = {}
         self._acks: dict[str, Acked] = {}
@@ -78,9 +83,10 @@
         """Drop what is kept of targets that the table does not have."""
         for target_id in self._seen.keys() - self.table.targets.keys():
             del self._seen[target_id]
+        self.usage.keep_only(set(self.table.targets))
 
     def _take(self, report: ReportBody, now_ms: int) -> Acked:
         newer, acked = self.targets.report(report, now_ms)
         if newer:
-            self.usage.waiting.append(usage_sample(report))
+            self.usage.add(usage_sample(report))
         return acked
--- a/packages/foxspring-entry/foxspring_entry/_target_routes.py
+++ b/packages/foxspring-entry/foxspring_entry/_target_routes.py
@@ -19,11 +19,17 @@
 _JSON = (("Content-Type", "application/json"),)
 
 OnAnnounce = Callable[[AnnounceBody], None]
+OwnerOf = Callable[[str], str]
 OnReport = Callable[[ReportBody, bytes], list[list[str | int]]]
 
 
-def target_routes(on_announce: OnAnnounce, on_report: OnReport) -> Sequence[Route]:
-    """Return the routes; the functions get checked bodies."""
+def target_routes(
+    on_announce: OnAnnounce, on_report: OnReport, owner_of: OwnerOf
+) -> Sequence[Route]:
+    """Return the routes; the functions get checked bodies.
+
+    ``owner_of`` gives the HTTP address of a target's owner, or ``""``.
+    """
 
     def announce(request: HttpRequest) -> HttpResponse:
         try:
@@ -44,6 +50,9 @@
         if body["target_id"] != name:
             return malformed("target_id differs from the one in the path")
         answer = ReportAnswerBody(acked=on_report(body, request.body))
+        owner = owner_of(name)
+        if owner:
+            answer["owner"] = owner
         return HttpResponse(200, msgspec.json.encode(answer), _JSON)
 
     return (
--- /dev/null
+++ b/packages/foxspring-entry/foxspring_entry/_usage_samples.py
@@ -0,0 +1,72 @@
+"""Measurements of targets on their way to the leader, without what it has."""
+
+from typing import NamedTuple
+
+from foxspring_model import UsageSample
+
+from foxspring_entry._heartbeats import Pace
+
+USAGE_INTERVAL_MS = 1_000
+_WHOLE_EVERY = 30
+
+
+class _Sent(NamedTuple):
+    incarnation: int
+    running: tuple[tuple[str, int], ...]
+    version: int
+    left_out: int
+
+
+class UsageSamples:
+    """Collects samples and leaves out lists of tasks that have not changed.
+
+    A list is sent whole when it changes, now and then, and to a new leader.
+    ``first_version`` must grow with each life of the entry.
+    """
+
+    def __init__(self, first_version: int) -> None:
+        self.pace = Pace(USAGE_INTERVAL_MS)
+        self.waiting: list[UsageSample] = []
+        self._version = first_version
+        self._sent: dict[str, _Sent] = {}
+        self._leader = ""
+
+    def add(self, sample: UsageSample) -> None:
+        """Keep a sample until it is due."""
+        self.waiting.append(sample)
+
+    def take_due(self, leader: str, now_ms: int) -> tuple[UsageSample, ...]:
+        """Return the samples to send to ``leader`` now; empty if none are due."""
+        if not self.waiting or not self.pace.is_due(now_ms):
+            return ()
+        if leader != self._leader:
+            self._leader = leader
+            self._sent.clear()
+        samples, self.waiting = self.waiting, []
+        return tuple(self._without_known(sample) for sample in samples)
+
+    def keep_only(self, target_ids: set[str]) -> None:
+        """Forget what was sent of other targets."""
+        for target_id in self._sent.keys() - target_ids:
+            del self._sent[target_id]
+
+    def _without_known(self, sample: UsageSample) -> UsageSample:
+        sent = self._sent.get(sample.target_id)
+        if sent is not None and _is_known(sent, sample):
+            self._sent[sample.target_id] = sent._replace(left_out=sent.left_out + 1)
+            return sample._replace(
+                running=(),
+                task_usage=(),
+                running_version=sent.version,
+                has_running=False,
+            )
+        self._version += 1
+        self._sent[sample.target_id] = _Sent(
+            sample.incarnation, sample.running, self._version, 0
+        )
+        return sample._replace(running_version=self._version)
+
+
+def _is_known(sent: _Sent, sample: UsageSample) -> bool:
+    same = sent.incarnation == sample.incarnation and sent.running == sample.running
+    return same and sent.left_out < _WHOLE_EVERY
--- a/packages/foxspring-link/foxspring_link/_link.py
+++ b/packages/foxspring-link/foxspring_link/_link.py
@@ -1,8 +1,9 @@
 """One-way message links between processes over pynng push and pull sockets.
 
 Every process listens on one pull socket and dials one push socket a peer.
-A peer that answers no ping within the silence limit is dialled anew, because
-something between the two ends may have lost track of the old connection.
+A peer that has not been heard for a ping interval is asked for a sign of life; one
+that stays silent for the silence limit is dialled anew, because something between
+the two ends may have lost track of the old connection.
 """
 
 import logging
@@ -212,6 +213,8 @@
         now = self._clock.monotonic_ms()
         if now - peer.heard_ms > self._settings.silence_limit_ms:
             self._redial(peer)
+        if now - peer.heard_ms < self._settings.ping_interval_ms:
+            return
         peer.ping_id += 1
         self.send(peer.address, LinkPing(peer.ping_id))
 
--- a/packages/foxspring-model/foxspring_model/_messages.py
+++ b/packages/foxspring-model/foxspring_model/_messages.py
@@ -185,6 +185,10 @@
     p99 in microseconds and the request count; ``running`` the task ids with
     their epochs when it was taken. ``task_usage`` holds task id, thousandths of
     a core and mebibytes of what each task used; it may be empty.
+
+    ``running_version`` counts the changes of ``running`` at the entry that sends
+    it. Without ``has_running`` both lists are left out and are as in the entry's
+    last sample of that version.
     """
 
     target_id: str
@@ -195,6 +199,8 @@
     latencies: tuple[tuple[str, int, int, int], ...]
     running: tuple[tuple[str, int], ...]
     task_usage: tuple[tuple[str, int, int], ...] = ()
+    running_version: int = 0
+    has_running: bool = True
 
 
 class UsageBatch(NamedTuple):
--- a/packages/foxspring-model/foxspring_model/_platform.py
+++ b/packages/foxspring-model/foxspring_model/_platform.py
@@ -78,9 +78,14 @@
 
 
 class ReportAnswerBody(TypedDict):
-    """The answer to a report: ended tasks the target may forget."""
+    """The answer to a report: ended tasks the target may forget.
+
+    ``owner`` is the address of the entry that owns the target, if there is one;
+    a target that sends its next reports there spares their being passed on.
+    """
 
     acked: list[list[str | int]]
+    owner: NotRequired[str]
 
 
 class StartTaskBody(TypedDict):
--- a/packages/foxspring-testing/foxspring_testing/_announcer.py
+++ b/packages/foxspring-testing/foxspring_testing/_announcer.py
@@ -22,7 +22,10 @@
 
 
 class Announcer:
-    """Posts announcements and reports to a list of entries in turn.
+    """Posts announcements to a list of entries in turn, reports to the owner.
+
+    A report goes to the owner that the last answer named, if that is one of the
+    entries, and to the next entry in turn if it does not answer.
 
     ``on_answer`` is given the answer of each report; what the functions return
     is posted, and nothing is when ``silent`` says so.
@@ -50,6 +53,7 @@
         self._stopping = threading.Event()
         self._pool = urllib3.PoolManager(num_pools=16, maxsize=4, retries=False)
         self._turn = 0
+        self._owner = ""
         self._threads = [
             threading.Thread(
                 target=self._repeat, args=(step, every_ms), daemon=True, name=name
@@ -87,32 +91,45 @@
     def _post_report(self) -> None:
         report = self._report()
         path = f"/v1/targets/{report['target_id']}/report"
-        answer = self._post(path, msgspec.json.encode(report))
-        if answer:
-            self._on_answer(msgspec.json.decode(answer, type=ReportAnswerBody))
+        body = msgspec.json.encode(report)
+        answer = self._post_to(self._owner, path, body) if self._owner else b""
+        answer = answer or self._post(path, body)
+        self._owner = ""
+        if not answer:
+            return
+        read = msgspec.json.decode(answer, type=ReportAnswerBody)
+        owner = read.get("owner", "")
+        self._owner = owner if owner in self.entries else ""
+        self._on_answer(read)
 
     def _post(self, path: str, body: bytes) -> bytes:
         """Return the first good answer of the entries; empty if there is none."""
         for _ in self.entries:
             self._turn += 1
             entry = self.entries[self._turn % len(self.entries)]
-            try:
-                answer = self._pool.request(
-                    "POST",
-                    f"http://{entry}{path}",
-                    body=body,
-                    headers=self._headers,
-                    timeout=_TIMEOUT,
-                )
-            except urllib3.exceptions.HTTPError:
-                continue
-            if answer.status < 300:
-                return answer.data
-            _LOG.warning(
-                "event=post_refused entry=%s path=%s status=%d reason=%r",
-                entry,
-                path,
-                answer.status,
-                answer.data[:200].decode("utf-8", "replace"),
+            answer = self._post_to(entry, path, body)
+            if answer:
+                return answer
+        return b""
+
+    def _post_to(self, entry: str, path: str, body: bytes) -> bytes:
+        try:
+            answer = self._pool.request(
+                "POST",
+                f"http://{entry}{path}",
+                body=body,
+                headers=self._headers,
+                timeout=_TIMEOUT,
             )
+        except urllib3.exceptions.HTTPError:
+            return b""
+        if answer.status < 300:
+            return answer.data
+        _LOG.warning(
+            "event=post_refused entry=%s path=%s status=%d reason=%r",
+            entry,
+            path,
+            answer.status,
+            answer.data[:200].decode("utf-8", "replace"),
+        )
         return b""
--- /dev/null
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_usage_samples.py
@@ -0,0 +1,58 @@
+"""Lists of running tasks are left out only where the leader has them."""
+
+import random
+import unittest
+
+from foxspring_control.service._running_lists import RunningLists
+from foxspring_entry._usage_samples import USAGE_INTERVAL_MS, UsageSamples
+from foxspring_model import UsageBatch, UsageSample
+
+_STEPS = 2_000
+_TASKS = 200
+
+
+def _sample(target_id: str, measured_ms: int, running: list[int]) -> UsageSample:
+    tasks = tuple((f"job/{number}", 1) for number in running)
+    usage = tuple((task_id, 1, 1) for task_id, _ in tasks)
+    return UsageSample(target_id, 1, measured_ms, 0, 0, (), tasks, usage)
+
+
+class UsageSamplesTest(unittest.TestCase):
+    def test_the_leader_never_takes_a_wrong_list(self) -> None:
+        rng = random.Random(11)
+        entry, leaders = UsageSamples(1_000), [RunningLists(), RunningLists()]
+        running = list(range(_TASKS))
+        sent, whole, learnt = 0, 0, 0
+        for step in range(_STEPS):
+            if rng.random() < 0.05:
+                running[rng.randrange(_TASKS)] = step + _TASKS
+            expected = _sample("target-1", step, running)
+            entry.add(expected)
+            leader = step // 500 % 2
+            samples = entry.take_due(f"leader-{leader}", step * USAGE_INTERVAL_MS)
+            sent += len(samples)
+            whole += sum(sample.has_running for sample in samples)
+            if rng.random() < 0.1:
+                continue
+            batch = leaders[leader].completed(UsageBatch("entry-1", samples))
+            learnt += len(batch.samples)
+            for sample in batch.samples:
+                self.assertEqual(sample.running, expected.running)
+        self.assertEqual(sent, _STEPS)
+        self.assertLess(whole, _STEPS // 5)
+        self.assertGreater(learnt, _STEPS // 2)
+
+    def test_another_entrys_list_is_not_used(self) -> None:
+        lists = RunningLists()
+        whole = _sample("target-1", 1, [1])._replace(running_version=5)
+        lists.completed(UsageBatch("entry-1", (whole,)))
+        bare = whole._replace(running=(), has_running=False)
+        for entry_id, version, expected in (
+            ("entry-1", 5, 1),
+            ("entry-2", 5, 0),
+            ("entry-1", 6, 0),
+        ):
+            with self.subTest(entry=entry_id, version=version):
+                sample = bare._replace(running_version=version)
+                batch = lists.completed(UsageBatch(entry_id, (sample,)))
+                self.assertEqual(len(batch.samples), expected)
