--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -91,12 +91,17 @@
             self.loads,
             RetryBudget(settings.retry_budget_percent),
             settings.max_attempts,
+            self.requests.free_and_queued,
             rng,
         )
         self.heartbeats = Heartbeats(settings)
         self.load_reports = LoadReports(settings)
         self.intake = Intake(
-            settings.entry_id, self.table, self.targets, settings.seen_interval_ms
+            settings.entry_id,
+            settings.incarnation,
+            self.table,
+            self.targets,
+            settings.seen_interval_ms,
         )
 
     def is_ready(self, now_ms: int) -> bool:
@@ -374,7 +379,7 @@
         ]
 
     def _usage(self, now_ms: int) -> Effects:
-        samples = self.intake.usage.take_due(now_ms)
+        samples = self.intake.usage.take_due(self.lease.leader_address, now_ms)
         if not samples:
             return []
         return self._to_leader(UsageBatch(self.info.entry_id, samples))
--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -170,14 +170,14 @@
         """Return the entry's status now."""
         return cast(EntryStatus, self._ask(AskStatus()))
 
-    def link_figures(self) -> LinkFigures:
-        """Return what the links to other daemons have carried."""
-        return self._link.figures()
-
     def serving(self, service: str) -> tuple[str, ...]:
         """Return the targets that may get new requests of a service."""
         return self._core.table.serving(service)
 
+    def link_figures(self) -> LinkFigures:
+        """Return what the links to other daemons have carried."""
+        return self._link.figures()
+
     def submit(self, relay: RelayRequest) -> tuple[Outcome, str]:
         """Run a request and return its outcome and the target that ran it."""
         reply: Future[CallerReply] = Future()
@@ -228,7 +228,7 @@
         return [
             Route("GET", "/healthz", Role.ANYONE, self._healthz),
             Route("GET", "/readyz", Role.ANYONE, self._readyz),
-            *target_routes(self._announced, self._reported),
+            *target_routes(self._announced, self._reported, self._owner_address),
             *service_routes(
                 self.settings, self.control, self._clock, self._services, self.submit
             ),
@@ -245,6 +245,10 @@
         message = Reported(report, raw)
         return cast(list[list[str | int]], self._ask(message) or [])
 
+    def _owner_address(self, target_id: str) -> str:
+        owner = self._core.table.owner_of(target_id)
+        return owner.http_address if owner is not None else ""
+
     def _healthz(self, _request: HttpRequest) -> HttpResponse:
         return HttpResponse(200, b"live\n", (("Content-Type", "text/plain"),))
 
