Let the caller's thread send the request; complete keys by their claim

Cause: a request changed threads five times, each a wait for the interpreter. Change: the waiting thread sends what this entry owns; the actor's inbox and the workers' queue are light ones; completions carry the claim's id.

--- a/packages/foxspring-entry/foxspring_entry/_actor.py
+++ b/packages/foxspring-entry/foxspring_entry/_actor.py
@@ -3,13 +3,13 @@
 import logging
 import queue
 import threading
-from concurrent.futures import Future
 from typing import Any, NamedTuple
 
 import pykka
 from foxspring_link import Link, SendResult
-from foxspring_model import AnnounceBody, Clock, Outcome, RelayRequest, ReportBody
+from foxspring_model import AnnounceBody, Clock, RelayRequest, ReportBody
 
+from foxspring_entry._caller_wait import CallerReply, CallerWait
 from foxspring_entry._core import EntryCore
 from foxspring_entry._effects import (
     AbortRequest,
@@ -30,18 +30,11 @@
 _LOG = logging.getLogger(__name__)
 
 
-class CallerReply(NamedTuple):
-    """The final outcome of a caller's request and the target that ran it."""
-
-    outcome: Outcome
-    target_id: str
-
-
 class Submit(NamedTuple):
-    """A caller's request; ``reply`` gets its :class:`CallerReply`."""
+    """A caller's request; ``wait`` gets its outcome."""
 
     relay: RelayRequest
-    reply: "Future[CallerReply]"
+    wait: CallerWait
 
 
 class Received(NamedTuple):
@@ -99,6 +92,11 @@
 
     use_daemon_thread = True
 
+    @staticmethod
+    def _create_actor_inbox() -> Any:
+        # pykka's own inbox takes several locks for each message.
+        return queue.SimpleQueue()
+
     def __init__(
         self, core: EntryCore, link: Link, client: TargetClient, clock: Clock
     ) -> None:
@@ -107,7 +105,7 @@
         self._link = link
         self._client = client
         self._clock = clock
-        self._replies: dict[str, tuple[Future[CallerReply], int]] = {}
+        self._waits: dict[str, tuple[CallerWait, int]] = {}
         self.counters = OutcomeCounters()
 
     def on_receive(self, message: Any) -> Any:
@@ -127,8 +125,8 @@
                 self._do(self.core.request_done(hold_id, result, now_ms))
             case CallDone(call_id, answer):
                 self._do(self.core.call_done(call_id, answer, now_ms))
-            case Submit(relay, reply):
-                self._replies[relay.request_id] = (reply, now_ms)
+            case Submit(relay, wait):
+                self._waits[relay.request_id] = (wait, now_ms)
                 self._do(self.core.submit(relay, now_ms))
             case Tick():
                 self._do(self.core.tick(now_ms))
@@ -164,7 +162,7 @@
             case ReplyToCaller():
                 self._reply(effect)
             case SendRequest():
-                self._client.send(effect)
+                self._send_request(effect)
             case CallTarget():
                 self._client.call(effect)
             case AbortRequest(hold_id):
@@ -181,14 +179,19 @@
         return self.core.not_sent(message, self._clock.monotonic_ms())
 
     def _reply(self, effect: ReplyToCaller) -> None:
-        waiting = self._replies.pop(effect.request_id, None)
+        waiting = self._waits.pop(effect.request_id, None)
         if waiting is None:
             return
-        reply, begun_ms = waiting
+        wait, begun_ms = waiting
         reason = str(getattr(effect.outcome, "reason", ""))
         took_ms = self._clock.monotonic_ms() - begun_ms
         self.counters.note(str(effect.outcome.verdict), reason, took_ms)
-        reply.set_result(CallerReply(effect.outcome, effect.target_id))
+        wait.offer(CallerReply(effect.outcome, effect.target_id))
+
+    def _send_request(self, effect: SendRequest) -> None:
+        waiting = self._waits.get(effect.relay.request_id)
+        if waiting is None or not waiting[0].offer(effect):
+            self._client.send(effect)
 
 
 class Ticker:
--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -4,13 +4,12 @@
 import random
 import threading
 from collections.abc import Callable, Mapping, Sequence
-from concurrent.futures import Future
-from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any, cast
 
 from foxspring_link import Codec, Link, LinkFigures, SendResult
 from foxspring_model import (
     AnnounceBody,
+    Answered,
     Clock,
     Configuration,
     EntryLeaseGrant,
@@ -29,7 +28,6 @@
     AskStatus,
     BeginDrain,
     CallDone,
-    CallerReply,
     EntryActor,
     IsIdle,
     Received,
@@ -38,6 +36,7 @@
     Submit,
     Ticker,
 )
+from foxspring_entry._caller_wait import CallerReply, CallerWait
 from foxspring_entry._control_client import ControlClient
 from foxspring_entry._core import EntryCore
 from foxspring_entry._front import Front
@@ -180,15 +179,17 @@
 
     def submit(self, relay: RelayRequest) -> tuple[Outcome, str]:
         """Run a request and return its outcome and the target that ran it."""
-        reply: Future[CallerReply] = Future()
-        self._actor.tell(Submit(relay, reply))
-        try:
-            limit_s = (relay.remaining_ms + _REPLY_GRACE_MS) / _MS_PER_S
-            answered = reply.result(timeout=limit_s)
-        except FutureTimeoutError:
-            _LOG.error("event=reply_overdue request=%s", relay.request_id)
-            return Uncertain("the entry did not decide in time"), ""
-        return answered.outcome, answered.target_id
+        wait = CallerWait()
+        self._actor.tell(Submit(relay, wait))
+        limit_s = (relay.remaining_ms + _REPLY_GRACE_MS) / _MS_PER_S
+        while (item := wait.next(limit_s)) is not None:
+            if isinstance(item, CallerReply):
+                return item.outcome, item.target_id
+            outcome = self._client.send_here(item)
+            if isinstance(outcome, Answered):
+                return outcome, item.target_id
+        _LOG.error("event=reply_overdue request=%s", relay.request_id)
+        return Uncertain("the entry did not decide in time"), ""
 
     def _start_actor(self) -> None:
         core = EntryCore(
--- a/packages/foxspring-entry/foxspring_entry/_front.py
+++ b/packages/foxspring-entry/foxspring_entry/_front.py
@@ -16,6 +16,7 @@
 from foxspring_entry._responses import error_response, malformed
 from foxspring_entry._settings import EntrySettings
 from foxspring_entry._tokens import TokenBook
+from foxspring_entry._worker_threads import WorkerThreads
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 512
@@ -58,6 +59,7 @@
             timeout=settings.keep_alive_ms // 1_000,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         )
+        self._server.requests = WorkerThreads(self._server, settings.worker_threads)
         heads = threading.BoundedSemaphore(settings.unauthenticated_lane)
         self._server.ConnectionClass = connection_class(heads)
         self._server.max_request_header_size = settings.max_header_bytes
--- a/packages/foxspring-entry/foxspring_entry/_keys.py
+++ b/packages/foxspring-entry/foxspring_entry/_keys.py
@@ -152,6 +152,7 @@
         answered.status,
         answered.headers,
         answered.body,
+        keyed.relay.request_id,
     )
     remaining_ms = max(_POLL_MS, keyed.deadline_ms - clock.monotonic_ms())
     if not isinstance(control.propose(command, remaining_ms), Applied):
--- a/packages/foxspring-entry/foxspring_entry/_target_client.py
+++ b/packages/foxspring-entry/foxspring_entry/_target_client.py
@@ -10,6 +10,7 @@
     HEADER_REQUEST_ID,
     Answered,
     Clock,
+    Outcome,
     RefusalReason,
     Refused,
     Uncertain,
@@ -61,7 +62,17 @@
 
     def send(self, effect: SendRequest) -> None:
         """Send a request; its outcome goes to ``on_request_done``."""
-        self._threads.submit(self._send, effect)
+        self._threads.submit(self.send_here, effect)
+
+    def send_here(self, effect: SendRequest) -> Outcome:
+        """Send a request on this thread; also return its outcome."""
+        try:
+            result = self._request(effect)
+        except Exception as error:
+            _LOG.exception("event=send_failed target=%s", effect.target_id)
+            result = TargetOutcome(Uncertain(str(error)))
+        self._on_request_done(effect.hold_id, result)
+        return result.outcome
 
     def call(self, effect: CallTarget) -> None:
         """Make a call of the platform contract; see ``on_call_done``."""
@@ -77,14 +88,6 @@
         self.pool.close()
         self._guard.close()
 
-    def _send(self, effect: SendRequest) -> None:
-        try:
-            result = self._request(effect)
-        except Exception as error:
-            _LOG.exception("event=send_failed target=%s", effect.target_id)
-            result = TargetOutcome(Uncertain(str(error)))
-        self._on_request_done(effect.hold_id, result)
-
     def _request(self, effect: SendRequest) -> TargetOutcome:
         try:
             connection = self.pool.take(effect.address)
