--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -6,6 +6,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 from foxspring_model import Clock
@@ -38,6 +39,7 @@
 
 MAX_BATCH_EVENTS = 512
 MAX_WAIT_MS = 1_000
+MAX_BODY_BYTES = 16 * 1024 * 1024
 EXIT_STORAGE_FAILED = 74
 
 
@@ -86,6 +88,7 @@
         self._lock = threading.Lock()
         self._closed = False
         self._runtime: Runtime | None = None
+        self._aside = ThreadPoolExecutor(1, f"raft-snapshot-{settings.member_id}")
         self._thread = threading.Thread(
             target=self._run, name=f"raft-{settings.member_id}", daemon=True
         )
@@ -107,6 +110,7 @@
             self._send,
             self.clock,
             self._on_leadership,
+            self._run_aside,
         )
         runtime.waiting = self._waiting
         self._runtime = runtime
@@ -124,6 +128,7 @@
         self._inbox.put(None)
         if self._thread.is_alive() and threading.current_thread() != self._thread:
             self._thread.join()
+        self._aside.shutdown()
         self._storage.close()
 
     def receive(self, sender_address: str, message: Any) -> None:
@@ -131,7 +136,19 @@
         self._inbox.put(Received(sender_address, message))
 
     def propose(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
-        """Append an entry and call back once it is applied here, or not."""
+        """Append an entry and call back once it is applied here, or not.
+
+        With ``max_pending`` callers waiting the answer is ``not_leader``, on
+        the calling thread: try again later.
+
+        Raises:
+            ValueError: ``body`` is over ``MAX_BODY_BYTES``; split the command.
+        """
+        if len(body) > MAX_BODY_BYTES:
+            raise ValueError(
+                f"a {kind} of {len(body)} bytes is over {MAX_BODY_BYTES}; "
+                "split it into several commands"
+            )
         at_ms = self.clock.wall_ms()
         self._ask(on_done, lambda token: Propose(token, kind, body, at_ms))
 
@@ -173,13 +190,19 @@
     def _ask(self, on_done: ProposeCallback, event: Callable[[int], Event]) -> None:
         token = next(self._tokens)
         with self._lock:
-            closed = self._closed
-            if not closed:
+            full = len(self._waiting) >= self.settings.max_pending
+            refused = self._closed or full
+            if not refused:
                 self._waiting[token] = on_done
                 self._inbox.put(event(token))
-        if closed:
+        if refused:
             on_done(ProposeOutcome("not_leader"))
 
+    def _run_aside(self, work: Callable[[], int]) -> "Future[int]":
+        future = self._aside.submit(work)
+        future.add_done_callback(lambda done: self._inbox.put(Tick()))
+        return future
+
     def _run(self) -> None:
         runtime = self._runtime
         if runtime is None:
--- a/packages/foxspring-control/foxspring_control/service/_leader.py
+++ b/packages/foxspring-control/foxspring_control/service/_leader.py
@@ -65,6 +65,7 @@
         self.tasks = TaskKeeper(
             settings, self.view, self.proposer, send, scheduler, now_ms
         )
+        self._next_fleet_ms = now_ms
         self.members = MemberChanges(log, self.proposer, send)
         self._handlers: dict[type, Callable[[str, Any, int], None]] = {
             EntryHeartbeat: self.entries.heartbeat,
@@ -90,10 +91,15 @@
             self.entries.push_changes(now_ms)
 
     def tick(self) -> None:
-        """Do what is due."""
+        """Do what is due, unless another leader may have been elected."""
+        if not self.log.status().lease_valid:
+            return
         now_ms = self.clock.monotonic_ms()
-        self.targets.tick(now_ms)
-        self.entries.tick(self.targets.silent(now_ms), now_ms)
+        if now_ms >= self._next_fleet_ms:
+            self._next_fleet_ms = now_ms + self.settings.fleet_interval_ms
+            self.targets.tick(now_ms)
+            self.tasks.set_suspects(self.targets.suspect(now_ms))
+            self.entries.tick(self.targets.silent(now_ms), now_ms)
         self.tasks.tick(now_ms)
 
     def _usage(self, _: str, batch: UsageBatch, now_ms: int) -> None:
