Redial a connection that the other end hears nothing from

Cause: a link judged its outgoing connection by what came in. When the connections of both directions fell silent and one end redialled first, the other heard its pings, kept its own silent connection for good, and the first redialled for ever: silencing all connections of a site left no entry ready for over 60 s. Change: a ping says for how long its sender has heard nothing (LinkPing gains unheard_ms); the other end then redials its own connection to it. Conclusion: no more pings than before; both directions recover by themselves.

--- a/packages/foxspring-link/foxspring_link/_link.py
+++ b/packages/foxspring-link/foxspring_link/_link.py
@@ -60,6 +60,7 @@
         self.address = address
         self.socket: Any = None
         self.heard_ms = 0
+        self.dialled_ms = 0
         self.ping_id = 0
 
 
@@ -153,14 +154,18 @@
         self._socket.close()
 
     def _dial(self, address: str) -> _Peer:
-        peer = self._peers.get(address) or _Peer(address)
+        now = self._clock.monotonic_ms()
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = _Peer(address)
+            peer.heard_ms = now
+        peer.dialled_ms = now
         peer.socket = pynng.Push0(
             send_buffer_size=self._settings.send_queue,
             reconnect_time_min=50,
             reconnect_time_max=1_000,
         )
         peer.socket.dial(f"tcp://{address}", block=False)
-        peer.heard_ms = self._clock.monotonic_ms()
         self._peers[address] = peer
         return peer
 
@@ -183,6 +188,7 @@
             return
         self._note_heard(sender)
         if isinstance(message, LinkPing):
+            self._redial_if_unheard(sender, message.unheard_ms)
             self.send(sender, LinkPong(message.ping_id))
             return
         if isinstance(message, LinkPong):
@@ -211,12 +217,24 @@
 
     def _probe(self, peer: _Peer) -> None:
         now = self._clock.monotonic_ms()
-        if now - peer.heard_ms > self._settings.silence_limit_ms:
+        unheard_ms = now - peer.heard_ms
+        if now - max(peer.heard_ms, peer.dialled_ms) > self._settings.silence_limit_ms:
             self._redial(peer)
-        if now - peer.heard_ms < self._settings.ping_interval_ms:
+        if unheard_ms < self._settings.ping_interval_ms:
             return
         peer.ping_id += 1
-        self.send(peer.address, LinkPing(peer.ping_id))
+        self.send(peer.address, LinkPing(peer.ping_id, unheard_ms))
+
+    def _redial_if_unheard(self, sender: str, unheard_ms: int) -> None:
+        # The sender reaches this process, but not the other way round: what it
+        # hears here says nothing of the connection that leads to it.
+        if unheard_ms <= self._settings.silence_limit_ms:
+            return
+        with self._lock:
+            peer = self._peers.get(sender)
+        since_ms = self._clock.monotonic_ms() - self._settings.silence_limit_ms
+        if peer is not None and peer.dialled_ms < since_ms:
+            self._redial(peer)
 
     def _redial(self, peer: _Peer) -> None:
         with self._lock:
