--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -4,6 +4,7 @@
     accept_leader,
     commit_if_quorum,
     flush,
+    note_silence,
     on_append_entries,
     on_append_reply,
     refuses_as_emptied,
@@ -23,6 +24,7 @@
     Flush,
     Propose,
     ReadBarrier,
+    ReadReady,
     Received,
     RemoveMember,
     SnapshotStored,
@@ -47,13 +49,13 @@
     TimeoutNow,
     VoteReply,
 )
-from foxspring_control.raft._sending_snapshots import (
+from foxspring_control.raft._proposals import on_propose
+from foxspring_control.raft._snapshots import (
     on_snapshot_reply,
     on_snapshot_stored,
     take_chunk,
 )
 from foxspring_control.raft._state import RaftState, Role
-from foxspring_control.raft._writing import on_propose
 
 
 def step(state: RaftState, event: Event, now_ms: int) -> tuple[RaftState, list[Effect]]:
@@ -111,6 +113,7 @@
     for progress in state.progress.values():
         if now_ms >= progress.heartbeat_ms + state.settings.heartbeat_ms:
             progress.heartbeat_due = True
+            note_silence(state, progress, now_ms)
     promote_learner(state, now_ms)
 
 
@@ -162,7 +165,7 @@
 
 def _on_read_barrier(state: RaftState, event: ReadBarrier, now_ms: int) -> None:
     if state.announced and state.lease_valid(now_ms):
-        state.emit(Answer(event.token, "applied", state.member_id))
+        state.emit(ReadReady(event.token))
         return
     other = "" if state.leader_id == state.member_id else state.leader_id
     state.emit(Answer(event.token, "not_leader", other))
--- a/packages/foxspring-control/foxspring_control/service/_task_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -1,13 +1,14 @@
 """Tasks: what the scheduler decides, and what owners are told and tell."""
 
 import logging
-from collections.abc import Iterator
 
 from foxspring_model import (
     ENDED_STATES,
     EvictTasks,
     PlaceTasks,
     RecordTaskEvents,
+    Task,
+    TaskEvent,
     TaskEvents,
     TaskEventsAck,
     TaskState,
@@ -17,12 +18,14 @@
 
 from foxspring_control._replication import ProposeOutcome
 from foxspring_control.service._duties import Duties, duty_of
+from foxspring_control.service._end_proof import judge_end
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._proposer import Proposer
 from foxspring_control.service._replica_updates import next_replacements
 from foxspring_control.service._running_check import RunningCheck
 from foxspring_control.service._scheduling import SchedulerHandle
 from foxspring_control.service._settings import ServiceSettings
+from foxspring_control.service._task_loading import TaskLoading
 from foxspring_control.service._view import LeaderView
 from foxspring_control.state import (
     ControlState,
@@ -34,13 +37,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-_OPEN_STATES = (
-    TaskState.STARTING,
-    TaskState.RUNNING,
-    TaskState.STOPPING,
-    TaskState.QUEUED,
-)
-
 
 class TaskKeeper:
     """Feeds the scheduler, proposes its decisions and carries them to owners."""
@@ -61,10 +57,12 @@
         self.scheduler = scheduler
         self.duties = Duties()
         self.running_check = RunningCheck(settings.unconfirmed_ms)
+        self._suspects: frozenset[str] = frozenset()
         self._replicas_outdated = True
         self._next_replica_check_ms = now_ms
         self._proposal_number = 0
-        self._load(now_ms)
+        self._loading = TaskLoading(settings.load_page_tasks)
+        self._load_site()
 
     @property
     def state(self) -> ControlState:
@@ -82,20 +80,32 @@
             for task_id in changes.tasks:
                 self._take_task(tables, task_id, now_ms)
             for target_id in self.view.take_owner_changed():
-                self.running_check.begin(target_id, now_ms)
+                self.running_check.begin(target_id)
                 for record in tables.tasks.on_target(target_id):
                     self._set_duty(tables, record)
 
+    def is_loaded(self) -> bool:
+        """Tell whether every task is known, so that decisions are taken."""
+        return self._loading.done
+
+    def set_suspects(self, suspects: frozenset[str]) -> None:
+        """Keep new tasks off targets that have not been heard of late."""
+        changed, self._suspects = self._suspects ^ suspects, suspects
+        for target_id in changed:
+            self._take_target(target_id)
+
     def events(self, sender: str, batch: TaskEvents) -> None:
         """Commit what an owner learnt, then acknowledge it."""
-        command = RecordTaskEvents(batch.events, batch.entry_id)
+        with self.state.reading() as tables:
+            events = tuple(self._judged(tables, event) for event in batch.events)
+        command = RecordTaskEvents(events, batch.entry_id)
 
         def done(outcome: ProposeOutcome) -> None:
             if outcome.status != "applied":
                 return
             self.send(sender, TaskEventsAck(batch.batch_id))
-            self._note_refusals(batch)
 
+        self._note_refusals(batch)
         self.proposer.propose(f"events/{batch.batch_id}", command, done)
 
     def usage(self, batch: UsageBatch, now_ms: int) -> None:
@@ -107,6 +117,10 @@
 
     def tick(self, now_ms: int) -> None:
         """Propose what the scheduler decides and send open duties."""
+        if not self._loading.done:
+            self._load_page(now_ms)
+            self._send_duties(now_ms)
+            return
         decisions = self.scheduler.decide(now_ms)
         size = self.settings.placements_a_command
         for first in range(0, len(decisions.placements), size):
@@ -121,16 +135,20 @@
         if self._replicas_outdated and now_ms >= self._next_replica_check_ms:
             self._replace_replicas(now_ms)
 
-    def _load(self, now_ms: int) -> None:
+    def _load_site(self) -> None:
         with self.state.reading() as tables:
             self.scheduler.set_configuration(self.state.configuration(tables))
             for target_id in self.view.targets:
                 self._take_target(target_id)
-                self.running_check.begin(target_id, now_ms)
-            for record in _open_tasks(tables):
+                self.running_check.begin(target_id)
+        self.view.take_owner_changed()
+
+    def _load_page(self, now_ms: int) -> None:
+        """Load some tasks; nothing is decided before all are known."""
+        with self.state.reading() as tables:
+            for record in self._loading.next_page(tables):
                 self.scheduler.upsert_task(record.task, now_ms)
                 self._set_duty(tables, record)
-        self.view.take_owner_changed()
 
     def _take_target(self, target_id: str) -> None:
         record = self.view.targets.get(target_id)
@@ -138,7 +156,9 @@
             self.scheduler.remove_target(target_id)
             self.running_check.forget(target_id)
             return
-        self.scheduler.upsert_target(record.info, record.draining)
+        # Without an owner nobody could start a task there.
+        closed = record.draining or not record.owner or target_id in self._suspects
+        self.scheduler.upsert_target(record.info, closed)
 
     def _take_task(self, tables: Tables, task_id: str, now_ms: int) -> None:
         record = tables.tasks.get(task_id)
@@ -162,6 +182,13 @@
         keep = record.intent is StopIntent.REQUEUE
         self.duties.set(task.task_id, duty_of(task, spec, owner_epoch, keep))
 
+    def _judged(self, tables: Tables, event: TaskEvent) -> TaskEvent:
+        target = self.view.targets.get(event.target_id)
+        now_ms = self.proposer.clock.monotonic_ms()
+        since_ms = self.view.owner_since_ms.get(event.target_id, now_ms)
+        ended = now_ms - since_ms >= self.settings.target_leases_surely_ms()
+        return judge_end(event, tables.tasks.get(event.task_id), target, ended)
+
     def _check_running(self, sample: UsageSample, now_ms: int) -> None:
         with self.state.reading() as tables:
             placed = tables.tasks.on_target(sample.target_id)
@@ -183,10 +210,19 @@
             self._propose(EvictTasks(evictions))
 
     def _note_refusals(self, batch: TaskEvents) -> None:
+        """Tell the scheduler of refusals before the log queues their tasks.
+
+        A repeated refusal is not told: its task may be waiting again already.
+        """
+        refusals = [event for event in batch.events if event.kind == "refused"]
+        if not refusals:
+            return
         now_ms = self.proposer.clock.monotonic_ms()
-        for event in batch.events:
-            if event.kind == "refused":
-                self.scheduler.task_refused(event.task_id, event.target_id, now_ms)
+        with self.state.reading() as tables:
+            for event in refusals:
+                record = tables.tasks.get(event.task_id)
+                if record is not None and _is_offered(record.task, event):
+                    self.scheduler.task_refused(event.task_id, event.target_id, now_ms)
 
     def _send_duties(self, now_ms: int) -> None:
         due = self.duties.due(
@@ -205,6 +241,5 @@
         self.proposer.propose(f"decision/{self._proposal_number}", command)
 
 
-def _open_tasks(tables: Tables) -> Iterator[TaskRecord]:
-    for state in _OPEN_STATES:
-        yield from tables.tasks.in_state(state)
+def _is_offered(task: Task, event: TaskEvent) -> bool:
+    return task.state is TaskState.STARTING and task.epoch == event.epoch
--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -30,7 +30,7 @@
     Verdict,
 )
 
-from foxspring_entry._effects import Effects, SendMessage
+from foxspring_entry._effects import Effects, ForgetPeer, SendMessage
 from foxspring_entry._heartbeats import Heartbeats, LoadReports
 from foxspring_entry._intake import Acked, Intake
 from foxspring_entry._lease import EntryLease, renew
@@ -91,12 +91,17 @@
             self.loads,
             RetryBudget(settings.retry_budget_percent),
             settings.max_attempts,
+            self.requests.free_and_queued,
             rng,
         )
         self.heartbeats = Heartbeats(settings)
         self.load_reports = LoadReports(settings)
         self.intake = Intake(
-            settings.entry_id, self.table, self.targets, settings.seen_interval_ms
+            settings.entry_id,
+            settings.incarnation,
+            self.table,
+            self.targets,
+            settings.seen_interval_ms,
         )
 
     def is_ready(self, now_ms: int) -> bool:
@@ -258,6 +263,9 @@
             effects.extend(self._give_away(owned.info.target_id))
         if change.entries_changed:
             effects.extend(self.origin.entries_changed(now_ms))
+        for entry in change.gone:
+            self.loads.forget(entry.entry_id)
+            effects.append(ForgetPeer(entry.link_address))
         return effects
 
     def _release(self, owned: OwnedTarget) -> Effects:
@@ -371,7 +379,7 @@
         ]
 
     def _usage(self, now_ms: int) -> Effects:
-        samples = self.intake.usage.take_due(now_ms)
+        samples = self.intake.usage.take_due(self.lease.leader_address, now_ms)
         if not samples:
             return []
         return self._to_leader(UsageBatch(self.info.entry_id, samples))
