--- a/packages/foxspring-testing/foxspring_testing/_events.py
+++ b/packages/foxspring-testing/foxspring_testing/_events.py
@@ -16,11 +16,12 @@
     """One thing that happened on a target.
 
     ``kind`` is ``process_started``, ``process_ended``, ``leaving``,
-    ``staying``, ``request_started``, ``request_ended``, ``task_started`` or
-    ``task_ended``. ``run`` numbers the runs of one process. ``detail`` is a
-    request's nonce, a started task's service and an ended task's last state.
-    ``work_ms`` and ``checkpoint_ms`` are a task's progress and what it saved
-    of it; ``slots`` to ``accelerators`` are what the run holds.
+    ``staying``, ``request_started``, ``request_ended``, ``task_started``,
+    ``task_ended`` or ``task_acked`` (the system has committed its end).
+    ``run`` numbers the runs of one process. ``detail`` is a request's nonce, a
+    started task's service and an ended task's last state. ``work_ms`` and
+    ``checkpoint_ms`` are a task's progress and what it saved of it; ``slots``
+    to ``accelerators`` are what the run holds.
     """
 
     at_ms: int
--- a/packages/foxspring-testing/foxspring_testing/_site.py
+++ b/packages/foxspring-testing/foxspring_testing/_site.py
@@ -137,11 +137,21 @@
         return CallerClient(self.clock.monotonic_ms)
 
     def behave(self, target: str, **fields: Any) -> None:
-        """Change a stand-in's behaviour; names as in Behaviour."""
-        address = self.targets[target].control_address
-        self._pool.request(
-            "POST", f"http://{address}/behaviour", body=msgspec.json.encode(fields)
-        )
+        """Change a stand-in's behaviour; names as in Behaviour.
+
+        Raises:
+            NotReachedError: the stand-in does not answer.
+        """
+        url = f"http://{self.targets[target].control_address}/behaviour"
+        body = msgspec.json.encode(fields)
+
+        def changed() -> bool:
+            try:
+                return self._pool.request("POST", url, body=body).status == 200
+            except urllib3.exceptions.HTTPError:
+                return False
+
+        wait_until(changed, f"an answer of {target}; see {self.folder}")
 
     def events(self) -> list[RunEvent]:
         """Return what all targets ran, from their files."""
--- a/packages/foxspring-testing/foxspring_testing/_task_table.py
+++ b/packages/foxspring-testing/foxspring_testing/_task_table.py
@@ -105,6 +105,12 @@
                 task = self._tasks.get((str(task_id), int(epoch)))
                 if task is not None and not task.running:
                     del self._tasks[(task.task_id, task.epoch)]
+                    self._events.write(
+                        "task_acked",
+                        run=task.run,
+                        task_id=task.task_id,
+                        epoch=task.epoch,
+                    )
 
     def _begin(self, body: StartTaskBody) -> TaskRun:
         task = TaskRun(body, self._events.next_run(), self.target_ms())
