Compare the members' state only once the log is quiet

Change: the test waits for an unchanged applied index before it kills them. Conclusion: the digests are compared at one index.

--- a/packages/foxspring-testing/foxspring_testing/tests/test_site_control.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_site_control.py
@@ -1,5 +1,6 @@
 """The control group of a real site while members fail and operators race."""
 
+import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -16,6 +17,8 @@
 from foxspring_testing._site_settings import SECOND_OPERATOR_TOKEN, SiteSize
 from foxspring_testing.tests.site_case import SiteCase, a_job
 
+QUIET_S = 1.0
+
 
 class SiteControlTest(SiteCase):
     size = SiteSize(controls=3, entries=2, targets=3, proxied=True)
@@ -107,6 +110,7 @@
         self.site.wait_ready()
         self.assertEqual(before, self.revision())
         self.site.wait_targets_owned()
+        self.wait_quiet()
         for name in self.site.processes:
             self.site.kill(name)
         applied = {name: self.applied(name) for name in controls}
@@ -114,6 +118,17 @@
         self.assertGreaterEqual(len(newest), 2, applied)
         self.assertEqual(1, len({self.digest(name) for name in newest}))
 
+    def wait_quiet(self) -> None:
+        """Wait until no entry was applied for a while, so that members agree."""
+        seen = [-1]
+
+        def quiet() -> bool:
+            seen.append(int(self.operator.get("/v1/status")["applied_index"]))
+            time.sleep(QUIET_S)
+            return seen[-1] == seen[-2]
+
+        self.wait_for(quiet, "a quiet log")
+
     def digest(self, name: str) -> str:
         state = ControlState(self.site.folder / f"{name}.data", parse_configuration)
         try:
