Tell an emptied disk by its missing term, not by the first commit

Change: the first election needs every initial member's stored vote, so who has neither entries nor a term and is counted as a voter has lost its disk. Such a member stores no term. The first entry commits by a majority like any other; the special commit rule and its effect are gone. Two tests more.

--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -6,7 +6,6 @@
     AppendLog,
     Commit,
     Diagnosed,
-    SaveCommit,
     Send,
     SendEntries,
 )
@@ -86,9 +85,9 @@
     if message.term < state.term:
         _reply(state, sender, message, False, 0)
         return
-    accept_leader(state, message.term, message.leader_id, now_ms)
-    if refuses_as_emptied(state, message.to_voter, message.commit_index):
+    if refuses_as_emptied(state, message.to_voter):
         return
+    accept_leader(state, message.term, message.leader_id, now_ms)
     prev_term = state.log.term_at(message.prev_index)
     if message.prev_index < state.log.base_index:
         _reply(state, sender, message, True, state.commit_index)
@@ -111,9 +110,13 @@
     state.draw_election_due(now_ms)
 
 
-def refuses_as_emptied(state: RaftState, to_voter: bool, commit_index: int) -> bool:
-    """Tell whether this member lost its disk and must not come back as itself."""
-    emptied = to_voter and commit_index > 0 and not state.is_established()
+def refuses_as_emptied(state: RaftState, to_voter: bool) -> bool:
+    """Tell whether this member lost its disk and must not come back as itself.
+
+    Every initial member has voted, and so stored a term, before there is a
+    first leader, and a learner holds entries before it becomes a voter.
+    """
+    emptied = to_voter and not state.is_established() and state.term == 0
     if emptied and not state.refused:
         state.refused = EMPTIED_DISK
         state.emit(Diagnosed("member_refused", EMPTIED_DISK))
@@ -162,8 +165,6 @@
     """Raise the commit index and have the entries applied."""
     if commit_index <= state.commit_index:
         return
-    if state.commit_index == 0:
-        state.emit(SaveCommit())
     state.commit_index = commit_index
     state.emit(Commit(commit_index))
 
--- a/packages/foxspring-control/foxspring_control/raft/_election.py
+++ b/packages/foxspring-control/foxspring_control/raft/_election.py
@@ -86,6 +86,11 @@
     state: RaftState, sender: str, request: RequestVote, now_ms: int
 ) -> None:
     """Answer a request for a vote or a pre-vote."""
+    if not state.is_established() and not _is_founding(state, request):
+        # Storing the group's term would make an emptied disk pass for a
+        # member that took part in the founding.
+        _reply_vote(state, sender, request, granted=False)
+        return
     if _hears_leader(state, now_ms) and not request.transfer:
         # Ignoring the term too keeps a member that was cut off from
         # deposing a leader that the others still hear.
@@ -109,8 +114,6 @@
 def _grants(state: RaftState, request: RequestVote) -> bool:
     if state.refused:
         return False
-    if not state.is_established() and not _is_founding(state, request):
-        return False
     own = (state.log.last_term, state.log.last_index)
     if (request.last_term, request.last_index) < own:
         return False
@@ -136,7 +139,7 @@
 def on_vote_reply(state: RaftState, reply: VoteReply, now_ms: int) -> None:
     """Count a vote; enough of them start the election or win it."""
     if not reply.granted:
-        if reply.term > state.term:
+        if reply.term > state.term and state.is_established():
             become_follower(state, reply.term, "", now_ms)
         return
     wanted = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
--- a/packages/foxspring-control/foxspring_control/raft/_events.py
+++ b/packages/foxspring-control/foxspring_control/raft/_events.py
@@ -143,10 +143,6 @@
     commit_index: int
 
 
-class SaveCommit(NamedTuple):
-    """Store the commit index with the term and the vote."""
-
-
 class Accepted(NamedTuple):
     """The proposal of ``token`` is the entry at ``log_index``."""
 
@@ -193,7 +189,6 @@
     | StoreChunk
     | InstallSnapshot
     | Commit
-    | SaveCommit
     | Accepted
     | Answer
     | ReadReady
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -25,7 +25,6 @@
     LeaderChanged,
     ReadReady,
     Received,
-    SaveCommit,
     Send,
     SendChunk,
     SendEntries,
@@ -134,29 +133,26 @@
 
     def _persist(self, effects: list[Effect]) -> None:
         pending: list[LogEntry] = []
-        force = False
         for effect in effects:
             match effect:
                 case AppendLog():
                     pending += effect.entries
-                case SaveCommit():
-                    force = True
                 case StoreChunk():
                     self.storage.store_chunk(effect.chunk)
                 case InstallSnapshot():
-                    self._save(pending, force)
-                    pending, force = [], False
+                    self._save(pending)
+                    pending = []
                     self._install(effect)
                 case _:
                     pass
-        self._save(pending, force)
+        self._save(pending)
 
-    def _save(self, entries: list[LogEntry], force: bool) -> None:
+    def _save(self, entries: list[LogEntry]) -> None:
         state = self.state
         commit = state.commit_index
         if entries:
             self._check_committed_stays(entries[0].log_index)
-        self.storage.save(state.term, state.voted_for, commit, entries, force)
+        self.storage.save(state.term, state.voted_for, commit, entries)
 
     def _install(self, effect: InstallSnapshot) -> None:
         state = self.state
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -173,13 +173,7 @@
         return len(self.membership.voters()) // 2 + 1
 
     def commit_quorum(self) -> int:
-        """Return how many voters must hold an entry to commit it.
-
-        For the founding leader's first entry that is every initial member:
-        one that holds nothing of the log later on has surely lost its disk.
-        """
-        if self.commit_index == 0 and self.first_term_index == 1:
-            return max(1, len(self.membership.voters()))
+        """Return how many voters must have synced an entry to commit it."""
         return self.majority()
 
     def quorum_value(self, values: dict[str, int], needed: int) -> int:
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -144,9 +144,10 @@
 def _on_chunk(state: RaftState, sender: str, chunk: SnapshotChunk, now_ms: int) -> None:
     if chunk.term < state.term:
         return
+    if refuses_as_emptied(state, chunk.to_voter):
+        return
     accept_leader(state, chunk.term, chunk.leader_id, now_ms)
-    if not refuses_as_emptied(state, chunk.to_voter, chunk.snapshot_index):
-        take_chunk(state, sender, chunk)
+    take_chunk(state, sender, chunk)
 
 
 def _on_snapshot_reply(state: RaftState, reply: SnapshotReply, now_ms: int) -> None:
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -196,14 +196,13 @@
         voted_for: str,
         commit_index: int,
         entries: Iterable[LogEntry],
-        force: bool = False,
     ) -> bool:
         """Write the hard state and entries if anything is new, and sync.
 
         Returns whether anything was written.
         """
         fresh = _newest(entries)
-        if not fresh and not force and (term, voted_for) == self._hard_state:
+        if not fresh and (term, voted_for) == self._hard_state:
             return False
         for part in _frame_parts(fresh):
             self._write(Frame(0, term, voted_for, commit_index, 0, 0, part))
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
@@ -235,10 +235,32 @@
         simulation.crash(leader)
         simulation.run(10_000)
         self.assertEqual("", simulation.leader(), "an emptied disk gave a vote")
+        simulation.crash(gone)
+        simulation.restart(gone)
         simulation.restart(leader)
+        simulation.run(5_000)
+        self.assertIn("new member id", self.state(simulation, gone).refused)
         simulation.replace(gone, "m4")
         self.assertEqual({leader, other, "m4"}, set(simulation.serving_voters()))
 
+    def test_a_member_that_missed_the_founding_entry_takes_part(self) -> None:
+        simulation = self.start()
+        simulation.run_until(lambda: simulation.leader_of_term)
+        founder = simulation.leader_of_term[max(simulation.leader_of_term)]
+        late = next(name for name in simulation.nodes if name != founder)
+        simulation.isolate(late)
+        simulation.commit(3)
+        self.assertFalse(self.state(simulation, late).is_established())
+        simulation.crash(late)
+        simulation.restart(late)
+        simulation.settle()
+        self.assertEqual(3, len(simulation.serving()))
+
+    def test_a_founder_lost_at_once_is_followed_by_another(self) -> None:
+        simulation = self.start()
+        simulation.crash(simulation.elect())
+        simulation.commit(3)
+
     def test_two_emptied_disks_do_not_found_a_second_group(self) -> None:
         simulation = self.start()
         simulation.elect()
