Assert at-most-once, whole answers, true refusals and uncut stops inside

Cause: a doubled relay of a running attempt was answered as not run, and two invariants were not checked in the program. Change: a doubled relay is ignored; checks in the origin, the exchange, the refusals and the drain.

--- a/packages/foxspring-entry/foxspring_entry/_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/_entry.py
@@ -8,12 +8,14 @@
 
 from foxspring_link import Codec, Link, LinkFigures, SendResult
 from foxspring_model import (
+    CHECKS,
     AnnounceBody,
     Answered,
     Clock,
     Configuration,
     EntryLeaseGrant,
     HeartbeatRejected,
+    Invariant,
     Outcome,
     ProposalResult,
     QueryResult,
@@ -141,6 +143,7 @@
                     return
             else:
                 _LOG.error("event=drain_limit_reached limit_ms=%d", limit_ms)
+            CHECKS.check(Invariant.STOP_CUTS_NOTHING, self._is_idle(), "drain")
             self._drained = True
             self.close()
 
--- a/packages/foxspring-entry/foxspring_entry/_exchange.py
+++ b/packages/foxspring-entry/foxspring_entry/_exchange.py
@@ -3,7 +3,7 @@
 import http.client
 from typing import NamedTuple
 
-from foxspring_model import HEADER_REQUEST_ID, Clock
+from foxspring_model import CHECKS, HEADER_REQUEST_ID, Clock, Invariant
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
@@ -114,7 +114,11 @@
         if size > request.max_answer_bytes:
             raise ValueError(f"the answer is longer than {request.max_answer_bytes}")
         _set_timeout(connection, request, clock)
-    return b"".join(chunks)
+    body = b"".join(chunks)
+    whole = length is None or len(body) == int(length)
+    if not CHECKS.check(Invariant.WHOLE_ANSWER, whole, f"{len(body)} of {length}"):
+        raise ValueError(f"the answer has {len(body)} bytes of {length}")
+    return body
 
 
 def _set_timeout(
--- a/packages/foxspring-entry/foxspring_entry/_origin.py
+++ b/packages/foxspring-entry/foxspring_entry/_origin.py
@@ -5,8 +5,10 @@
 from typing import NamedTuple
 
 from foxspring_model import (
+    CHECKS,
     Answered,
     EntryInfo,
+    Invariant,
     Outcome,
     RefusalReason,
     Refused,
@@ -141,6 +143,11 @@
 
     def _again(self, pending: Pending, answer: RelayAnswer, now_ms: int) -> Effects:
         relay = pending.relay
+        CHECKS.check(
+            Invariant.AT_MOST_ONCE,
+            relay.idempotent or answer.verdict == Verdict.NOT_RUN,
+            f"request={relay.request_id} verdict={answer.verdict}",
+        )
         avoid = relay.avoid + ((answer.target_id,) if answer.target_id else ())
         tried = pending.tried
         if pending.owner is not None and not answer.target_id:
--- a/packages/foxspring-entry/foxspring_entry/_owner_requests.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_requests.py
@@ -15,7 +15,6 @@
     RelayRequest,
     Service,
     Uncertain,
-    Verdict,
 )
 
 from foxspring_entry._effects import AbortRequest, Effects, SendMessage, SendRequest
@@ -71,9 +70,9 @@
         service = self.services.get(relay.service)
         if service is None:
             detail = f"no service {relay.service!r} is configured"
-            return [_refuse(item, RefusalReason.UNKNOWN_SERVICE, detail)]
+            return [self._refuse(item, RefusalReason.UNKNOWN_SERVICE, detail)]
         if attempt_id(relay) in self.running:
-            return [_refuse(item, RefusalReason.NO_ROOM, "the attempt runs already")]
+            return []
         queue = self.queues.setdefault(relay.service, FairQueue())
         if queue.waiting == 0:
             sent = self._dispatch(item, service, now_ms)
@@ -112,7 +111,7 @@
         detail = "no target had room in time"
         for queue in self.queues.values():
             for item in queue.expire(now_ms):
-                effects.append(_refuse(item, RefusalReason.DEADLINE, detail))
+                effects.append(self._refuse(item, RefusalReason.DEADLINE, detail))
         return effects
 
     def pump(self, name: str, now_ms: int) -> Effects:
@@ -125,7 +124,9 @@
                 break
             if service is None:
                 detail = f"service {name!r} was removed"
-                effects.append(_refuse(item, RefusalReason.UNKNOWN_SERVICE, detail))
+                effects.append(
+                    self._refuse(item, RefusalReason.UNKNOWN_SERVICE, detail)
+                )
                 continue
             sent = self._dispatch(item, service, now_ms)
             if sent is None:
@@ -137,7 +138,7 @@
     def refuse_queued(self, reason: RefusalReason, detail: str) -> Effects:
         """Refuse everything that waits, because nothing more may be sent."""
         return [
-            _refuse(item, reason, detail)
+            self._refuse(item, reason, detail)
             for queue in self.queues.values()
             for item in queue.drain()
         ]
@@ -173,7 +174,7 @@
         }
         detail = "this entry no longer owns a target of the service"
         return [
-            _refuse(item, RefusalReason.NO_TARGET, detail)
+            self._refuse(item, RefusalReason.NO_TARGET, detail)
             for service, queue in self.queues.items()
             if service not in owned
             for item in queue.drain()
@@ -229,16 +230,16 @@
         open_targets = self._open_targets(service.name, now_ms)
         if not open_targets and not self._expects_target(service.name):
             detail = "this entry owns no ready target of the service"
-            return [_refuse(item, RefusalReason.NO_TARGET, detail, 500)]
+            return [self._refuse(item, RefusalReason.NO_TARGET, detail, 500)]
         wait_ms = self._expected_wait_ms(service, queue, open_targets)
         if wait_ms > item.relay.remaining_ms:
             detail = f"expected wait of {wait_ms} ms is past the deadline"
-            return [_refuse(item, RefusalReason.OVERLOADED, detail, wait_ms)]
+            return [self._refuse(item, RefusalReason.OVERLOADED, detail, wait_ms)]
         displaced = queue.push(item, service.queue_limit)
         if displaced is None:
             return []
         detail = "the queue is full and this caller holds its share of it"
-        return [_refuse(displaced, RefusalReason.OVERLOADED, detail, wait_ms)]
+        return [self._refuse(displaced, RefusalReason.OVERLOADED, detail, wait_ms)]
 
     def _expected_wait_ms(
         self, service: Service, queue: FairQueue, targets: list[ManagedTarget]
@@ -278,6 +279,24 @@
             AbortRequest(hold_id),
         ]
 
+    def _refuse(
+        self,
+        item: Waiting,
+        reason: RefusalReason,
+        detail: str,
+        retry_after_ms: int = 0,
+    ) -> SendMessage:
+        hold_id = attempt_id(item.relay)
+        CHECKS.check(
+            Invariant.NOT_RUN_IS_TRUE,
+            hold_id not in self.running,
+            f"request={hold_id} was sent",
+        )
+        after_ms = min(
+            LONGEST_RETRY_AFTER_MS, max(SHORTEST_RETRY_AFTER_MS, retry_after_ms)
+        )
+        return answer(item, Refused(reason, detail, after_ms))
+
     def _may_eject(self, service: str, now_ms: int) -> bool:
         targets = [t for t in self.targets.values() if service in t.owned.services]
         ejected = sum(1 for target in targets if target.health.is_ejected(now_ms))
@@ -308,12 +327,3 @@
     else:
         message = message._replace(detail=outcome.detail)
     return SendMessage(item.reply_to, message._replace(target_id=target_id))
-
-
-def _refuse(
-    item: Waiting, reason: RefusalReason, detail: str, retry_after_ms: int = 0
-) -> SendMessage:
-    after_ms = min(LONGEST_RETRY_AFTER_MS, max(SHORTEST_RETRY_AFTER_MS, retry_after_ms))
-    outcome = Refused(reason, detail, after_ms)
-    CHECKS.check(Invariant.NOT_RUN_IS_TRUE, outcome.verdict is Verdict.NOT_RUN)
-    return answer(item, outcome)
--- a/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
@@ -142,6 +142,13 @@
         assert isinstance(sent, SendRequest)
         self.assertEqual(sent.hold_id, "r-1")
 
+    def test_doubled_relay_is_sent_once(self) -> None:
+        self.open("t-1")
+        violated = sum(CHECKS.violated.values())
+        self.assertEqual(len(self.send(builders.relay("r-0"))), 1)
+        self.assertEqual(self.send(builders.relay("r-0")), [])
+        self.assertEqual(sum(CHECKS.violated.values()), violated)
+
     def test_late_whole_answer_is_dropped_and_frees_the_slot(self) -> None:
         self.open("t-1", slots=1)
         self.send(builders.relay("r-0"))
