End a planned stop of an entry when control is gone

Cause: a draining entry waited for control to take its targets over; with no control member left it stayed until drain_limit_ms (found by the soak: 30 s and more). Change: 5 s after its lease ended nothing is owned any more; only requests in flight are waited for.

--- a/packages/foxspring-entry/foxspring_entry/_actor.py
+++ b/packages/foxspring-entry/foxspring_entry/_actor.py
@@ -139,7 +139,7 @@
             case BeginDrain():
                 self._do(self.core.drain(now_ms))
             case IsIdle():
-                return self.core.is_idle()
+                return self.core.is_idle(now_ms)
             case AskStatus():
                 return self._status(now_ms)
         return None
--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -50,6 +50,10 @@
 Parse = Callable[[str], Configuration]
 
 
+# How long after its lease's end a draining entry still hopes for control.
+NO_CONTROL_MS = 5_000
+
+
 class EntryCore:
     """The state of one entry and its reactions to events.
 
@@ -184,14 +188,18 @@
         self.heartbeats.pace.hurry()
         return self._heartbeat(now_ms)
 
-    def is_idle(self) -> bool:
-        """Tell whether nothing is owned, in flight, waiting or unsaid."""
-        return (
-            not self.targets.targets
-            and not self.requests.running
-            and not self.origin.pending
-            and self.outbox.is_empty()
-        )
+    def is_idle(self, now_ms: int) -> bool:
+        """Tell whether nothing is owned, in flight, waiting or unsaid.
+
+        Without control nobody takes the targets over. Once the lease is long
+        over they count as given up; their next owner learns from their reports
+        what is still unsaid here.
+        """
+        if self.requests.running or self.origin.pending:
+            return False
+        if now_ms - self.lease.until_ms >= NO_CONTROL_MS:
+            return True
+        return not self.targets.targets and self.outbox.is_empty()
 
     def _handlers(self) -> dict[type, Callable[[str, Any, int], Effects]]:
         return {
--- a/packages/foxspring-entry/foxspring_entry/tests/test_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_entry.py
@@ -252,6 +252,16 @@
         self.assertEqual(verdicts, {"ran"})
         self.assertEqual(len(first.started) + len(second.started), len(answers))
 
+    def test_drain_ends_without_control(self) -> None:
+        cluster = Cluster(self, 1)
+        cluster.start_targets(t_1="e-1")
+        entry = cluster.entries[0]
+        cluster.control.granting = False
+        wait_until(lambda: not entry.status().lease_valid, "the lease is over")
+        with ThreadPoolExecutor(1) as pool:
+            pool.submit(entry.drain).result(builders.DEADLINE_S)
+        self.assertFalse(entry.is_live())
+
     def test_new_incarnation_of_a_target_is_served(self) -> None:
         cluster = Cluster(self, 1)
         (target,) = cluster.start_targets(t_1="e-1")
