Hold the loss of a task that was offered just before its target restarted

Change: such a loss only begins a stop until a task lease has ended; tasks that were offered longer ago are lost at once, as before.

--- a/packages/foxspring-control/foxspring_control/service/_settings.py
+++ b/packages/foxspring-control/foxspring_control/service/_settings.py
@@ -32,6 +32,7 @@
     proposal_timeout_ms: int = 3_000
     resend_interval_ms: int = 1_000
     resends_a_tick: int = 256
+    offer_memory_ms: int = 15_000
     load_page_tasks: int = 1_500
     unconfirmed_ms: int = 15_000
     replica_check_ms: int = 2_000
@@ -48,7 +49,11 @@
 
         The last owner may have renewed them until its own lease ended.
         """
-        return self.entry_lease_surely_ms() + self._surely(self.task_lease_ms)
+        return self.entry_lease_surely_ms() + self.task_lease_surely_ms()
+
+    def task_lease_surely_ms(self) -> int:
+        """Return after how long without renewal a task's lease has ended."""
+        return self._surely(self.task_lease_ms)
 
     def _surely(self, lease_ms: int) -> int:
         return lease_ms * (100 + self.drift_percent) // 100 + self.margin_ms
--- a/packages/foxspring-control/foxspring_control/service/_task_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -4,6 +4,7 @@
 
 from foxspring_model import (
     ENDED_STATES,
+    Eviction,
     EvictTasks,
     PlaceTasks,
     RecordTaskEvents,
@@ -21,6 +22,7 @@
 from foxspring_control.service._end_proof import judge_end
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._proposer import Proposer
+from foxspring_control.service._recent_offers import RecentOffers
 from foxspring_control.service._replica_updates import next_replacements
 from foxspring_control.service._running_check import RunningCheck
 from foxspring_control.service._scheduling import SchedulerHandle
@@ -38,6 +40,9 @@
 _LOG = logging.getLogger(__name__)
 
 
+REASON_RESTART = "its target restarted while it was being started"
+
+
 class TaskKeeper:
     """Feeds the scheduler, proposes its decisions and carries them to owners."""
 
@@ -56,6 +61,7 @@
         self.send = send
         self.scheduler = scheduler
         self.duties = Duties()
+        self.offers = RecentOffers(now_ms, settings.offer_memory_ms)
         self.running_check = RunningCheck(settings.unconfirmed_ms)
         self._suspects: frozenset[str] = frozenset()
         self._replicas_outdated = True
@@ -96,8 +102,15 @@
 
     def events(self, sender: str, batch: TaskEvents) -> None:
         """Commit what an owner learnt, then acknowledge it."""
+        hidden = [event for event in batch.events if self._may_hide_a_run(event)]
+        if hidden:
+            self._stop_hidden(hidden)
         with self.state.reading() as tables:
-            events = tuple(self._judged(tables, event) for event in batch.events)
+            events = tuple(
+                self._judged(tables, event)
+                for event in batch.events
+                if event not in hidden
+            )
         command = RecordTaskEvents(events, batch.entry_id)
 
         def done(outcome: ProposeOutcome) -> None:
@@ -117,6 +130,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Propose what the scheduler decides and send open duties."""
+        self.offers.forget_old(now_ms)
         if not self._loading.done:
             self._load_page(now_ms)
             self._send_duties(now_ms)
@@ -177,11 +191,25 @@
         owner_epoch = target.owner_epoch if target is not None else 0
         spec = None
         if task.state is TaskState.STARTING:
+            self.offers.note(task.task_id, self.proposer.clock.monotonic_ms())
             job = tables.jobs.get(task.job_id)
             spec = job.spec if job is not None else None
         keep = record.intent is StopIntent.REQUEUE
         self.duties.set(task.task_id, duty_of(task, spec, owner_epoch, keep))
 
+    def _may_hide_a_run(self, event: TaskEvent) -> bool:
+        return self.offers.may_hide_a_run(
+            event,
+            self.view.restarted_ms.get(event.target_id),
+            self.settings.task_lease_surely_ms(),
+            self.proposer.clock.monotonic_ms(),
+        )
+
+    def _stop_hidden(self, events: list[TaskEvent]) -> None:
+        """Begin to stop tasks; their owner tells again that they are lost."""
+        evictions = tuple(Eviction(e.task_id, e.epoch, REASON_RESTART) for e in events)
+        self._propose(EvictTasks(evictions))
+
     def _judged(self, tables: Tables, event: TaskEvent) -> TaskEvent:
         target = self.view.targets.get(event.target_id)
         now_ms = self.proposer.clock.monotonic_ms()
--- a/packages/foxspring-control/foxspring_control/service/_view.py
+++ b/packages/foxspring-control/foxspring_control/service/_view.py
@@ -13,9 +13,10 @@
     ``must_know`` is the ownership version that an entry has to hold before it
     is granted a lease, because a target was taken from it there.
     ``unowned_since_ms`` says since when each target without an owner has been
-    seen without one, and ``owner_since_ms`` since when its owner epoch is the
-    present one. ``owner_changed`` collects targets with a new owner until
-    they are taken.
+    seen without one, ``owner_since_ms`` since when its owner epoch is the
+    present one, and ``restarted_ms`` since when its incarnation is the present
+    one, at the earliest since this leader began. ``owner_changed`` collects
+    targets with a new owner until they are taken.
     """
 
     def __init__(self, state: ControlState, now_ms: int) -> None:
@@ -27,6 +28,7 @@
         self.must_know: dict[str, int] = {}
         self.unowned_since_ms: dict[str, int] = {}
         self.owner_since_ms: dict[str, int] = {}
+        self.restarted_ms: dict[str, int] = {}
         self.owner_changed: set[str] = set()
         with state.reading() as tables:
             self._load(tables, now_ms)
@@ -83,7 +85,10 @@
             self.targets.pop(target_id, None)
             self.unowned_since_ms.pop(target_id, None)
             self.owner_since_ms.pop(target_id, None)
+            self.restarted_ms.pop(target_id, None)
             return
+        if held is None or held.info.incarnation != record.info.incarnation:
+            self.restarted_ms[target_id] = now_ms
         self.targets[target_id] = record
         if record.owner:
             self.unowned_since_ms.pop(target_id, None)
--- a/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
+++ b/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
@@ -262,6 +262,32 @@
         stops = site.take(owner, StopTask)
         self.assertEqual(stops, [StopTask("job-9/0", 4, "target-1", False)])
 
+    def test_a_task_lost_with_a_target_that_just_restarted_is_not_placed_at_once(
+        self,
+    ) -> None:
+        site = self.site
+        task = self.task_in("running")
+        owner = site.driver.owner(task.target_id)
+        site.alive_targets[task.target_id] = 2
+        site.run(1_500)
+        for second in range(8):
+            site.report(owner, self.event(task, "lost"))
+            site.run(1_000)
+            now = site.driver.task(task.task_id)
+            if second < 4:
+                self.assertIs(now.state, TaskState.STOPPING, second)
+        self.assertEqual((now.epoch, now.evictions), (task.epoch + 1, 1))
+
+    def test_a_task_that_ran_for_long_is_lost_with_its_target_at_once(self) -> None:
+        site = self.site
+        task = self.task_in("running")
+        owner = site.driver.owner(task.target_id)
+        site.run(16_000)
+        site.alive_targets[task.target_id] = 2
+        site.run(1_500)
+        site.report(owner, self.event(task, "lost"))
+        self.assertIs(site.driver.task(task.task_id).state, TaskState.QUEUED)
+
     def test_replicas_of_an_older_size_are_replaced_one_at_a_time(self) -> None:
         driver = StateDriver()
         self.addCleanup(driver.close)
