--- a/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_entry_keeper.py
@@ -91,7 +91,8 @@
         for entry_id, entry in self.view.entries.items():
             if self.leases.is_gone(entry_id, now_ms):
                 command = RemoveEntry(entry_id, entry.incarnation)
-                self.proposer.propose(f"entry/{entry_id}", command)
+                if self.proposer.propose(f"entry/{entry_id}", command):
+                    _LOG.info("event=entry_removed entry=%s", entry_id)
         self._assign(unassignable, now_ms)
 
     def waiting_for(self, revision: int, now_ms: int) -> list[str]:
--- a/packages/foxspring-control/foxspring_control/service/_target_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_target_keeper.py
@@ -74,11 +74,17 @@
             elif self._surely_free(target_id, now_ms):
                 self._remove(record)
         if released:
-            self.proposer.propose("release", AssignOwners(tuple(released)))
+            self._release(tuple(released))
         for target_id in self.seen_ms.keys() - self.view.targets.keys():
             if now_ms - self.seen_ms[target_id] > self.settings.target_silence_ms:
                 del self.seen_ms[target_id]
 
+    def _release(self, released: tuple[OwnerAssignment, ...]) -> None:
+        if not self.proposer.propose("release", AssignOwners(released)):
+            return
+        for assignment in released:
+            _LOG.info("event=target_silent target=%s", assignment.target_id)
+
     def _unheard_for(self, duration_ms: int, now_ms: int) -> frozenset[str]:
         limit_ms = now_ms - duration_ms
         return frozenset(
