Move tasks off targets that drain or leave

Cause: nothing took running tasks off a draining or leaving target, so it never emptied and a planned stop cut its services off. Change: the leader evicts them at a bounded pace, of a service one replica at a time while all others run. Figures: a drained target of a site of three is empty within 8 s of paused clock, never more than one of 6 replicas away. Conclusion: `foxspring drain` ends with an empty target.

--- a/packages/foxspring-control/foxspring_control/service/_ownership_updates.py
+++ b/packages/foxspring-control/foxspring_control/service/_ownership_updates.py
@@ -2,6 +2,7 @@
 
 from foxspring_model import OwnedTarget, OwnershipUpdate
 
+from foxspring_control.service._duties import is_leaving
 from foxspring_control.state import ControlState, Tables, TargetRecord
 
 SERVICE_JOB_PREFIX = "service/"
@@ -46,5 +47,6 @@
 def _owned(tables: Tables, record: TargetRecord) -> OwnedTarget:
     jobs = tables.tasks.ids_on(record.info.target_id, "service", "running")
     services = tuple(job.removeprefix(SERVICE_JOB_PREFIX) for job in jobs)
-    info = record.info._replace(leaving=record.info.leaving or record.draining)
+    leaving = is_leaving(record.info, record.draining)
+    info = record.info._replace(leaving=leaving)
     return OwnedTarget(info, record.owner, record.owner_epoch, services)
--- a/packages/foxspring-control/foxspring_control/service/_settings.py
+++ b/packages/foxspring-control/foxspring_control/service/_settings.py
@@ -36,6 +36,8 @@
     load_page_tasks: int = 1_500
     unconfirmed_ms: int = 15_000
     replica_check_ms: int = 2_000
+    departure_interval_ms: int = 1_000
+    departures_a_round: int = 16
     push_interval_ms: int = 300
     placements_a_command: int = 64
     events_a_command: int = 256
--- a/packages/foxspring-control/foxspring_control/service/_task_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -18,7 +18,8 @@
 )
 
 from foxspring_control._replication import ProposeOutcome
-from foxspring_control.service._duties import Duties, duty_of
+from foxspring_control.service._departures import next_departures
+from foxspring_control.service._duties import Duties, duty_of, is_leaving
 from foxspring_control.service._end_proof import judge_end
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._proposer import Proposer
@@ -66,6 +67,7 @@
         self._suspects: frozenset[str] = frozenset()
         self._replicas_outdated = True
         self._next_replica_check_ms = now_ms
+        self._next_departures_ms = now_ms
         self._proposal_number = 0
         self._loading = TaskLoading(settings.load_page_tasks)
         self._load_site()
@@ -146,6 +148,8 @@
         for throttle in decisions.throttles:
             self._send_to_owner(throttle.target_id, throttle)
         self._send_duties(now_ms)
+        if now_ms >= self._next_departures_ms:
+            self._move_departing(now_ms)
         if self._replicas_outdated and now_ms >= self._next_replica_check_ms:
             self._replace_replicas(now_ms)
 
@@ -226,6 +230,27 @@
         for stop in findings.strays:
             self._send_to_owner(stop.target_id, stop)
 
+    def _move_departing(self, now_ms: int) -> None:
+        self._next_departures_ms = now_ms + self.settings.departure_interval_ms
+        departing = [
+            target_id
+            for target_id, record in self.view.targets.items()
+            if is_leaving(record.info, record.draining)
+        ]
+        if not departing:
+            return
+        with self.state.reading() as tables:
+            placed = [
+                record
+                for target_id in departing
+                for record in tables.tasks.on_target(target_id)
+            ]
+            evictions = next_departures(
+                placed, tables.tasks.of_job, self.settings.departures_a_round
+            )
+        if evictions:
+            self._propose(EvictTasks(evictions))
+
     def _replace_replicas(self, now_ms: int) -> None:
         self._next_replica_check_ms = now_ms + self.settings.replica_check_ms
         with self.state.reading() as tables:
--- a/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
+++ b/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
@@ -4,6 +4,7 @@
 
 from foxspring_model import (
     CancelJobs,
+    DrainTarget,
     Eviction,
     EvictTasks,
     Placement,
@@ -253,6 +254,24 @@
             site.sample("entry-1", task.target_id)
         self.assertEqual(self.settle(task, 1_000).epoch, task.epoch)
 
+    def test_a_draining_target_is_emptied_one_replica_of_a_service_at_a_time(
+        self,
+    ) -> None:
+        site = self.site
+        site.driver.configure(CONFIGURATION + SERVICE.format(replicas=6))
+        task = self.task_in("running")
+        self.settle(task, 3_000)
+        site.driver.apply(DrainTarget("d", "eleni", task.target_id, True))
+        for _ in range(80):
+            self.settle(task, 100)
+            with site.state.reading() as tables:
+                states = [r.task.state for r in tables.tasks.replicas()]
+            away = [state for state in states if state is not TaskState.RUNNING]
+            self.assertLessEqual(len(away), 1)
+        with site.state.reading() as tables:
+            self.assertEqual(tables.tasks.on_target(task.target_id), [])
+        self.assertEqual(site.driver.task(task.task_id).resumed, 1)
+
     def test_a_void_run_is_stopped(self) -> None:
         site = self.site
         owner = site.driver.owner("target-1")
