Send no start or renewal after the lease it was decided under

Cause: a process paused between deciding a start and sending it could send it seconds later, while the next owner had already answered that it does not run. Change: calls have a time by which they must leave, like requests; a front test waits for the answers it provoked (one of them reached the next test); the time a drain waits for control is a setting.

--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -50,10 +50,6 @@
 Parse = Callable[[str], Configuration]
 
 
-# How long after its lease's end a draining entry still hopes for control.
-NO_CONTROL_MS = 5_000
-
-
 class EntryCore:
     """The state of one entry and its reactions to events.
 
@@ -176,7 +172,7 @@
         else:
             effects.extend(self.requests.expire(now_ms))
         effects.extend(self.origin.tick(now_ms))
-        effects.extend(self.targets.tick(valid, now_ms))
+        effects.extend(self.targets.tick(self.lease.until_ms, now_ms))
         effects.extend(self._load(now_ms))
         effects.extend(self._usage(now_ms))
         effects.extend(self._send_events(now_ms))
@@ -197,7 +193,7 @@
         """
         if self.requests.running or self.origin.pending:
             return False
-        if now_ms - self.lease.until_ms >= NO_CONTROL_MS:
+        if now_ms - self.lease.until_ms >= self.settings.drain_no_control_ms:
             return True
         return not self.targets.targets and self.outbox.is_empty()
 
@@ -211,7 +207,7 @@
             RelayAnswer: lambda _s, answer, now: self.origin.answered(answer, now),
             EntryLoad: self._on_load,
             ForwardedReport: self._on_forwarded,
-            ReportAcks: self._on_acks,
+            ReportAcks: lambda _s, acks, _now: self.intake.acks(acks),
             TargetReleased: self._on_released,
             RunTask: self._on_run,
             StopTask: self._on_stop,
@@ -325,10 +321,6 @@
             return []
         return effects + self._send_events(now_ms)
 
-    def _on_acks(self, _sender: str, acks: ReportAcks, _now_ms: int) -> Effects:
-        self.intake.acks(acks)
-        return []
-
     def _on_run(self, _sender: str, run: RunTask, now_ms: int) -> Effects:
         if self.lease.is_valid(now_ms):
             self.targets.run(run, now_ms)
--- a/packages/foxspring-entry/foxspring_entry/_effects.py
+++ b/packages/foxspring-entry/foxspring_entry/_effects.py
@@ -36,7 +36,10 @@
 
 
 class CallTarget(NamedTuple):
-    """Post ``body`` (JSON) to a path of the platform contract on a target."""
+    """Post ``body`` (JSON) to a path of the platform contract on a target.
+
+    Its first byte must leave before ``send_by_ms``, as for a request.
+    """
 
     call_id: int
     target_id: str
@@ -44,6 +47,7 @@
     path: str
     body: bytes
     timeout_ms: int
+    send_by_ms: int
 
 
 class AbortRequest(NamedTuple):
--- a/packages/foxspring-entry/foxspring_entry/_intake.py
+++ b/packages/foxspring-entry/foxspring_entry/_intake.py
@@ -74,10 +74,11 @@
         pairs = tuple((str(task_id), int(epoch)) for task_id, epoch in acked)
         return [SendMessage(sender, ReportAcks(report["target_id"], pairs))]
 
-    def acks(self, message: ReportAcks) -> None:
+    def acks(self, message: ReportAcks) -> Effects:
         """Keep an owner's acks for the target's next report here."""
         if message.target_id in self.table.targets:
             self._acks[message.target_id] = [list(pair) for pair in message.acked]
+        return []
 
     def forget_absent(self) -> None:
         """Drop what is kept of targets that the table does not have."""
--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -55,6 +55,7 @@
         self.targets: dict[str, ManagedTarget] = {}
         self._calls: dict[int, _Renewal | _TaskCallInFlight] = {}
         self._next_call_id = 0
+        self._send_by_ms = 0
         self._released: dict[str, int] = {}
 
     def assign(self, change: TargetChange, now_ms: int) -> None:
@@ -146,12 +147,16 @@
         elif made is not None:
             self._task_call_done(made, answer, now_ms)
 
-    def tick(self, lease_valid: bool, now_ms: int) -> Effects:
-        """Renew leases, make due task calls and end what has expired."""
+    def tick(self, lease_until_ms: int, now_ms: int) -> Effects:
+        """Renew leases, make due task calls and end what has expired.
+
+        No call is made unless this entry's own lease lasts beyond ``now_ms``.
+        """
+        self._send_by_ms = min(lease_until_ms, now_ms + self.settings.send_within_ms)
         effects: Effects = []
         for target in self.targets.values():
             target.tasks.expire(now_ms)
-            if not lease_valid:
+            if lease_until_ms <= now_ms:
                 continue
             effects.extend(self._renew(target, now_ms))
             effects.extend(self._task_calls(target, now_ms))
@@ -247,7 +252,13 @@
         self._calls[self._next_call_id] = made
         info = made.target.owned.info
         return CallTarget(
-            self._next_call_id, info.target_id, info.address, path, body, timeout_ms
+            self._next_call_id,
+            info.target_id,
+            info.address,
+            path,
+            body,
+            timeout_ms,
+            self._send_by_ms,
         )
 
     def _renewal_done(self, made: _Renewal, answer: CallAnswer, now_ms: int) -> None:
--- a/packages/foxspring-entry/foxspring_entry/_settings.py
+++ b/packages/foxspring-entry/foxspring_entry/_settings.py
@@ -51,3 +51,4 @@
     seen_interval_ms: int = 2_000
     drain_grace_ms: int = 3_000
     drain_limit_ms: int = 120_000
+    drain_no_control_ms: int = 5_000
--- a/packages/foxspring-entry/foxspring_entry/_target_client.py
+++ b/packages/foxspring-entry/foxspring_entry/_target_client.py
@@ -122,6 +122,9 @@
             connection = self.pool.take(effect.address)
         except ConnectFailedError:
             return CallAnswer(None, sent=False)
+        if self._clock.monotonic_ms() >= effect.send_by_ms:
+            connection.close()
+            return CallAnswer(None, sent=False)
         request = ExchangeRequest(
             "POST",
             effect.path,
--- a/packages/foxspring-entry/foxspring_entry/tests/test_front.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_front.py
@@ -148,6 +148,7 @@
         self.assertEqual(self.seen, [])
         for sock in slow:
             sock.sendall(b"\r\n")
+            self.assertTrue(sock.recv(1_024).startswith(b"HTTP/1.1"))
         builders.wait_until(lambda: self.send(ask)[0] == 200, "the lane is free")
 
     def test_new_tokens_replace_the_old_ones(self) -> None:
--- a/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
@@ -30,6 +30,7 @@
 from foxspring_entry.tests import builders
 
 _TARGET_AHEAD_MS = 500_000
+_FAR_MS = 10**9
 _WHOLE = TargetOutcome(Answered(200, (), b"ok"), 10_000)
 _CUT = TargetOutcome(Uncertain("cut"))
 
@@ -65,7 +66,7 @@
 
     def renew(self) -> None:
         """Answer every renewal that is due."""
-        for effect in self.targets.tick(True, self.now_ms):
+        for effect in self.targets.tick(_FAR_MS, self.now_ms):
             assert isinstance(effect, CallTarget)
             reading = self.now_ms + _TARGET_AHEAD_MS
             body = msgspec.json.encode(RenewAnswerBody(unknown=[], target_ms=reading))
@@ -223,11 +224,25 @@
                 if released:
                     self.targets.released("t-1", 1, self.now_ms)
                     self.targets.released("t-1", 2, self.now_ms)
-                before = self.targets.tick(True, self.now_ms + asked_ms - 1)
+                before = self.targets.tick(_FAR_MS, self.now_ms + asked_ms - 1)
                 self.assertEqual(before, [])
-                (call,) = self.targets.tick(True, self.now_ms + asked_ms)
+                (call,) = self.targets.tick(_FAR_MS, self.now_ms + asked_ms)
                 self.assertIsInstance(call, CallTarget)
 
+    def test_no_call_leaves_after_the_entrys_lease(self) -> None:
+        self.assign("t-1")
+        self.now_ms += 300
+        self.assertEqual(self.targets.tick(self.now_ms, self.now_ms), [])
+        # Columns: end of the lease from now, by when the call must have left.
+        for lease_ms, within_ms in ((100, 100), (2_000, 250)):
+            self.setUp()
+            self.assign("t-1")
+            self.now_ms += 300
+            (call,) = self.targets.tick(self.now_ms + lease_ms, self.now_ms)
+            assert isinstance(call, CallTarget)
+            with self.subTest(lease_ms=lease_ms):
+                self.assertEqual(call.send_by_ms, self.now_ms + within_ms)
+
     def test_late_reports_change_nothing(self) -> None:
         self.open("t-1")
         stale = builders.report("t-1", 1, target_ms=10**9, requests=["x"])
--- a/packages/foxspring-entry/foxspring_entry/tests/test_target_client.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_target_client.py
@@ -10,8 +10,9 @@
 from foxspring_link import PausedClock, SystemClock
 from foxspring_model import Answered, RefusalReason, Refused, Uncertain, Verdict
 
-from foxspring_entry._effects import SendRequest
+from foxspring_entry._effects import CallTarget, SendRequest
 from foxspring_entry._owner_requests import TargetOutcome
+from foxspring_entry._owner_targets import CallAnswer
 from foxspring_entry._target_client import TargetClient
 from foxspring_entry.tests import builders
 from foxspring_entry.tests.raw_target import RawTarget, Script, request_id_of
@@ -161,6 +162,23 @@
         self.assertEqual(outcome.reason, RefusalReason.STALE_OWNER)
         self.assertEqual(target.requests, [])
 
+    def test_no_late_start_leaves(self) -> None:
+        target = self.target(_whole)
+        answers: queue.SimpleQueue[CallAnswer] = queue.SimpleQueue()
+        client = TargetClient(
+            builders.settings("e-1", "c:1"),
+            self.clock,
+            lambda hold_id, result: None,
+            lambda call_id, answer: answers.put(answer),
+        )
+        self.addCleanup(client.close)
+        now_ms = self.clock.monotonic_ms()
+        address = target.address
+        client.call(CallTarget(1, "t-1", address, "/v1/tasks", b"{}", 900, now_ms))
+        answer = answers.get(timeout=builders.DEADLINE_S)
+        self.assertEqual((answer.status, answer.sent), (None, False))
+        self.assertEqual(target.requests, [])
+
     def test_a_doubled_answer_reaches_nobody_else(self) -> None:
         def twice(connection: socket.socket, request: bytes) -> None:
             connection.sendall((_answer(request) + b"hello") * 2)
