Take an owner that left the table as one that sends nothing more

Cause: when control removed an owner an update before it gave its targets away, the next owner waited for a lease that had surely ended. Change: an owner absent from the table may not send; takeovers are logged.

--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -1,5 +1,6 @@
 """Owned targets: takeover, reports, leases and task calls."""
 
+import logging
 from typing import NamedTuple
 
 import msgspec
@@ -23,6 +24,8 @@
 from foxspring_entry._target import CONTROL_CONNECTIONS, ManagedTarget
 from foxspring_entry._task_state import OwnedTask, TaskCall, TaskCallKind
 
+_LOG = logging.getLogger(__name__)
+
 SETTLE_MS = 300
 _RENEW_PATH = "/v1/leases"
 _UNKNOWN_REQUEST = Resources(slots=1, connections=1)
@@ -66,6 +69,12 @@
             wait_ms = SETTLE_MS
             if change.last_owner_may_send and not self._is_released(owned):
                 wait_ms = self.settings.takeover_wait_ms
+            _LOG.info(
+                "event=target_owned target=%s epoch=%d wait_ms=%d",
+                owned.info.target_id,
+                owned.owner_epoch,
+                wait_ms,
+            )
             target = self._new(owned, now_ms + wait_ms, now_ms)
             self.targets[owned.info.target_id] = target
             return
@@ -206,6 +215,7 @@
                 target.ledger.inherit(request_id, HoldKind.REQUEST, _UNKNOWN_REQUEST)
                 target.ledger.give_up(request_id, now_ms)
         target.takeover = None
+        _LOG.info("event=takeover_done target=%s", target.target_id)
 
     def _renew(self, target: ManagedTarget, now_ms: int) -> Effects:
         unsure = target.takeover is not None or bool(target.ledger.given_up())
--- a/packages/foxspring-entry/foxspring_entry/_ownership.py
+++ b/packages/foxspring-entry/foxspring_entry/_ownership.py
@@ -95,9 +95,11 @@
         if held is None or held.owner_epoch + 1 != target.owner_epoch:
             return True
         before, now = self.entries.get(held.owner), entries.get(held.owner)
-        if not held.owner or before is None:
+        if held.owner and now is None:
+            return False
+        if before is None or now is None:
             return True
-        return now is not None and now.incarnation == before.incarnation
+        return now.incarnation == before.incarnation
 
     def _remove(self, update: OwnershipUpdate) -> tuple[OwnedTarget, ...]:
         gone = set(update.removed)
--- a/packages/foxspring-entry/foxspring_entry/tests/test_decisions.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_decisions.py
@@ -61,6 +61,16 @@
         self.assertEqual(sorted(table.targets), ["t-5", "t-6"])
         self.assertEqual(table.owners_of("register"), {"e-1": 2})
 
+    def test_an_owner_removed_an_update_earlier_sends_nothing(self) -> None:
+        table = OwnershipTable()
+        held = (builders.owned(owner="e-1"),)
+        entry = builders.entry_info("e-1")
+        table.apply(OwnershipUpdate(True, 0, 1, (entry,), held, ()))
+        table.apply(OwnershipUpdate(False, 1, 2, (), (), ()))
+        given = (builders.owned(owner="e-2", owner_epoch=2),)
+        (change,) = table.apply(OwnershipUpdate(False, 2, 3, (), given, ())).changed
+        self.assertFalse(change.last_owner_may_send)
+
     def test_whether_the_last_owner_may_still_send(self) -> None:
         first = builders.entry_info("e-1")
         restarted = builders.entry_info("e-1", incarnation=2)
