Count voters once a membership, and keep segments at 1 MB

Cause: a profile of the leader showed the voters being listed nine thousand times in four seconds; a start reads whole segments into memory.

Change: the voters are kept with the membership they were counted from; a segment ends at 1 MB.

Conclusion: kept for the segments; the voters are a simplification at best.

--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -74,7 +74,7 @@
         state.log.term_at(prev_index) or 0,
         state.commit_index,
         now_ms,
-        member_id in state.membership.voters(),
+        member_id in state.voters(),
     )
 
 
--- a/packages/foxspring-control/foxspring_control/raft/_election.py
+++ b/packages/foxspring-control/foxspring_control/raft/_election.py
@@ -151,7 +151,7 @@
 
 
 def _count_votes(state: RaftState, now_ms: int) -> None:
-    voters = set(state.membership.voters())
+    voters = set(state.voters())
     needed = state.majority() if state.is_established() else len(voters)
     if len(state.votes & voters) < needed:
         return
--- a/packages/foxspring-control/foxspring_control/raft/_membership.py
+++ b/packages/foxspring-control/foxspring_control/raft/_membership.py
@@ -177,7 +177,7 @@
 
 def _transfer_target(state: RaftState, now_ms: int) -> str:
     timeout = state.settings.election_timeout_ms
-    for member_id in state.membership.voters():
+    for member_id in state.voters():
         progress = state.progress.get(member_id)
         if progress is None or now_ms - progress.acked_sent_ms >= timeout:
             continue
--- a/packages/foxspring-control/foxspring_control/raft/_settings.py
+++ b/packages/foxspring-control/foxspring_control/raft/_settings.py
@@ -39,7 +39,7 @@
     max_append_bytes: int = 256 * KIB
     max_pending: int = 4_096
     snapshot_chunk_bytes: int = 256 * KIB
-    segment_bytes: int = 4 * MIB
+    segment_bytes: int = 1 * MIB
     tail_bytes: int = 1 * MIB
     seed: int = 0
 
--- a/packages/foxspring-control/foxspring_control/raft/_snapshots.py
+++ b/packages/foxspring-control/foxspring_control/raft/_snapshots.py
@@ -61,7 +61,7 @@
         progress.chunk_offset,
         snapshot.total,
         now_ms,
-        member_id in state.membership.voters(),
+        member_id in state.voters(),
         b"",
     )
 
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -143,6 +143,7 @@
         self.transfer_due_ms = 0
         self.incoming: Incoming | None = None
         self.effects: list[Effect] = []
+        self._counted: tuple[Membership, tuple[str, ...]] = (Membership(), ())
         self.draw_election_due(now_ms)
 
     @property
@@ -150,13 +151,23 @@
         """Return the latest membership in the log, committed or not."""
         return self.memberships[-1][1] if self.memberships else Membership()
 
+    def voters(self) -> tuple[str, ...]:
+        """Return the ids of the members that count for a quorum."""
+        membership = self.membership
+        counted, voters = self._counted
+        if membership is not counted:
+            voters = membership.voters()
+            # One assignment, because another thread may ask for the status.
+            self._counted = (membership, voters)
+        return voters
+
     def is_established(self) -> bool:
         """Tell whether this member's disk holds any part of the log."""
         return self.log.last_index > 0
 
     def is_voter(self) -> bool:
         """Tell whether this member counts for a quorum."""
-        return self.member_id in self.membership.voters()
+        return self.member_id in self.voters()
 
     def draw_election_due(self, now_ms: int) -> None:
         """Set the next election timeout at random."""
@@ -170,7 +181,7 @@
 
     def majority(self) -> int:
         """Return how many voters a quorum needs."""
-        return len(self.membership.voters()) // 2 + 1
+        return len(self.voters()) // 2 + 1
 
     def commit_quorum(self) -> int:
         """Return how many voters must have synced an entry to commit it."""
@@ -178,7 +189,7 @@
 
     def quorum_value(self, values: dict[str, int], needed: int) -> int:
         """Return the highest value that ``needed`` voters have reached."""
-        voters = self.membership.voters()
+        voters = self.voters()
         ranked = sorted((values.get(v, 0) for v in voters), reverse=True)
         return ranked[needed - 1] if len(ranked) >= needed else 0
 
