--- a/packages/foxspring-control/foxspring_control/raft/_settings.py
+++ b/packages/foxspring-control/foxspring_control/raft/_settings.py
@@ -30,8 +30,8 @@
     link_address: str
     data_folder: Path
     initial_members: tuple[Member, ...]
-    election_timeout_ms: int = 700
-    heartbeat_ms: int = 250
+    election_timeout_ms: int = 600
+    heartbeat_ms: int = 200
     lease_percent: int = 75
     snapshot_every_entries: int = 5_000
     keep_entries: int = 1_000
