Build a damaged state again from the log

Cause: a member whose state file was damaged would not have started, although its log holds everything. Change: the file is checked when it is opened and set aside if it is not sound. Figures: three kinds of damage (head, middle, torn end), each gives the digest from before after the log is applied again.

--- a/packages/foxspring-control/foxspring_control/state/_database.py
+++ b/packages/foxspring-control/foxspring_control/state/_database.py
@@ -1,6 +1,7 @@
 """The database file: connections, transactions, snapshots and the digest."""
 
 import hashlib
+import logging
 import os
 import sqlite3
 import threading
@@ -17,6 +18,8 @@
     TABLES,
 )
 
+_LOG = logging.getLogger(__name__)
+
 _COPY_CHUNK_BYTES = 256 * 1024
 
 
@@ -27,6 +30,9 @@
     second connection and see the last committed transaction. Commits are not
     synced one by one, because the log can apply its entries again; ``sync``
     makes everything committed durable.
+
+    A damaged file is set aside when it is opened, and an empty one takes its
+    place: the log then installs its snapshot and applies its entries again.
     """
 
     def __init__(self, path: Path, page_cache_kb: int) -> None:
@@ -34,6 +40,8 @@
         self._page_cache_kb = page_cache_kb
         self._write_lock = threading.RLock()
         self._read_lock = threading.RLock()
+        if not _is_sound(path):
+            _set_aside(path)
         self._open()
 
     def _open(self) -> None:
@@ -128,6 +136,29 @@
             self.writer.close()
 
 
+def _is_sound(path: Path) -> bool:
+    if not path.exists():
+        return True
+    connection = sqlite3.connect(path)
+    try:
+        return bool(_pragma(connection, "quick_check") == "ok")
+    except sqlite3.OperationalError:
+        raise
+    except sqlite3.DatabaseError:
+        return False
+    finally:
+        connection.close()
+
+
+def _set_aside(path: Path) -> None:
+    aside = path.with_suffix(".damaged")
+    _LOG.error("event=state_damaged file=%s kept_as=%s", path, aside)
+    os.replace(path, aside)
+    for suffix in ("-wal", "-shm"):
+        Path(f"{path}{suffix}").unlink(missing_ok=True)
+    _sync_folder(path.parent)
+
+
 def snapshot_applied_index(path: Path) -> int:
     """Return the applied index of the snapshot at ``path``.
 
--- a/packages/foxspring-control/foxspring_control/state/tests/test_promises.py
+++ b/packages/foxspring-control/foxspring_control/state/tests/test_promises.py
@@ -23,7 +23,7 @@
     TaskState,
 )
 
-from foxspring_control.state import StateSettings
+from foxspring_control.state import STATE_FILE, StateSettings
 from foxspring_control.state.tests.builders import (
     CONFIGURATION,
     SERVICE,
@@ -288,6 +288,29 @@
         self.driver.submit()
         self.refused(self.path)
 
+    def test_a_damaged_state_is_set_aside_and_built_again_from_the_log(self) -> None:
+        driver = self.driver
+        for number in range(40):
+            driver.submit(job_spec(20), change_id=str(number))
+        digest = driver.state.digest()
+        driver.state.close()
+        file = driver.path() / STATE_FILE
+        whole = file.read_bytes()
+        damages = (
+            b"no database" + whole[11:],
+            whole[:9_000] + b"\xff" * 20_000 + whole[29_000:],
+            whole[:-20_000],
+        )
+        for damaged in damages:
+            file.write_bytes(damaged)
+            driver.state = driver.open(driver.path())
+            self.assertEqual(driver.state.applied_index(), 0)
+            driver.state.apply(driver.log)
+            self.assertEqual(driver.state.digest(), digest)
+            driver.state.close()
+        driver.state = driver.open(driver.path())
+        self.assertEqual(driver.state.digest(), digest)
+
     def test_a_crash_while_a_snapshot_is_copied_keeps_the_state(self) -> None:
         (self.driver.path() / "state.installing").write_bytes(b"half")
         self.driver.reopen()
