--- a/packages/foxspring-control/foxspring_control/service/_settings.py
+++ b/packages/foxspring-control/foxspring_control/service/_settings.py
@@ -40,7 +40,6 @@
     departures_a_round: int = 16
     push_interval_ms: int = 300
     placements_a_command: int = 64
-    events_a_command: int = 256
 
     def entry_lease_surely_ms(self) -> int:
         """Return after how long a granted entry lease has surely ended."""
