--- a/packages/foxspring-control/foxspring_control/service/_task_keeper.py
+++ b/packages/foxspring-control/foxspring_control/service/_task_keeper.py
@@ -4,6 +4,7 @@
 
 from foxspring_model import (
     ENDED_STATES,
+    Eviction,
     EvictTasks,
     PlaceTasks,
     RecordTaskEvents,
@@ -17,10 +18,12 @@
 )
 
 from foxspring_control._replication import ProposeOutcome
-from foxspring_control.service._duties import Duties, duty_of
+from foxspring_control.service._departures import next_departures
+from foxspring_control.service._duties import Duties, duty_of, is_leaving
 from foxspring_control.service._end_proof import judge_end
 from foxspring_control.service._messages import SendMessage
 from foxspring_control.service._proposer import Proposer
+from foxspring_control.service._recent_offers import RecentOffers
 from foxspring_control.service._replica_updates import next_replacements
 from foxspring_control.service._running_check import RunningCheck
 from foxspring_control.service._scheduling import SchedulerHandle
@@ -38,6 +41,9 @@
 _LOG = logging.getLogger(__name__)
 
 
+REASON_RESTART = "its target restarted while it was being started"
+
+
 class TaskKeeper:
     """Feeds the scheduler, proposes its decisions and carries them to owners."""
 
@@ -56,10 +62,12 @@
         self.send = send
         self.scheduler = scheduler
         self.duties = Duties()
+        self.offers = RecentOffers(now_ms, settings.offer_memory_ms)
         self.running_check = RunningCheck(settings.unconfirmed_ms)
         self._suspects: frozenset[str] = frozenset()
         self._replicas_outdated = True
         self._next_replica_check_ms = now_ms
+        self._next_departures_ms = now_ms
         self._proposal_number = 0
         self._loading = TaskLoading(settings.load_page_tasks)
         self._load_site()
@@ -96,8 +104,15 @@
 
     def events(self, sender: str, batch: TaskEvents) -> None:
         """Commit what an owner learnt, then acknowledge it."""
+        hidden = [event for event in batch.events if self._may_hide_a_run(event)]
+        if hidden:
+            self._stop_hidden(hidden)
         with self.state.reading() as tables:
-            events = tuple(self._judged(tables, event) for event in batch.events)
+            events = tuple(
+                self._judged(tables, event)
+                for event in batch.events
+                if event not in hidden
+            )
         command = RecordTaskEvents(events, batch.entry_id)
 
         def done(outcome: ProposeOutcome) -> None:
@@ -117,6 +132,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Propose what the scheduler decides and send open duties."""
+        self.offers.forget_old(now_ms)
         if not self._loading.done:
             self._load_page(now_ms)
             self._send_duties(now_ms)
@@ -132,6 +148,8 @@
         for throttle in decisions.throttles:
             self._send_to_owner(throttle.target_id, throttle)
         self._send_duties(now_ms)
+        if now_ms >= self._next_departures_ms:
+            self._move_departing(now_ms)
         if self._replicas_outdated and now_ms >= self._next_replica_check_ms:
             self._replace_replicas(now_ms)
 
@@ -177,11 +195,25 @@
         owner_epoch = target.owner_epoch if target is not None else 0
         spec = None
         if task.state is TaskState.STARTING:
+            self.offers.note(task.task_id, self.proposer.clock.monotonic_ms())
             job = tables.jobs.get(task.job_id)
             spec = job.spec if job is not None else None
         keep = record.intent is StopIntent.REQUEUE
         self.duties.set(task.task_id, duty_of(task, spec, owner_epoch, keep))
 
+    def _may_hide_a_run(self, event: TaskEvent) -> bool:
+        return self.offers.may_hide_a_run(
+            event,
+            self.view.restarted_ms.get(event.target_id),
+            self.settings.task_lease_surely_ms(),
+            self.proposer.clock.monotonic_ms(),
+        )
+
+    def _stop_hidden(self, events: list[TaskEvent]) -> None:
+        """Begin to stop tasks; their owner tells again that they are lost."""
+        evictions = tuple(Eviction(e.task_id, e.epoch, REASON_RESTART) for e in events)
+        self._propose(EvictTasks(evictions))
+
     def _judged(self, tables: Tables, event: TaskEvent) -> TaskEvent:
         target = self.view.targets.get(event.target_id)
         now_ms = self.proposer.clock.monotonic_ms()
@@ -198,6 +230,27 @@
         for stop in findings.strays:
             self._send_to_owner(stop.target_id, stop)
 
+    def _move_departing(self, now_ms: int) -> None:
+        self._next_departures_ms = now_ms + self.settings.departure_interval_ms
+        departing = [
+            target_id
+            for target_id, record in self.view.targets.items()
+            if is_leaving(record.info, record.draining)
+        ]
+        if not departing:
+            return
+        with self.state.reading() as tables:
+            placed = [
+                record
+                for target_id in departing
+                for record in tables.tasks.on_target(target_id)
+            ]
+            evictions = next_departures(
+                placed, tables.tasks.of_job, self.settings.departures_a_round
+            )
+        if evictions:
+            self._propose(EvictTasks(evictions))
+
     def _replace_replicas(self, now_ms: int) -> None:
         self._next_replica_check_ms = now_ms + self.settings.replica_check_ms
         with self.state.reading() as tables:
