Measure a whole site; give listeners an address of their own

Change: listeners use 127.0.1.1 with ports that the kernel chooses, outgoing connections come from 127.0.0.1; a site bench joins the others.

--- a/packages/foxspring-testing/foxspring_testing/_ports.py
+++ b/packages/foxspring-testing/foxspring_testing/_ports.py
@@ -3,7 +3,9 @@
 import socket
 import threading
 
-HOST = "127.0.0.1"
+# Outgoing connections come from 127.0.0.1, so they never take a port from under
+# a listener that is about to be started again here.
+HOST = "127.0.1.1"
 _TRIES = 100
 
 
--- a/packages/foxspring-testing/foxspring_testing/_schedule_runner.py
+++ b/packages/foxspring-testing/foxspring_testing/_schedule_runner.py
@@ -10,6 +10,7 @@
 from foxspring_testing._fault_network import ANYONE
 from foxspring_testing._schedule import FaultKind, Step
 from foxspring_testing._site import Site
+from foxspring_testing._wait import NotReachedError
 
 _LOG = logging.getLogger(__name__)
 _CUT_AFTER_BYTES = 30
@@ -67,7 +68,7 @@
             if step.kind is not FaultKind.PLANNED_RESTART:
                 time.sleep(step.for_s)
             self._end(step)
-        except OSError as error:
+        except (OSError, NotReachedError) as error:
             _LOG.warning("event=step_failed step=%r reason=%r", step.line(), error)
         finally:
             self._busy.discard(step.name)
--- a/packages/foxspring-testing/foxspring_testing/_socket_owner.py
+++ b/packages/foxspring-testing/foxspring_testing/_socket_owner.py
@@ -7,6 +7,7 @@
 _LOCAL_ADDRESS_FIELD = 1
 _INODE_FIELD = 9
 _NO_INODE = "0"
+_OUTGOING_HOST = "0100007F"
 
 FindOwners = Callable[[set[int]], dict[int, str]]
 
@@ -14,9 +15,10 @@
 def owners_of_ports(
     ports: set[int], processes: Iterable[tuple[str, int]]
 ) -> dict[int, str]:
-    """Return the name of the process that holds each port; others are left out.
+    """Return the name of the process that holds each port of 127.0.0.1.
 
-    ``processes`` holds the name and pid of each process that may own one.
+    Ports of no such process are left out. ``processes`` holds the name and pid
+    of each process that may own one.
     """
     ports_of_inodes = _ports_of_inodes(ports)
     owners: dict[int, str] = {}
@@ -36,11 +38,11 @@
 
 
 def _ports_of_inodes(ports: set[int]) -> dict[str, int]:
-    wanted = {f"{port:04X}": port for port in ports}
+    wanted = {f"{_OUTGOING_HOST}:{port:04X}": port for port in ports}
     found = {}
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        port = wanted.get(fields[_LOCAL_ADDRESS_FIELD][-4:])
+        port = wanted.get(fields[_LOCAL_ADDRESS_FIELD])
         if port is not None and fields[_INODE_FIELD] != _NO_INODE:
             found[fields[_INODE_FIELD]] = port
     return found
--- a/packages/foxspring-testing/foxspring_testing/bench.py
+++ b/packages/foxspring-testing/foxspring_testing/bench.py
@@ -17,6 +17,7 @@
     "foxspring_control.raft._bench",
     "foxspring_control.state._bench",
     "foxspring_entry._bench",
+    "foxspring_testing._site_bench",
     "foxspring_testing._capacity_bench",
 )
 _COLUMNS = ("module", "name", "bound", "figure", "unit", "baseline")
