--- a/packages/foxspring-testing/foxspring_testing/_caller_checks.py
+++ b/packages/foxspring-testing/foxspring_testing/_caller_checks.py
@@ -21,6 +21,30 @@
     ended_ms: int
 
 
+class Outage(NamedTuple):
+    """A time in which one entry was down or paused, by the monotonic clock."""
+
+    entry: str
+    begun_ms: int
+    ended_ms: int
+
+
+def check_told(told: Iterable[CallerRecord], outages: Iterable[Outage]) -> CheckResult:
+    """Check that only an entry that was down or paused left a caller untold."""
+    kept = list(outages)
+    records = list(told)
+    violations = [
+        f"{record.nonce} was told nothing by {record.entry}: {record.detail}"
+        for record in records
+        if record.verdict == "lost"
+        and not record.detail.startswith(NEVER_ACCEPTED)
+        and not any(
+            each.entry == record.entry and _overlaps(record, each) for each in kept
+        )
+    ]
+    return CheckResult(Invariant.WHOLE_ANSWER, len(records), tuple(violations))
+
+
 def check_whole_answers(
     told: Iterable[CallerRecord], events: Iterable[RunEvent]
 ) -> CheckResult:
@@ -95,7 +119,7 @@
     return Counter(event.detail for event in events if event.kind == "request_started")
 
 
-def _overlaps(record: CallerRecord, stop: PlannedStop) -> bool:
+def _overlaps(record: CallerRecord, stop: PlannedStop | Outage) -> bool:
     return record.asked_ms <= stop.ended_ms and record.told_ms >= stop.begun_ms
 
 
--- a/packages/foxspring-testing/foxspring_testing/_schedule_runner.py
+++ b/packages/foxspring-testing/foxspring_testing/_schedule_runner.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from foxspring_testing._caller_checks import PlannedStop
+from foxspring_testing._caller_checks import Outage, PlannedStop
 from foxspring_testing._fault_network import ANYONE
 from foxspring_testing._schedule import FaultKind, Step
 from foxspring_testing._site import Site
@@ -31,6 +31,7 @@
         self.steps = tuple(steps)
         self.stops: list[PlannedStop] = []
         self.failed_stops: list[str] = []
+        self.outages: list[Outage] = []
         self._busy: set[str] = set()
         self._threads: list[threading.Thread] = []
 
@@ -62,6 +63,7 @@
         if step.name in self._busy:
             return
         self._busy.add(step.name)
+        begun_ms = self.site.clock.monotonic_ms()
         _LOG.info("event=fault_begun step=%r", step.line())
         try:
             self._begin(step)
@@ -71,8 +73,15 @@
         except (OSError, NotReachedError) as error:
             _LOG.warning("event=step_failed step=%r reason=%r", step.line(), error)
         finally:
+            self._note_outage(step, begun_ms)
             self._busy.discard(step.name)
 
+    def _note_outage(self, step: Step, begun_ms: int) -> None:
+        daemon = self.site.daemons.get(step.name)
+        if daemon is not None and step.kind in (FaultKind.KILL, FaultKind.PAUSE):
+            ended_ms = self.site.clock.monotonic_ms()
+            self.outages.append(Outage(daemon.http, begun_ms, ended_ms))
+
     def _begin(self, step: Step) -> None:
         network = self.site.network
         if step.kind is FaultKind.KILL:
--- a/packages/foxspring-testing/foxspring_testing/_soak.py
+++ b/packages/foxspring-testing/foxspring_testing/_soak.py
@@ -8,6 +8,7 @@
 
 from foxspring_testing._audit_view import service_targets
 from foxspring_testing._balancer import Balancer
+from foxspring_testing._caller_checks import check_told
 from foxspring_testing._change_checks import (
     AuditedChange,
     SeenRevision,
@@ -126,6 +127,7 @@
     site: Site, operator: OperatorClient, observed: _Observed, runner: ScheduleRunner
 ) -> tuple[CheckResult, ...]:
     results = check_site(site, SiteRecords(observed.told, runner.stops))
+    results.append(check_told(observed.told, runner.outages))
     results.append(check_jobs(observed.jobs, _jobs(operator), site.events()))
     results.append(
         check_revisions(
--- a/packages/foxspring-testing/foxspring_testing/tests/test_checks.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_checks.py
@@ -6,10 +6,12 @@
 from foxspring_model import Resources
 
 from foxspring_testing._caller_checks import (
+    Outage,
     PlannedStop,
     check_at_most_once,
     check_not_run,
     check_planned_stops,
+    check_told,
     check_whole_answers,
 )
 from foxspring_testing._change_checks import (
@@ -144,6 +146,19 @@
         idempotent = [caller_record(idempotent=True)]
         self.assertEqual((), check_at_most_once(idempotent, twice).violations)
 
+    def test_told(self) -> None:
+        lost = [caller_record(verdict="lost", detail="ProtocolError: x")]
+        down = [Outage("e1", 150, 300)]
+        self.assertEqual((), check_told([caller_record()], []).violations)
+        self.assertEqual((), check_told(lost, down).violations)
+        for name, outages in {
+            "no outage": [],
+            "of another entry": [Outage("e2", 150, 300)],
+            "before": [Outage("e1", 10, 50)],
+        }.items():
+            with self.subTest(name):
+                self.assertEqual(1, len(check_told(lost, outages).violations))
+
     def test_planned_stops(self) -> None:
         stops = [PlannedStop("e1", 150, 300)]
         cases = [
