--- a/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
+++ b/packages/foxspring-control/foxspring_control/service/tests/test_targets_and_tasks.py
@@ -4,6 +4,7 @@
 
 from foxspring_model import (
     CancelJobs,
+    DrainTarget,
     Eviction,
     EvictTasks,
     Placement,
@@ -253,6 +254,24 @@
             site.sample("entry-1", task.target_id)
         self.assertEqual(self.settle(task, 1_000).epoch, task.epoch)
 
+    def test_a_draining_target_is_emptied_one_replica_of_a_service_at_a_time(
+        self,
+    ) -> None:
+        site = self.site
+        site.driver.configure(CONFIGURATION + SERVICE.format(replicas=6))
+        task = self.task_in("running")
+        self.settle(task, 3_000)
+        site.driver.apply(DrainTarget("d", "eleni", task.target_id, True))
+        for _ in range(80):
+            self.settle(task, 100)
+            with site.state.reading() as tables:
+                states = [r.task.state for r in tables.tasks.replicas()]
+            away = [state for state in states if state is not TaskState.RUNNING]
+            self.assertLessEqual(len(away), 1)
+        with site.state.reading() as tables:
+            self.assertEqual(tables.tasks.on_target(task.target_id), [])
+        self.assertEqual(site.driver.task(task.task_id).resumed, 1)
+
     def test_a_void_run_is_stopped(self) -> None:
         site = self.site
         owner = site.driver.owner("target-1")
@@ -262,6 +281,32 @@
         stops = site.take(owner, StopTask)
         self.assertEqual(stops, [StopTask("job-9/0", 4, "target-1", False)])
 
+    def test_a_task_lost_with_a_target_that_just_restarted_is_not_placed_at_once(
+        self,
+    ) -> None:
+        site = self.site
+        task = self.task_in("running")
+        owner = site.driver.owner(task.target_id)
+        site.alive_targets[task.target_id] = 2
+        site.run(1_500)
+        for second in range(8):
+            site.report(owner, self.event(task, "lost"))
+            site.run(1_000)
+            now = site.driver.task(task.task_id)
+            if second < 4:
+                self.assertIs(now.state, TaskState.STOPPING, second)
+        self.assertEqual((now.epoch, now.evictions), (task.epoch + 1, 1))
+
+    def test_a_task_that_ran_for_long_is_lost_with_its_target_at_once(self) -> None:
+        site = self.site
+        task = self.task_in("running")
+        owner = site.driver.owner(task.target_id)
+        site.run(16_000)
+        site.alive_targets[task.target_id] = 2
+        site.run(1_500)
+        site.report(owner, self.event(task, "lost"))
+        self.assertIs(site.driver.task(task.task_id).state, TaskState.QUEUED)
+
     def test_replicas_of_an_older_size_are_replaced_one_at_a_time(self) -> None:
         driver = StateDriver()
         self.addCleanup(driver.close)
--- a/packages/foxspring-model/foxspring_model/scheduling/_settings.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_settings.py
@@ -9,8 +9,10 @@
     ``seed`` makes every random choice of a scheduler repeatable.
 
     Search: ``placements_per_call``, ``searches_per_call`` and
-    ``nodes_per_search`` bound one call of ``decide``; ``candidates`` targets are
-    compared for a task, and at most ``starting_per_target`` tasks start at once
+    ``nodes_per_search`` bound one call of ``decide``, ``tries_per_lane`` the jobs
+    it looks at and ``misses_per_lane`` its searches that find no target.
+    ``candidates`` targets are compared for a task; at most
+    ``starting_per_target`` tasks start at once
     on a target. A decision that is not committed is taken again after
     ``command_timeout_ms``, and one that its target's owner refused after
     ``refusal_delay_ms``. A call ends at most ``ends_per_call`` tasks.
@@ -42,12 +44,14 @@
     Services and urgent work: a claim on room that is being freed lasts
     ``claim_ms``, and ``claims_per_call`` bounds the new ones. Room once used by
     urgent work stays reserved for it and is given back over about
-    ``reserve_decay_ms``.
+    ``reserve_decay_ms``, longer where evictions weigh more.
     """
 
     seed: int = 1
     placements_per_call: int = 64
     searches_per_call: int = 256
+    tries_per_lane: int = 256
+    misses_per_lane: int = 16
     nodes_per_search: int = 512
     candidates: int = 8
     starting_per_target: int = 4
@@ -82,6 +86,6 @@
     patient_ms: int = 600_000
     patient_share: int = 2
     requests_per_replica: int = 2
-    reserve_decay_ms: int = 60_000
+    reserve_decay_ms: int = 120_000
     seen_samples: int = 32
     remembered_shapes: int = 1_024
