Wait for the cancelled job's end before cancelling it again in the test

Cause: the test cancelled again once the target had ended the run; control commits the stop a little later, and until then the truthful answer is 'cancelled', not 'already ended' (seen once in the whole run, 'already_ended' was empty). Change: the test waits for the job's state first; what it then asserts is the same. Conclusion: the test's fault.

--- a/packages/foxspring-testing/foxspring_testing/tests/test_site_tasks.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_site_tasks.py
@@ -72,6 +72,10 @@
         self.wait_for(
             lambda: all(run.end_state for run in self.runs(job_id)), "its run's end"
         )
+        self.wait_for(
+            lambda: job(self.operator, job_id)["state"] == "cancelled",
+            f"{job_id} cancelled",
+        )
         again = self.operator.cancel([job_id]).body
         self.assertEqual([job_id], again["already_ended"])
 
