Keep nothing of samples from targets that are gone

Cause: a late sample of a removed target made its load record anew, and nothing removed it again. Change: the target is looked up first. Figures: the new test fails without the change and passes with it.

--- a/packages/foxspring-model/foxspring_model/scheduling/_relief.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_relief.py
@@ -46,10 +46,12 @@
 
     def observe(self, sample: UsageSample) -> None:
         """Learn from one sample; if it is the newest, watch for pressure."""
+        room = self._site.rooms.by_id.get(sample.target_id)
+        if room is None or room.info is None:
+            return
         load = self._site.load_of(sample.target_id)
         unseen, newest = load.order.admit(sample)
-        room = self._site.rooms.by_id.get(sample.target_id)
-        if not unseen or room is None or room.info is None:
+        if not unseen:
             return
         self._learn_sizes(sample)
         shares = self._shares_then(sample, room.info.capacity.cores_milli)
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_interference.py
@@ -178,6 +178,11 @@
         self.scheduler.record_sample(self.sample(HIGH_US, incarnation=1), 0)
         self.assertEqual(before, self.scheduler.site.load_of("t0").order.newest_ms)
 
+    def test_sample_of_a_removed_target_leaves_nothing(self) -> None:
+        self.scheduler.remove_target("t0")
+        self.scheduler.record_sample(self.sample(HIGH_US), 0)
+        self.assertEqual({}, self.scheduler.site.loads)
+
     def test_unknown_pair_is_tried_with_one_task_a_target(self) -> None:
         size = Resources(0, 0, 1_000, 1_000, 0)
         for number in range(4):
