Check a task's end against the log, not against the acknowledgement

So the acknowledgement does not say that the system knew of the result. Change: the check asks the log: no run at a later epoch than the one the log ended the task at, and a finished task finished at that very epoch on a target. That is as strict on what the log holds, and stricter on which run counts.

--- a/packages/foxspring-testing/foxspring_testing/_job_checks.py
+++ b/packages/foxspring-testing/foxspring_testing/_job_checks.py
@@ -26,8 +26,15 @@
             violations.append(f"{job['job_id']} stands twice")
         by_id[job["job_id"]] = job
     runs = task_runs(events)
-    finished = {run.start.task_id for run in runs if run.end_state == "finished"}
-    starts = {run.start.task_id for run in runs}
+    finished = {
+        (run.start.task_id, run.start.epoch)
+        for run in runs
+        if run.end_state == "finished"
+    }
+    last_epochs: dict[str, int] = {}
+    for run in runs:
+        last = last_epochs.get(run.start.task_id, 0)
+        last_epochs[run.start.task_id] = max(last, run.start.epoch)
     kept = list(told)
     violations += [
         f"{job.change_id} was accepted as {job.job_id} and is lost"
@@ -38,7 +45,7 @@
     violations += [f"{name} answers two submissions" for name in _doubles(ids)]
     for job in by_id.values():
         for task in job["tasks"]:
-            violations += _task_faults(task, finished, starts)
+            violations += _task_faults(task, finished, last_epochs)
     return CheckResult(Invariant.RESUME_ONCE, len(by_id), tuple(violations))
 
 
@@ -51,13 +58,17 @@
     return sorted({name for name in ids if ids.count(name) > 1})
 
 
-def _task_faults(task: Any, finished: set[str], starts: set[str]) -> list[str]:
-    name = task["task_id"]
+def _task_faults(
+    task: Any, finished: set[tuple[str, int]], last_epochs: dict[str, int]
+) -> list[str]:
+    name, epoch = task["task_id"], task["epoch"]
     faults = []
-    if task["state"] == "finished" and name not in finished:
-        faults.append(f"{name} is called finished and never finished on a target")
-    if task["resumed"] and name not in starts:
+    if task["state"] == "finished" and (name, epoch) not in finished:
+        faults.append(f"{name} is called finished at epoch {epoch} and did not finish")
+    if task["state"] in ENDED and last_epochs.get(name, 0) > epoch:
+        faults.append(f"{name} ended at epoch {epoch} and ran at {last_epochs[name]}")
+    if task["resumed"] and name not in last_epochs:
         faults.append(f"{name} is called resumed and never ran")
-    if task["resumed"] >= max(1, task["epoch"]):
-        faults.append(f"{name} resumed {task['resumed']} times in {task['epoch']} runs")
+    if task["resumed"] >= max(1, epoch):
+        faults.append(f"{name} resumed {task['resumed']} times in {epoch} runs")
     return faults
--- a/packages/foxspring-testing/foxspring_testing/_runs.py
+++ b/packages/foxspring-testing/foxspring_testing/_runs.py
@@ -14,7 +14,6 @@
 
     ``end_state`` is a task's last state, or ``killed`` with its process.
     ``start_work_ms`` and ``end_work_ms`` are a task's progress then.
-    ``acked_ms`` is when the system acknowledged a task's end, 0 if never.
     """
 
     start: RunEvent
@@ -22,7 +21,6 @@
     end_state: str = ""
     end_work_ms: int = 0
     checkpoint_ms: int = 0
-    acked_ms: int = 0
 
     @property
     def start_ms(self) -> int:
@@ -64,9 +62,6 @@
                 end_work_ms=event.work_ms,
                 checkpoint_ms=event.checkpoint_ms,
             )
-        elif event.kind == "task_acked" and started == "task_started":
-            key = (*process, event.run)
-            runs[key] = runs[key]._replace(acked_ms=event.at_ms)
         elif event.kind == "process_ended":
             _end_with_process(runs, process, event.at_ms)
     return sorted(runs.values(), key=lambda run: run.start_ms)
--- a/packages/foxspring-testing/foxspring_testing/_target_checks.py
+++ b/packages/foxspring-testing/foxspring_testing/_target_checks.py
@@ -90,8 +90,6 @@
 def _resume_fault(earlier: Run, later: Run) -> str:
     if later.start.epoch <= earlier.start.epoch:
         return f"ran again after epoch {earlier.start.epoch}"
-    if earlier.end_state == "finished" and 0 < earlier.acked_ms < later.start_ms:
-        return "ran after the system knew that it had finished"
     if earlier.end_state == "stopped" and later.start_work_ms != earlier.checkpoint_ms:
         return (
             f"resumed from {later.start_work_ms} ms of work, "
--- a/packages/foxspring-testing/foxspring_testing/tests/builders.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/builders.py
@@ -75,3 +75,8 @@
         nonce, "POST", "", False, "e1", 100, 200, verdict, 200, nonce, 0, 0, "t1", 1
     )
     return record._replace(**fields)
+
+
+def a_job_view(resumed: int = 1) -> dict[str, Any]:
+    task = {"task_id": "job/0", "state": "finished", "epoch": 2, "resumed": resumed}
+    return {"job_id": "job", "state": "finished", "tasks": [task]}
--- a/packages/foxspring-testing/foxspring_testing/tests/test_checks.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_checks.py
@@ -22,6 +22,8 @@
 )
 from foxspring_testing._check_result import CheckResult
 from foxspring_testing._events import RunEvent
+from foxspring_testing._job_checks import check_jobs
+from foxspring_testing._operator_traffic import ToldJob
 from foxspring_testing._target_checks import (
     check_capacity,
     check_leaving,
@@ -29,6 +31,7 @@
     check_resume_once,
 )
 from foxspring_testing.tests.builders import (
+    a_job_view,
     caller_record,
     request_event,
     task_event,
@@ -93,15 +96,12 @@
         )
 
     def test_resume_once(self) -> None:
-        acked = task_event("task_acked", 450, "t2", epoch=2)
-        again = task_event("task_started", 500, run=2, epoch=3)
         self.assert_catches(
             check_resume_once,
             evicted_and_resumed(),
             {
                 "lost work": evicted_and_resumed(from_ms=0),
                 "same epoch twice": evicted_and_resumed(epoch=1),
-                "after its end": [*evicted_and_resumed(), acked, again],
             },
         )
 
@@ -178,6 +178,30 @@
                 self.assertEqual(violations, len(found))
 
 
+class JobChecksTest(unittest.TestCase):
+    def test_jobs(self) -> None:
+        runs = evicted_and_resumed()
+        again = [
+            task_event("task_started", 500, run=2, epoch=3),
+            task_event("task_ended", 600, run=2, epoch=3, detail="finished"),
+        ]
+        told = [ToldJob("c1", "job", "r", False)]
+        good = check_jobs(told, [a_job_view()], runs)
+        self.assertEqual((1, ()), (good.checked, good.violations))
+        broken = {
+            "lost": (told, [], runs),
+            "twice": (told, [a_job_view(), a_job_view()], runs),
+            "one for two": ([*told, ToldJob("c2", "job", "r", False)], None, runs),
+            "never ran": (told, None, []),
+            "ran after its end": (told, None, [*runs, *again]),
+            "resumed too often": (told, [a_job_view(resumed=2)], runs),
+        }
+        for name, (jobs, views, events) in broken.items():
+            with self.subTest(name):
+                shown = [a_job_view()] if views is None else views
+                self.assertTrue(check_jobs(jobs, shown, events).violations)
+
+
 class ChangeChecksTest(unittest.TestCase):
     def test_revisions(self) -> None:
         told = [ToldChange("a", 0, "ok", 1), ToldChange("b", 0, "conflict", 1)]
