Install the workspace by plain paths and compile it before the demo

Cause: the demo's daemons held 33.6 MB (control) where an installed product holds less: setuptools' editable finders take 2.6 MB a process, and without compiled files each start compiles every module. Change: editable installs in compat mode (a path file); make demo compiles first.

--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,11 @@
 $(VENV)/.installed: requirements.lock $(foreach p,$(PACKAGES),packages/foxspring-$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --require-hashes -r requirements.lock
-	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/foxspring-$(p))
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --config-settings editable_mode=compat $(foreach p,$(PACKAGES),-e packages/foxspring-$(p))
 	touch $@
 
 demo: $(VENV)/.installed
+	$(RUN) -m compileall -q packages
 	$(RUN) -m foxspring_testing.demo
 
 test: $(VENV)/.installed
