--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,16 +1,26 @@
 """Runs every package's tests and prints the counts; fails when none ran.
 
 Tests named in KNOWN-RED.txt run too; their failures are printed and counted
-apart. Usage: ``run_tests.py [package or dotted test name ...]``.
+apart. Usage: ``run_tests.py [package or dotted test name ...]``; without names the
+packages run in three processes side by side.
 """
 
 import pathlib
+import subprocess
 import sys
 import unittest
+from collections.abc import Sequence
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PACKAGES = ("model", "link", "config", "control", "entry", "daemon", "testing")
+GROUPS = (
+    ("testing:0/2",),
+    ("testing:1/2",),
+    ("control", "link", "config"),
+    ("entry", "daemon", "model"),
+)
+COUNTS = "counts:"
 
 
 def known_red() -> frozenset[str]:
@@ -24,11 +34,24 @@
     )
 
 
+def part_of(name: str) -> list[str]:
+    """Return the test modules of a part: ``testing:0/2`` is every second one."""
+    package, _, part = name.partition(":")
+    first, _, step = part.partition("/")
+    top = ROOT / "packages" / f"foxspring-{package}"
+    paths = sorted(top.glob(f"foxspring_{package}/**/tests/test_*.py"))
+    chosen = paths[int(first) :: int(step)]
+    return [".".join(path.relative_to(top).with_suffix("").parts) for path in chosen]
+
+
 def load(names: list[str]) -> unittest.TestSuite:
     """Return the tests of the named packages, or those of the dotted names."""
     loader = unittest.TestLoader()
     suite = unittest.TestSuite()
     for name in names:
+        if ":" in name:
+            suite.addTests(loader.loadTestsFromNames(part_of(name)))
+            continue
         if name not in PACKAGES:
             suite.addTests(loader.loadTestsFromName(name))
             continue
@@ -44,19 +67,55 @@
     return test
 
 
-def main() -> int:
-    """Run the tests and return the process's exit code."""
-    suite = load(sys.argv[1:] or list(PACKAGES))
-    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
-    expected = known_red()
+def run(names: list[str]) -> tuple[int, int, int]:
+    """Run tests in this process; return how many passed, failed, were skipped."""
+    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(load(names))
     broken = {whole_test(case).id() for case, _ in result.failures + result.errors}
     broken |= {case.id() for case in result.unexpectedSuccesses}
-    red = broken & expected
+    red = broken & known_red()
     for case in sorted(red):
         print(f"known red: {case}")
     failed = len(broken - red)
     skipped = len(result.skipped) + len(red)
-    passed = result.testsRun - failed - skipped
+    return result.testsRun - failed - skipped, failed, skipped
+
+
+def run_side_by_side(groups: Sequence[Sequence[str]]) -> tuple[int, int, int]:
+    """Run each group in a process of its own; return the counts of all."""
+    children = [
+        subprocess.Popen(
+            [sys.executable, __file__, "--counts", *group],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        for group in groups
+    ]
+    totals = [0, 0, 0]
+    for child in children:
+        output, _ = child.communicate()
+        *lines, last = output.rstrip().splitlines() or [""]
+        print("\n".join(lines), flush=True)
+        if not last.startswith(COUNTS):
+            print(last)
+            totals[1] += 1
+            continue
+        counts = last.removeprefix(COUNTS).split()
+        totals = [sum(pair) for pair in zip(totals, map(int, counts), strict=True)]
+    return totals[0], totals[1], totals[2]
+
+
+def main() -> int:
+    """Run the tests and return the process's exit code."""
+    names = sys.argv[1:]
+    if names[:1] == ["--counts"]:
+        passed, failed, skipped = run(names[1:])
+        print(COUNTS, passed, failed, skipped)
+        return 0
+    if names:
+        passed, failed, skipped = run(names)
+    else:
+        passed, failed, skipped = run_side_by_side(GROUPS)
     counts = f"{passed} passed, {failed} failed"
     print(counts + (f", {skipped} skipped" if skipped else ""))
     return 1 if failed or passed <= 0 else 0
