Leave the owner epoch when an entry has ended, so takeover need not wait

Cause: removing an entry and assigning the next owner each raised the owner epoch; the next owner could not rule out an owner between and waited 2.4 s more. In make demo the task lease ended meanwhile, and a job was resumed twice after one lost target. Ruled out: a late renewal and a late report (the log says wait_ms=2400 at takeover). Change: control empties the owner at the same epoch, which it does only when that entry's process has surely ended; the entries' table remembers it.

--- a/packages/foxspring-control/foxspring_control/service/_view.py
+++ b/packages/foxspring-control/foxspring_control/service/_view.py
@@ -94,7 +94,7 @@
             self.unowned_since_ms.pop(target_id, None)
         else:
             self.unowned_since_ms.setdefault(target_id, now_ms)
-        if held is None or record.owner_epoch != held.owner_epoch:
+        if held is None or _owner(record) != _owner(held):
             self.owner_changed.add(target_id)
             self.owner_since_ms[target_id] = now_ms
 
@@ -104,3 +104,7 @@
         version = record.version if record is not None else self.ownership_version
         known = self.must_know.get(held.owner, 0)
         self.must_know[held.owner] = max(known, version)
+
+
+def _owner(record: TargetRecord) -> tuple[str, int]:
+    return record.owner, record.owner_epoch
--- a/packages/foxspring-control/foxspring_control/state/_fleet_commands.py
+++ b/packages/foxspring-control/foxspring_control/state/_fleet_commands.py
@@ -100,9 +100,13 @@
 
 
 def _give_up(work: Work, entry_id: str, moment: Moment) -> None:
-    """Take an ended entry process's targets and open key claims from it."""
+    """Take an ended entry process's targets and open key claims from it.
+
+    The owner epochs stay as they are: nobody owns the targets meanwhile, and so
+    the next owner can tell that its forerunner is the one that has ended.
+    """
     for target in work.tables.targets.owned_by(entry_id):
-        _set_owner(work, target, "")
+        work.save_target(target._replace(owner=""))
     for key in work.tables.keys.open_of_entry(entry_id):
         given_up = key._replace(done=True, verdict=str(Verdict.MAY_HAVE_RUN))
         work.tables.keys.put(given_up, moment.log_index)
--- a/packages/foxspring-entry/foxspring_entry/_ownership.py
+++ b/packages/foxspring-entry/foxspring_entry/_ownership.py
@@ -36,6 +36,7 @@
         self.entries: dict[str, EntryInfo] = {}
         self.targets: dict[str, OwnedTarget] = {}
         self._owners: dict[str, dict[str, int]] = {}
+        self._owner_ended: set[str] = set()
 
     def apply(self, update: OwnershipUpdate) -> OwnershipChange:
         """Apply an update; one that is old or leaves a gap changes nothing."""
@@ -80,6 +81,7 @@
             if held == target:
                 continue
             may_send = self._last_owner_may_send(held, target, entries)
+            self._note_ended_owner(held, target)
             changes.append(TargetChange(target, may_send))
             self.targets[target.info.target_id] = target
         return tuple(changes)
@@ -94,6 +96,8 @@
             return False
         if held is None or held.owner_epoch + 1 != target.owner_epoch:
             return True
+        if held.info.target_id in self._owner_ended:
+            return False
         before, now = self.entries.get(held.owner), entries.get(held.owner)
         if held.owner and now is None:
             return False
@@ -101,6 +105,18 @@
             return True
         return now.incarnation == before.incarnation
 
+    def _note_ended_owner(self, held: OwnedTarget | None, target: OwnedTarget) -> None:
+        """Remember targets whose owner went without another one following.
+
+        Control takes the owner from a target at the same epoch only when that
+        owner's process has surely ended.
+        """
+        target_id = target.info.target_id
+        if held is None or target.owner or held.owner_epoch != target.owner_epoch:
+            self._owner_ended.discard(target_id)
+        elif held.owner:
+            self._owner_ended.add(target_id)
+
     def _remove(self, update: OwnershipUpdate) -> tuple[OwnedTarget, ...]:
         gone = set(update.removed)
         if update.full:
--- a/packages/foxspring-entry/foxspring_entry/tests/test_decisions.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_decisions.py
@@ -71,6 +71,20 @@
         (change,) = table.apply(OwnershipUpdate(False, 2, 3, (), given, ())).changed
         self.assertFalse(change.last_owner_may_send)
 
+    def test_an_owner_that_ended_before_the_next_one_sends_nothing(self) -> None:
+        first = builders.entry_info("e-1")
+        # Columns: epoch once without an owner, epoch of the next, may send.
+        cases = (("ended", 1, 2, False), ("released", 2, 3, True))
+        for name, without, after, may_send in cases:
+            with self.subTest(name):
+                table = OwnershipTable()
+                steps = (("e-1", 1), ("", without), ("e-2", after))
+                for version, (owner, epoch) in enumerate(steps, start=1):
+                    given = (builders.owned(owner=owner, owner_epoch=epoch),)
+                    update = OwnershipUpdate(True, 0, version, (first,), given, ())
+                    (change,) = table.apply(update).changed
+                self.assertIs(change.last_owner_may_send, may_send)
+
     def test_whether_the_last_owner_may_still_send(self) -> None:
         first = builders.entry_info("e-1")
         restarted = builders.entry_info("e-1", incarnation=2)
