Keep connections of the site's own polls

Cause: each poll of readiness opened a connection beside a pool of one and logged that it was discarded. Change: the site's pool keeps eight.

--- a/packages/foxspring-testing/foxspring_testing/_site.py
+++ b/packages/foxspring-testing/foxspring_testing/_site.py
@@ -49,7 +49,7 @@
         self.targets: dict[str, StandInSettings] = {}
         self.network = FaultNetwork(owner_finder(self._pids)) if size.proxied else None
         self._ports = PortChooser()
-        self._pool = urllib3.PoolManager(retries=False, timeout=3)
+        self._pool = urllib3.PoolManager(retries=False, timeout=3, maxsize=8)
         folder.mkdir(parents=True, exist_ok=True)
         self._lay_out()
 
