Judge tasks by a restarted target's first report; take a late end of a queued task

And a run given up as lost that had finished was run again. Ruled out: a repeated stop by control (the log shows the entry's own stop). Change: the tasks are carried over, and the first report of the new process decides; a finished run, or a checkpoint of a stop, counts until the task is placed again.

--- a/packages/foxspring-control/foxspring_control/state/_task_rules.py
+++ b/packages/foxspring-control/foxspring_control/state/_task_rules.py
@@ -105,9 +105,13 @@
     """Return the task after an owner's event; the same record if it is void.
 
     An event is void when it is of another epoch or target, or when the task
-    holds no place.
+    holds no place. But a run that was given up as lost may have finished, or
+    have saved more, before its lease ended: until the task is placed again this
+    spares its work.
     """
     task = record.task
+    if task.state is TaskState.QUEUED and 0 < event.epoch == task.epoch:
+        return _late_end(record, event, now_ms)
     if event.epoch != task.epoch or task.state not in PLACED_STATES:
         return record
     if event.target_id and event.target_id != task.target_id:
@@ -127,6 +131,14 @@
     return record
 
 
+def _late_end(record: TaskRecord, event: TaskEvent, now_ms: int) -> TaskRecord:
+    if event.kind == "finished" and record.task.kind is TaskKind.BATCH:
+        return _finished(record, event, now_ms)
+    if event.kind == "stopped":
+        return _checkpointed(record, event, now_ms)
+    return record
+
+
 def _started(record: TaskRecord, now_ms: int) -> TaskRecord:
     if record.task.state is not TaskState.STARTING:
         return record
--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -193,10 +193,8 @@
         return self._released.get(owned.info.target_id) == owned.owner_epoch
 
     def _replace(self, old: ManagedTarget, owned: OwnedTarget, now_ms: int) -> None:
-        old.tasks.end_all("target's process started anew", now_ms)
         target = self._new(owned, now_ms + SETTLE_MS, now_ms)
-        target.tasks.ended = old.tasks.ended
-        target.tasks.events = old.tasks.events
+        target.tasks.carry_over(old.tasks)
         self.targets[owned.info.target_id] = target
 
     def _owned(self, target_id: str) -> ManagedTarget | None:
