--- a/packages/foxspring-entry/foxspring_entry/_bench_processes.py
+++ b/packages/foxspring-entry/foxspring_entry/_bench_processes.py
@@ -14,7 +14,7 @@
 from foxspring_entry._entry import Entry
 from foxspring_entry._http import HttpRequest, HttpResponse
 from foxspring_entry.tests import builders
-from foxspring_entry.tests.builders import FakeTarget
+from foxspring_entry.tests.fake_target import FakeTarget
 
 _KB_PER_MB = 1_024
 _SPAWN = multiprocessing.get_context("spawn")
--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -19,6 +19,7 @@
 
 from foxspring_entry._effects import CallTarget, CloseConnections, Effects
 from foxspring_entry._ledger import HoldKind
+from foxspring_entry._next_life import carry_over
 from foxspring_entry._ownership import TargetChange
 from foxspring_entry._settings import EntrySettings
 from foxspring_entry._target import CONTROL_CONNECTIONS, ManagedTarget
@@ -194,7 +195,7 @@
 
     def _replace(self, old: ManagedTarget, owned: OwnedTarget, now_ms: int) -> None:
         target = self._new(owned, now_ms + SETTLE_MS, now_ms)
-        target.tasks.carry_over(old.tasks)
+        carry_over(old.tasks, target.tasks)
         self.targets[owned.info.target_id] = target
 
     def _owned(self, target_id: str) -> ManagedTarget | None:
--- a/packages/foxspring-entry/foxspring_entry/_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/_tasks.py
@@ -16,7 +16,6 @@
 from foxspring_entry._task_calls import start_call, stop_call, throttle_call
 from foxspring_entry._task_state import (
     EVENT_OF_STATE,
-    FROM_FIRST_REPORT,
     READING_MAX_AGE_MS,
     RETRY_CALL_MS,
     START_LIMIT_MS,
@@ -192,20 +191,6 @@
                 self._end(task.task_id, task.epoch, "lost", now_ms, "lease ended")
         self.ended.prune(now_ms)
 
-    def carry_over(self, old: "TargetTasks") -> None:
-        """Take over the tasks of the target's last process for judgement.
-
-        Some may have started in the new process before this entry heard of it,
-        so its first report decides which of them are lost.
-        """
-        self.ended, self.events = old.ended, old.events
-        for task in old.tasks.values():
-            self.ledger.inherit(hold_id(task.task_id), HoldKind.TASK, task.resources)
-            missing_ms = None if task.phase is TaskPhase.STARTING else FROM_FIRST_REPORT
-            self.tasks[task.task_id] = task._replace(
-                calling=False, missing_ms=missing_ms
-            )
-
     def take_events(self) -> list[TaskEvent]:
         """Return the events since the last call."""
         events, self.events = self.events, []
--- a/packages/foxspring-entry/foxspring_entry/tests/test_entry.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_entry.py
@@ -21,7 +21,8 @@
 
 from foxspring_entry import Entry, HttpRequest, HttpResponse
 from foxspring_entry.tests import builders
-from foxspring_entry.tests.builders import FakeControl, FakeTarget, call, wait_until
+from foxspring_entry.tests.builders import FakeControl, call, wait_until
+from foxspring_entry.tests.fake_target import FakeTarget
 
 _PATH = "/services/register/pipes"
 _Answer = urllib3.BaseHTTPResponse
--- a/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
@@ -14,6 +14,7 @@
 )
 
 from foxspring_entry._ledger import TargetLedger
+from foxspring_entry._next_life import carry_over
 from foxspring_entry._task_state import TargetClock, TaskCall, TaskCallKind, hold_id
 from foxspring_entry._tasks import TargetTasks
 from foxspring_entry.tests.builders import CAPACITY, task_status
@@ -194,7 +195,7 @@
         self.start(task_id="j/0")
         self.start(task_id="j/1")
         next_life = TargetTasks(TargetLedger("t-1", CAPACITY), _LEASE_MS)
-        next_life.carry_over(self.tasks)
+        carry_over(self.tasks, next_life)
         self.assertEqual(len(next_life.ledger.holds), 2)
         next_life.on_report([task_status("j/1")], 5, self.now_ms)
         events = [(event.task_id, event.kind) for event in next_life.take_events()]
