--- a/packages/foxspring-control/foxspring_control/service/_scheduling.py
+++ b/packages/foxspring-control/foxspring_control/service/_scheduling.py
@@ -1,10 +1,12 @@
 """What the service needs of a scheduler."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from foxspring_model import Configuration, TargetInfo, Task, UsageSample
-from foxspring_model.scheduling import Decisions, Scheduler, SchedulerSettings
+
+if TYPE_CHECKING:
+    from foxspring_model.scheduling import Decisions
 
 
 class SchedulerHandle(Protocol):
@@ -31,7 +33,7 @@
     def task_refused(self, task_id: str, target_id: str, now_ms: int) -> None:
         """Send a task elsewhere."""
 
-    def decide(self, now_ms: int) -> Decisions:
+    def decide(self, now_ms: int) -> "Decisions":
         """Return what to do now."""
 
     def explain(self, task_id: str, now_ms: int) -> tuple[str, ...]:
@@ -45,5 +47,10 @@
 
 
 def make_scheduler() -> SchedulerHandle:
-    """Return the product's scheduler with its default settings."""
+    """Return the product's scheduler with its default settings.
+
+    It is imported here because a member that never leads has no use for it.
+    """
+    from foxspring_model.scheduling import Scheduler, SchedulerSettings
+
     return Scheduler(SchedulerSettings())
--- a/packages/foxspring-daemon/foxspring_daemon/_control_process.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_control_process.py
@@ -20,7 +20,7 @@
 from foxspring_model import MESSAGES
 
 _LOG = logging.getLogger(__name__)
-_TICK_S = 0.05
+_TICK_S = 0.1
 _TRANSFER_LIMIT_S = 3.0
 _RAFT_TYPES = frozenset(RAFT_MESSAGES)
 
