--- a/packages/foxspring-entry/foxspring_entry/_control_client.py
+++ b/packages/foxspring-entry/foxspring_entry/_control_client.py
@@ -19,7 +19,7 @@
     Verdict,
 )
 
-_TRY_MS = 1_000
+_TRY_MS = 400
 _PAUSE_MS = 50
 _MS_PER_S = 1_000
 
