Refuse a start whose lease is over in the stand-in, as the contract says

The trace: the start of epoch 6 was held back by a fault and reached target-6 1.3 s after its lease had ended; the stand-in began the run, found the lease over and ended it with no work done. docs/PLATFORM.md says that such a start starts nothing (409). Ruled out: a second placement at one epoch; the log has epoch 7 placed after the lease of epoch 6 had surely ended. Change: the stand-in answers 409 and starts nothing. Conclusion: the stand-in's fault; the check stays as it is.

--- a/packages/foxspring-testing/foxspring_testing/_standin.py
+++ b/packages/foxspring-testing/foxspring_testing/_standin.py
@@ -112,7 +112,8 @@
     def _serve_task(self, received: Received) -> Reply:
         body = received.body
         if received.path == "/v1/tasks":
-            return _json(self.tasks.start(_decode(body, StartTaskBody)))
+            started = self.tasks.start(_decode(body, StartTaskBody))
+            return _json(started) if started else _error(409, "the lease is over")
         if received.path == "/v1/leases":
             return _json(self.tasks.renew(_decode(body, RenewBody)))
         if received.path == "/v1/tasks/stop":
--- a/packages/foxspring-testing/foxspring_testing/_task_table.py
+++ b/packages/foxspring-testing/foxspring_testing/_task_table.py
@@ -39,12 +39,17 @@
         """Return the target's own clock."""
         return self._clock.monotonic_ms() + self._offset_ms
 
-    def start(self, body: StartTaskBody) -> TaskStatusBody:
-        """Run a task; a start that was seen before is only answered again."""
+    def start(self, body: StartTaskBody) -> TaskStatusBody | None:
+        """Run a task; a start that was seen before is only answered again.
+
+        Returns None for a start that arrives after the end of its lease.
+        """
         with self._lock:
             key = (body["task_id"], body["epoch"])
             task = self._tasks.get(key)
             if task is None:
+                if body["lease_until_ms"] <= self.target_ms():
+                    return None
                 task = self._begin(body)
                 self._tasks[key] = task
             self._advance(task)
--- a/packages/foxspring-testing/foxspring_testing/tests/test_standin.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_standin.py
@@ -104,6 +104,13 @@
             "a report without the acked task",
         )
 
+    def test_start_after_the_end_of_its_lease_starts_nothing(self) -> None:
+        self.assertEqual(
+            409, self.post("/v1/tasks", start_body(lease_until_ms=1)).status
+        )
+        kinds = {event.kind for event in read_events(self.events)}
+        self.assertNotIn("task_started", kinds)
+
     def test_behaviours_show_in_announcements_and_reports(self) -> None:
         self.standin.behave(Behaviour(leaving=True, lie_memory=3.0))
         self.post("/v1/tasks", start_body(memory_mb=100, payload='{"work_ms": 60000}'))
