Never say not run after an attempt that may have run

The promise that 'not run' is true was broken. Ruled out: a refusal after sending; each attempt's own verdict was true. Change: a request remembers whether any attempt may have run; its last refusal is then told as 'may have run'.

--- a/packages/foxspring-entry/foxspring_entry/_origin.py
+++ b/packages/foxspring-entry/foxspring_entry/_origin.py
@@ -29,12 +29,16 @@
 
 
 class Pending(NamedTuple):
-    """A request whose caller waits; the current attempt went to ``owner``."""
+    """A request whose caller waits; the current attempt went to ``owner``.
+
+    ``may_have_run`` is set once any attempt may have reached a target.
+    """
 
     relay: RelayRequest
     deadline_ms: int
     owner: EntryInfo | None = None
     tried: tuple[str, ...] = ()
+    may_have_run: bool = False
 
 
 class Origin:
@@ -83,6 +87,8 @@
             return []
         if pending.owner is not None:
             self.loads.note_answer(pending.owner.entry_id, pending.relay.service)
+        if answer.verdict == Verdict.MAY_HAVE_RUN:
+            pending = pending._replace(may_have_run=True)
         if self._may_retry(pending, answer, now_ms):
             self.retries += 1
             return self._again(pending, answer, now_ms)
@@ -203,6 +209,10 @@
         self, pending: Pending, outcome: Outcome, target_id: str = ""
     ) -> ReplyToCaller:
         self.pending.pop(pending.relay.request_id, None)
+        if pending.may_have_run and isinstance(outcome, Refused):
+            outcome = Uncertain(
+                f"an earlier attempt may have run; the last one: {outcome.detail}"
+            )
         return ReplyToCaller(pending.relay.request_id, outcome, target_id)
 
 
