Tell control how a run given up as lost really ended

Ruled out: a second owner (the target had one during the run). Change: such a run is stopped with its progress saved, and a reported end that says more than lost is told to control, which counts it until the task is placed again.

--- a/packages/foxspring-entry/foxspring_entry/_task_state.py
+++ b/packages/foxspring-entry/foxspring_entry/_task_state.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from foxspring_model import NOTHING, Resources, RunTask, TaskStatusBody
+from foxspring_model import NOTHING, Resources, RunTask, TaskEvent, TaskStatusBody
 
 RETRY_CALL_MS = 300
 START_LIMIT_MS = 10_000
@@ -29,6 +29,14 @@
     return Resources(cores_milli=status["cores_milli"], memory_mb=status["memory_mb"])
 
 
+def tells_more(ended: TaskEvent, status: TaskStatusBody) -> bool:
+    """Tell whether a report says how a run ended that was given up as lost."""
+    if (ended.kind, ended.epoch) != ("lost", status["epoch"]):
+        return False
+    saved = status["state"] == "stopped" and status["checkpoint"] != ""
+    return status["state"] == "finished" or saved
+
+
 class TaskPhase(StrEnum):
     """What the owner is doing with a task."""
 
--- a/packages/foxspring-entry/foxspring_entry/_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/_tasks.py
@@ -25,6 +25,7 @@
     TaskCall,
     TaskPhase,
     hold_id,
+    tells_more,
     used_by,
 )
 
@@ -270,7 +271,7 @@
         strays = list(self.strays.items())[: max(0, room)]
         for task_id, _ in strays:
             del self.strays[task_id]
-        return [stop_call(task_id, epoch, False) for task_id, epoch in strays]
+        return [stop_call(task_id, epoch, True) for task_id, epoch in strays]
 
     def _apply_status(self, status: TaskStatusBody, now_ms: int) -> None:
         task = self.tasks.get(status["task_id"])
@@ -296,9 +297,12 @@
 
     def _apply_unknown(self, status: TaskStatusBody, now_ms: int) -> None:
         task_id, epoch = status["task_id"], status["epoch"]
-        if self.ended.at_or_after(task_id, epoch) is not None:
+        ended = self.ended.at_or_after(task_id, epoch)
+        if ended is not None:
             if status["state"] == "running":
                 self.strays[task_id] = epoch
+            elif tells_more(ended, status):
+                self._end_as_reported(status, status["checkpoint"], now_ms)
             return
         if status["state"] != "running":
             self._end_as_reported(status, status["checkpoint"], now_ms)
--- a/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
@@ -191,6 +191,25 @@
         self.start(task_id="j/1")
         self.assertEqual(self.kinds(), ["started", "started"])
 
+    def test_a_lost_run_that_ended_well_is_told_once(self) -> None:
+        cases: tuple[tuple[str, str, list[str]], ...] = (
+            ("stopped", "cp-7", ["stopped"]),
+            ("stopped", "", []),
+            ("finished", "", ["finished"]),
+            ("expired", "cp-7", []),
+        )
+        for state, checkpoint, expected in cases:
+            with self.subTest(state=state, checkpoint=checkpoint):
+                self.setUp()
+                self.start()
+                self.now_ms += 60_000
+                self.tasks.expire(self.now_ms)
+                self.assertEqual(self.kinds(), ["started", "lost"])
+                status = task_status("j/0", state=state, checkpoint=checkpoint)
+                self.report(status)
+                self.report(status)
+                self.assertEqual(self.kinds(), expected)
+
     def test_new_incarnation_ends_what_its_first_report_lacks(self) -> None:
         self.start(task_id="j/0")
         self.start(task_id="j/1")
