Let a target forget an ended task only when no start of it can come

Ruled out: a second placement at one epoch; both runs were of the same start. Change: an ending is acknowledged once it is committed and has been reported for the length of a lease and its drift; until then a late start is only answered.

--- a/packages/foxspring-entry/foxspring_entry/_ended_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/_ended_tasks.py
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self._tasks: dict[str, EndedTask] = {}
+        self._seen_ms: dict[tuple[str, int], int] = {}
 
     def add(self, event: TaskEvent, now_ms: int) -> None:
         """Keep an ending unless one of a newer epoch is held."""
@@ -38,12 +39,21 @@
         if held is not None and held.event == event:
             self._tasks[event.task_id] = held._replace(committed=True)
 
-    def acknowledged(self, statuses: list[TaskStatusBody]) -> list[list[str | int]]:
-        """Return the reported endings that their target may forget."""
+    def acknowledged(
+        self, statuses: list[TaskStatusBody], after_ms: int, now_ms: int
+    ) -> list[list[str | int]]:
+        """Return the reported endings that their target may forget.
+
+        Not before ``after_ms``, when the lease of every start has surely ended: a
+        start that was held back on the way would run a forgotten task again.
+        """
+        ended = [status for status in statuses if status["state"] != "running"]
+        keys = [(status["task_id"], status["epoch"]) for status in ended]
+        self._seen_ms = {key: self._seen_ms.get(key, now_ms) for key in keys}
         return [
             [status["task_id"], status["epoch"]]
-            for status in statuses
-            if status["state"] != "running" and self._is_committed(status)
+            for key, status in zip(keys, ended, strict=True)
+            if now_ms - self._seen_ms[key] >= after_ms and self._is_committed(status)
         ]
 
     def prune(self, now_ms: int) -> None:
--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -23,7 +23,12 @@
 from foxspring_entry._ownership import TargetChange
 from foxspring_entry._settings import EntrySettings
 from foxspring_entry._target import CONTROL_CONNECTIONS, ManagedTarget
-from foxspring_entry._task_state import OwnedTask, TaskCall, TaskCallKind
+from foxspring_entry._task_state import (
+    OwnedTask,
+    TaskCall,
+    TaskCallKind,
+    surely_over_ms,
+)
 
 _LOG = logging.getLogger(__name__)
 
@@ -136,9 +141,8 @@
         target = self._owned(report["target_id"])
         if target is None or report["incarnation"] != target.owned.info.incarnation:
             return False, []
-        acked = target.tasks.ended.acknowledged(report["tasks"])
         if report["sequence"] <= target.last_sequence:
-            return False, acked
+            return False, []
         target.last_sequence = report["sequence"]
         target.heard_ms = now_ms
         target.clock = target.clock.newer(report["target_ms"], now_ms)
@@ -147,7 +151,9 @@
         target.tasks.on_report(report["tasks"], report["target_ms"], now_ms)
         newer = report["measured_ms"] > target.last_measured_ms
         target.last_measured_ms = max(target.last_measured_ms, report["measured_ms"])
-        return newer, target.tasks.ended.acknowledged(report["tasks"])
+        after_ms = surely_over_ms(self.settings.task_lease_ms)
+        acked = target.tasks.ended.acknowledged(report["tasks"], after_ms, now_ms)
+        return newer, acked
 
     def call_done(self, call_id: int, answer: CallAnswer, now_ms: int) -> None:
         """Take the answer to a call made before."""
--- a/packages/foxspring-entry/foxspring_entry/_task_state.py
+++ b/packages/foxspring-entry/foxspring_entry/_task_state.py
@@ -37,6 +37,11 @@
     return status["state"] == "finished" or saved
 
 
+def surely_over_ms(lease_ms: int) -> int:
+    """Return after how long a lease is over on clocks that differ by a tenth."""
+    return lease_ms + lease_ms // 10 + 1
+
+
 class TaskPhase(StrEnum):
     """What the owner is doing with a task."""
 
@@ -112,4 +117,4 @@
         The reading was taken before it was received, and the two clocks differ
         in rate by less than a tenth.
         """
-        return self.received_ms + lease_ms + lease_ms // 10 + 1
+        return self.received_ms + surely_over_ms(lease_ms)
--- a/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_tasks.py
@@ -128,7 +128,7 @@
                 self.report(*statuses, taken_ms=taken_ms)
                 self.assertEqual(self.kinds(), events)
 
-    def test_ending_is_acked_once_committed(self) -> None:
+    def test_ending_is_acked_once_committed_and_no_start_can_come(self) -> None:
         self.start()
         ended = task_status("j/0", state="finished", checkpoint="cp-2", result="r")
         self.report(ended)
@@ -136,9 +136,14 @@
         self.assertEqual(
             (event.kind, event.result, event.checkpoint), ("finished", "r", "cp-2")
         )
-        self.assertEqual(self.tasks.ended.acknowledged([ended]), [])
+        acknowledged = self.tasks.ended.acknowledged
+        self.assertEqual(acknowledged([ended], 5_501, 0), [])
+        self.assertEqual(acknowledged([ended], 5_501, 6_000), [])
         self.tasks.ended.commit(event)
-        self.assertEqual(self.tasks.ended.acknowledged([ended]), [["j/0", 1]])
+        self.assertEqual(acknowledged([ended], 5_501, 6_000), [["j/0", 1]])
+        again = task_status("j/0", epoch=1, state="finished")
+        acknowledged([], 5_501, 6_000)
+        self.assertEqual(acknowledged([again], 5_501, 7_000), [])
 
     def test_stop_saves_the_checkpoint(self) -> None:
         self.start()
