--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -27,6 +27,7 @@
     Transfer,
 )
 from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._messages import Membership
 from foxspring_control.raft._runtime import Runtime, SendMessage
 from foxspring_control.raft._segments import Sync
 from foxspring_control.raft._settings import Member, RaftSettings
@@ -187,6 +188,19 @@
             raise RuntimeError("call start() before status()")
         return self._runtime.status()
 
+    def lease_valid(self) -> bool:
+        """Tell whether this member leads and no other can lead now."""
+        if self._runtime is None:
+            return False
+        state = self._runtime.state
+        return state.announced and state.lease_valid(self.clock.monotonic_ms())
+
+    def membership(self) -> Membership:
+        """Return the latest membership that this member knows."""
+        if self._runtime is None:
+            return Membership()
+        return self._runtime.state.membership
+
     def _ask(self, on_done: ProposeCallback, event: Callable[[int], Event]) -> None:
         token = next(self._tokens)
         with self._lock:
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/__init__.py
@@ -0,0 +1,102 @@
+"""Jobs of several steps: replicated state, placement and orders to targets."""
+
+from foxspring_jobs._caller import CallerSettings, ControlCaller
+from foxspring_jobs._commands import (
+    RegisterTarget,
+    RunKey,
+    TargetLife,
+    TaskKey,
+)
+from foxspring_jobs._entry import JobEntry
+from foxspring_jobs._http_front import (
+    FrontHandler,
+    FrontRequest,
+    FrontResponse,
+    HttpFront,
+)
+from foxspring_jobs._leader import LeaderSettings
+from foxspring_jobs._member import ControlMember, MemberSettings, job_codec
+from foxspring_jobs._operations import (
+    Answer,
+    CancelCall,
+    CheckCall,
+    NotLeading,
+    Outcome,
+    ReadCall,
+    ReadTableCall,
+    ReplaceTableCall,
+    Reply,
+    SubmitCall,
+    TargetLeaving,
+    TargetReport,
+)
+from foxspring_jobs._orders import (
+    FinishedRow,
+    HoldRequest,
+    Order,
+    PaceOrder,
+    Reading,
+    Result,
+    RunningRow,
+    StartOrder,
+    StopOrder,
+    TargetApi,
+    TargetPlace,
+    TargetView,
+)
+from foxspring_jobs._specs import (
+    JobSpec,
+    Queue,
+    QueueTable,
+    ServicePool,
+    StepSpec,
+)
+from foxspring_jobs._state import EndKind
+
+__all__ = [
+    "Answer",
+    "CallerSettings",
+    "CancelCall",
+    "CheckCall",
+    "ControlCaller",
+    "ControlMember",
+    "EndKind",
+    "FinishedRow",
+    "FrontHandler",
+    "FrontRequest",
+    "FrontResponse",
+    "HoldRequest",
+    "HttpFront",
+    "JobEntry",
+    "JobSpec",
+    "LeaderSettings",
+    "MemberSettings",
+    "NotLeading",
+    "Order",
+    "Outcome",
+    "PaceOrder",
+    "Queue",
+    "QueueTable",
+    "ReadCall",
+    "ReadTableCall",
+    "Reading",
+    "RegisterTarget",
+    "ReplaceTableCall",
+    "Reply",
+    "Result",
+    "RunKey",
+    "RunningRow",
+    "ServicePool",
+    "StartOrder",
+    "StepSpec",
+    "StopOrder",
+    "SubmitCall",
+    "TargetApi",
+    "TargetLeaving",
+    "TargetLife",
+    "TargetPlace",
+    "TargetReport",
+    "TargetView",
+    "TaskKey",
+    "job_codec",
+]
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_call_handler.py
@@ -0,0 +1,175 @@
+"""Answers calls at the leader: reads behind a barrier, writes when committed."""
+
+from collections.abc import Callable
+from typing import Any
+
+from foxspring_control import ProposeOutcome
+from foxspring_control.raft import ReplicatedLog
+
+from foxspring_jobs._commands import ReplaceTable
+from foxspring_jobs._leader import Leader
+from foxspring_jobs._machine import JobMachine
+from foxspring_jobs._operations import (
+    Answer,
+    CancelCall,
+    CheckCall,
+    Outcome,
+    PingLeader,
+    ReadCall,
+    ReadTableCall,
+    ReplaceTableCall,
+    SubmitCall,
+    TargetLeaving,
+    TargetReport,
+)
+from foxspring_jobs._specs import Queue, is_job_id, job_problem, table_problem
+from foxspring_jobs._state import JobPhase, State
+
+Respond = Callable[[Answer], None]
+Action = Callable[[], object]
+
+NO_TABLE = Answer(Outcome.UNAVAILABLE, "no configuration yet")
+NO_QUEUE = Answer(Outcome.NO_QUEUE, "no such queue")
+NO_JOB = Answer(Outcome.GONE, "no such job")
+BAD_ID = Answer(Outcome.INVALID, "the id is not 16 hexadecimal digits")
+
+
+class CallHandler:
+    """Handles one call on the leader's thread."""
+
+    def __init__(
+        self,
+        leader: Leader,
+        machine: JobMachine,
+        log: ReplicatedLog,
+        post: Callable[[Action], None],
+    ) -> None:
+        self.leader = leader
+        self.machine = machine
+        self.log = log
+        self.post = post
+
+    def handle(self, operation: Any, respond: Respond, decline: Action) -> None:
+        """Answer an operation, or decline it if this member may not lead."""
+        match operation:
+            case TargetReport():
+                self._if_sure(lambda: self.leader.report(operation, respond), decline)
+            case TargetLeaving():
+                self.leader.leaving(operation.target_id, operation.born_ms, respond)
+            case PingLeader():
+                self._if_sure(lambda: respond(Answer(Outcome.OK)), decline)
+            case _:
+                action = self._behind_barrier(operation, respond)
+                self._after_barrier(action, decline)
+
+    def _if_sure(self, action: Action, decline: Action) -> None:
+        if self.log.lease_valid():
+            action()
+        else:
+            decline()
+
+    def _after_barrier(self, action: Action, decline: Action) -> None:
+        def done(outcome: ProposeOutcome) -> None:
+            ready = outcome.status == "applied"
+            self.post(action if ready else decline)
+
+        self.log.read_barrier(done)
+
+    def _behind_barrier(self, operation: Any, respond: Respond) -> Action:
+        match operation:
+            case SubmitCall():
+                return lambda: self._submit(operation, respond)
+            case CancelCall():
+                return lambda: self._cancel(operation, respond)
+            case ReadCall():
+                return lambda: respond(self._read(operation))
+            case CheckCall():
+                return lambda: respond(self._check(operation))
+            case ReplaceTableCall():
+                return lambda: self._replace(operation, respond)
+            case ReadTableCall():
+                return lambda: respond(self._read_table())
+            case _:
+                return lambda: respond(Answer(Outcome.INVALID, "unknown call"))
+
+    def _route(self, host: str, path: str) -> tuple[Queue, str] | Answer:
+        table = self.state().table
+        if table.version == 0:
+            return NO_TABLE
+        queue = table.route(host, path)
+        if queue is None:
+            return NO_QUEUE
+        return queue, path[len(queue.path_prefix) :]
+
+    def state(self) -> State:
+        """Return the committed state."""
+        return self.machine.state
+
+    def _submit(self, call: SubmitCall, respond: Respond) -> None:
+        with self.machine.lock:
+            routed = self._route(call.host, call.path)
+        if isinstance(routed, Answer):
+            respond(routed)
+            return
+        queue, job_id = routed
+        problem = job_problem(call.spec)
+        if not is_job_id(job_id):
+            respond(BAD_ID)
+        elif problem:
+            respond(Answer(Outcome.INVALID, problem))
+        else:
+            self.leader.submit(job_id, queue, call.spec, respond)
+
+    def _cancel(self, call: CancelCall, respond: Respond) -> None:
+        with self.machine.lock:
+            routed = self._route(call.host, call.path)
+        if isinstance(routed, Answer):
+            respond(routed)
+            return
+        job_id = routed[1]
+        if is_job_id(job_id):
+            self.leader.cancel(job_id, respond)
+        else:
+            respond(BAD_ID)
+
+    def _read(self, call: ReadCall) -> Answer:
+        with self.machine.lock:
+            routed = self._route(call.host, call.path)
+            if isinstance(routed, Answer):
+                return routed
+            queue, job_id = routed
+            if not job_id:
+                return Answer(Outcome.OK, count=self._waiting(queue))
+            if not is_job_id(job_id):
+                return BAD_ID
+            job = self.state().jobs.get(job_id)
+            if job is None:
+                return NO_JOB
+            return Answer(Outcome.OK, phase=job.phase.value)
+
+    def _waiting(self, queue: Queue) -> int:
+        return sum(
+            job.queue.name == queue.name and job.phase is JobPhase.PENDING
+            for job in self.state().active.values()
+        )
+
+    def _check(self, call: CheckCall) -> Answer:
+        with self.machine.lock:
+            routed = self._route(call.host, call.path)
+        if isinstance(routed, Answer):
+            return routed
+        return Answer(Outcome.INVALID, "the body can't be read")
+
+    def _replace(self, call: ReplaceTableCall, respond: Respond) -> None:
+        problem = table_problem(call.table)
+        if problem:
+            respond(Answer(Outcome.INVALID, problem))
+        else:
+            self.leader.replace_table(ReplaceTable(call.table), respond)
+
+    def _read_table(self) -> Answer:
+        with self.machine.lock:
+            table = self.state().table
+        if table.version == 0:
+            return NO_TABLE
+        return Answer(Outcome.OK, document=table.document)
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -0,0 +1,197 @@
+"""Calls to the leader from any daemon, until an answer or the deadline."""
+
+import itertools
+import logging
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from foxspring_model import Clock
+
+from foxspring_jobs._operations import (
+    Answer,
+    NotLeading,
+    Outcome,
+    PingLeader,
+    Reply,
+    SubmitCall,
+    make_call,
+)
+
+_LOG = logging.getLogger(__name__)
+
+
+class CallerSettings(NamedTuple):
+    """Times in milliseconds.
+
+    ``attempt_ms`` is how long one member may take to answer; all operations
+    are idempotent, so a call without an answer is sent again.
+    """
+
+    attempt_ms: int = 400
+    pause_ms: int = 40
+    ping_ms: int = 500
+    ready_ms: int = 3_000
+
+
+class _Pending:
+    def __init__(self) -> None:
+        self.arrived = threading.Event()
+        self.message: Reply | NotLeading | None = None
+
+
+class ControlCaller:
+    """Finds the leader and passes calls to it; safe to use from any thread."""
+
+    def __init__(
+        self,
+        own_address: str,
+        seeds: Iterable[str],
+        send: Callable[[str, Any], object],
+        clock: Clock,
+        settings: CallerSettings | None = None,
+    ) -> None:
+        self.own_address = own_address
+        self.seeds = tuple(seeds)
+        self.members = self.seeds
+        self.leader = ""
+        self.send = send
+        self.clock = clock
+        self.settings = settings or CallerSettings()
+        self.answered_ms = -self.settings.ready_ms
+        self._first_id = clock.wall_ms() << 20
+        self._numbers = itertools.count(self._first_id)
+        self._turns = itertools.count()
+        self._lock = threading.Lock()
+        self._pending: dict[int, _Pending] = {}
+        self._closing = threading.Event()
+        self._had_leader = False
+        self._pinger = threading.Thread(target=self._ping, name="ping", daemon=True)
+
+    def start(self) -> None:
+        """Begin to watch that a leader can be reached."""
+        self._pinger.start()
+
+    def close(self) -> None:
+        """Stop watching; calls that wait go on to their deadline."""
+        self._closing.set()
+
+    def is_ready(self) -> bool:
+        """Tell whether a leader has answered lately."""
+        age_ms = self.clock.monotonic_ms() - self.answered_ms
+        return age_ms < self.settings.ready_ms
+
+    def receive(self, message: Reply | NotLeading) -> None:
+        """Take a message that answers a call."""
+        if message.members:
+            self.members = message.members
+        with self._lock:
+            pending = self._pending.get(message.call_id)
+        if pending is not None and not isinstance(pending.message, Reply):
+            pending.message = message
+            pending.arrived.set()
+
+    def call(self, operation: Any, timeout_ms: int) -> Answer:
+        """Return the leader's answer, or what is known when time is up.
+
+        ``UNAVAILABLE`` is only returned if nothing was or will be done.
+        """
+        deadline_ms = self.clock.monotonic_ms() + timeout_ms
+        call_id = next(self._numbers)
+        pending = _Pending()
+        with self._lock:
+            self._pending[call_id] = pending
+        try:
+            return self._attempt_all(call_id, pending, operation, deadline_ms)
+        finally:
+            with self._lock:
+                del self._pending[call_id]
+
+    def _attempt_all(
+        self, call_id: int, pending: _Pending, operation: Any, deadline_ms: int
+    ) -> Answer:
+        call = make_call(call_id, self.own_address, operation)
+        doubtful = False
+        attempts = 0
+        while True:
+            rest_ms = deadline_ms - self.clock.monotonic_ms()
+            if rest_ms <= 0:
+                return self._given_up(operation, doubtful, attempts)
+            attempts += 1
+            receiver = self.leader or self._next_member()
+            pending.arrived.clear()
+            pending.message = None
+            self.send(receiver, call)
+            wait_ms = min(rest_ms, self.settings.attempt_ms)
+            pending.arrived.wait(wait_ms / 1_000)
+            message = pending.message
+            if isinstance(message, Reply):
+                self._note_leader(message.leader_address)
+                if message.answer.outcome is not Outcome.UNKNOWN:
+                    return _truthful(operation, message.answer, doubtful)
+                doubtful = True
+                self._pause(pending)
+            elif isinstance(message, NotLeading):
+                self._follow_hint(receiver, message, pending)
+            else:
+                doubtful = True
+                self._drop_leader(receiver)
+
+    def _follow_hint(
+        self, receiver: str, message: NotLeading, pending: _Pending
+    ) -> None:
+        hint = message.leader_address
+        if hint and hint != receiver:
+            self.leader = hint
+            return
+        self._drop_leader(receiver)
+        self._pause(pending)
+
+    def _pause(self, pending: _Pending) -> None:
+        pending.arrived.clear()
+        pending.arrived.wait(self.settings.pause_ms / 1_000)
+
+    def _note_leader(self, address: str) -> None:
+        self.leader = address
+        self.answered_ms = self.clock.monotonic_ms()
+        if not self._had_leader:
+            self._had_leader = True
+            _LOG.info("event=control_regained leader=%s", address)
+
+    def _drop_leader(self, receiver: str) -> None:
+        if self.leader == receiver:
+            self.leader = ""
+
+    def _next_member(self) -> str:
+        known = tuple(dict.fromkeys((*self.members, *self.seeds)))
+        return known[next(self._turns) % len(known)]
+
+    def _given_up(self, operation: Any, doubtful: bool, attempts: int) -> Answer:
+        if not isinstance(operation, PingLeader):
+            _LOG.warning(
+                "event=call_given_up kind=%s attempts=%d may_have_run=%s",
+                type(operation).__name__,
+                attempts,
+                doubtful,
+            )
+        if doubtful:
+            return Answer(Outcome.UNKNOWN, "no answer from control in time")
+        return Answer(Outcome.UNAVAILABLE, "no control leader")
+
+    def _ping(self) -> None:
+        while not self._closing.wait(self.settings.ping_ms / 1_000):
+            self.call(PingLeader(), self.settings.ping_ms)
+            if self._had_leader and not self.is_ready():
+                self._had_leader = False
+                _LOG.warning(
+                    "event=control_lost silent_ms=%d",
+                    self.clock.monotonic_ms() - self.answered_ms,
+                )
+
+
+def _truthful(operation: Any, answer: Answer, doubtful: bool) -> Answer:
+    """Return the answer, unless it denies what an earlier attempt may have done."""
+    denies = answer.outcome in (Outcome.UNAVAILABLE, Outcome.NO_QUEUE)
+    if doubtful and denies and isinstance(operation, SubmitCall):
+        return Answer(Outcome.UNKNOWN, answer.detail)
+    return answer
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_entry.py
@@ -0,0 +1,44 @@
+"""An entry of the job interface: its link and its way to the leader."""
+
+import logging
+from typing import Any
+
+from foxspring_link import Link
+from foxspring_model import Clock
+
+from foxspring_jobs._caller import ControlCaller
+from foxspring_jobs._member import LINK_SETTINGS, job_codec
+from foxspring_jobs._operations import NotLeading, Reply
+
+_LOG = logging.getLogger(__name__)
+
+
+class JobEntry:
+    """Passes callers' requests to the leader; holds no state of its own."""
+
+    def __init__(
+        self, link_address: str, seeds: tuple[str, ...], secret: bytes, clock: Clock
+    ) -> None:
+        self.link = Link(
+            link_address,
+            job_codec(secret),
+            self._receive,
+            clock,
+            LINK_SETTINGS,
+            link_address,
+        )
+        self.caller = ControlCaller(link_address, seeds, self.link.send, clock)
+
+    def start(self) -> None:
+        """Begin to look for the leader."""
+        self.link.start()
+        self.caller.start()
+
+    def stop(self) -> None:
+        """Close the links; requests must have ended before."""
+        self.caller.close()
+        self.link.close()
+
+    def _receive(self, _sender: str, message: Any) -> None:
+        if isinstance(message, Reply | NotLeading):
+            self.caller.receive(message)
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_group.py
@@ -0,0 +1,61 @@
+"""Who belongs to the control group: decisions on joins and lost members.
+
+Failure pattern: a member's disk is emptied and it comes back at its old
+address; a member is replaced by one elsewhere; a removed one wakes again.
+"""
+
+from typing import NamedTuple
+
+from foxspring_jobs._operations import JoinGroup
+
+LOST_AFTER_MS = 5_000
+
+
+class MemberView(NamedTuple):
+    """One member as its leader sees it; ``unheard_ms`` is 0 while reachable."""
+
+    member_id: str
+    link_address: str
+    voter: bool
+    unheard_ms: int
+
+
+class Add(NamedTuple):
+    """Add the asking process as a member."""
+
+    join: JoinGroup
+
+
+class Remove(NamedTuple):
+    """Remove a member for good."""
+
+    member_id: str
+    why: str
+
+
+def on_join(members: tuple[MemberView, ...], join: JoinGroup) -> Add | Remove | None:
+    """Return the next change that lets a process join, or none if it has.
+
+    A member under another id at the same address lost its disk: its place is
+    taken by the process that asks.
+    """
+    for member in members:
+        if member.member_id == join.member_id:
+            return None
+    for member in members:
+        if member.link_address == join.link_address:
+            return Remove(member.member_id, "address_taken_over")
+    return Add(join)
+
+
+def surplus_member(
+    members: tuple[MemberView, ...], group_size: int
+) -> Remove | None:
+    """Return a lost voter to remove once others have made up for it."""
+    voters = [member for member in members if member.voter]
+    if len(voters) <= group_size:
+        return None
+    lost = max(voters, key=lambda member: member.unheard_ms)
+    if lost.unheard_ms < LOST_AFTER_MS:
+        return None
+    return Remove(lost.member_id, "lost")
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_http_front.py
@@ -0,0 +1,121 @@
+"""A small HTTP front on cheroot that can be drained without cutting requests."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from cheroot import wsgi
+
+_LOG = logging.getLogger(__name__)
+
+BACKLOG = 256
+KEPT_CONNECTIONS = 2_000
+BODY_LIMIT_BYTES = 4 * 1024 * 1024
+IDLE_TIMEOUT_S = 15
+ACCEPT_ERROR_PAUSE_S = 0.2
+
+
+class FrontRequest(NamedTuple):
+    """A whole request; header names are lower case."""
+
+    method: str
+    host: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class FrontResponse(NamedTuple):
+    """A whole response."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+FrontHandler = Callable[[FrontRequest], FrontResponse]
+
+
+class HttpFront:
+    """Serves one address with a fixed number of threads."""
+
+    def __init__(self, address: str, handler: FrontHandler, threads: int) -> None:
+        host, _, port = address.rpartition(":")
+        self._handler = handler
+        self.draining = False
+        front = self
+
+        class Gateway(wsgi.Gateway_10):  # type: ignore[misc]
+            def respond(self) -> None:
+                if front.draining:
+                    self.req.close_connection = True
+                super().respond()
+
+        self._server = wsgi.Server(
+            (host, int(port)),
+            self._serve,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+        )
+        self._server.gateway = Gateway
+        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        self._server.max_request_body_size = BODY_LIMIT_BYTES
+        self._thread = threading.Thread(target=self._run, name="front", daemon=True)
+
+    def start(self) -> None:
+        """Listen and serve.
+
+        Raises:
+            OSError: the address is in use or not this VM's.
+        """
+        self._server.prepare()
+        self._thread.start()
+
+    def drain(self) -> None:
+        """Ask clients to use other connections from their next answer on."""
+        self.draining = True
+
+    def stop(self, wait_s: float) -> None:
+        """Stop listening; wait for requests under way for a bounded time."""
+        self._server.shutdown_timeout = wait_s
+        self._server.stop()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._server.serve()
+                return
+            except Exception:
+                _LOG.exception("event=front_failed")
+                time.sleep(ACCEPT_ERROR_PAUSE_S)
+
+    def _serve(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        try:
+            response = self._handler(_request(environ))
+        except Exception:
+            _LOG.exception("event=handler_failed path=%s", environ.get("PATH_INFO"))
+            response = FrontResponse(HTTPStatus.INTERNAL_SERVER_ERROR)
+        status = HTTPStatus(response.status)
+        headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+        start(f"{status.value} {status.phrase}", headers)
+        return [response.body]
+
+
+def _request(environ: dict[str, Any]) -> FrontRequest:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+    stream = environ["wsgi.input"]
+    body = stream.read() if chunked else stream.read(length) if length else b""
+    headers = {
+        key[5:].lower().replace("_", "-"): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    path = environ["SCRIPT_NAME"] + environ["PATH_INFO"]
+    host = headers.get("host", "")
+    return FrontRequest(environ["REQUEST_METHOD"], host, path, headers, body)
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -0,0 +1,290 @@
+"""A control member: its link, log, state and service, and how it joins."""
+
+import logging
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+from foxspring_control import ProposeOutcome
+from foxspring_control.raft import (
+    RAFT_MESSAGES,
+    LeadershipChange,
+    Member,
+    RaftSettings,
+    ReplicatedLog,
+)
+from foxspring_link import Codec, Link, LinkSettings
+from foxspring_model import Clock
+
+from foxspring_jobs._caller import ControlCaller
+from foxspring_jobs._group import Add, MemberView, Remove, on_join, surplus_member
+from foxspring_jobs._leader import LeaderSettings
+from foxspring_jobs._machine import JobMachine
+from foxspring_jobs._operations import (
+    JOB_MESSAGES,
+    Call,
+    JoinAnswer,
+    JoinGroup,
+    NotLeading,
+    Reply,
+)
+from foxspring_jobs._orders import TargetApi
+from foxspring_jobs._service import JobService
+
+_LOG = logging.getLogger(__name__)
+
+JOIN_INTERVAL_MS = 300
+LEADERLESS_MS = 2_000
+HAND_OVER_LIMIT_MS = 1_500
+LINK_SETTINGS = LinkSettings(ping_interval_ms=250, silence_limit_ms=900)
+_RAFT_TYPES = frozenset(RAFT_MESSAGES)
+_IDENTITY = "member.json"
+
+
+class MemberSettings(NamedTuple):
+    """Settings of a control member; addresses are link addresses.
+
+    ``founding`` is true only at the first start of the whole system; ``seeds``
+    are then the first group.
+    """
+
+    link_address: str
+    data_folder: Path
+    failure_domain: str
+    seeds: tuple[str, ...]
+    founding: bool
+    leader: LeaderSettings
+    election_timeout_ms: int = 600
+    heartbeat_ms: int = 150
+
+
+def job_codec(secret: bytes) -> Codec:
+    """Return the codec of all messages between job daemons."""
+    return Codec(secret, (*JOB_MESSAGES, *RAFT_MESSAGES))
+
+
+def choose_member_id(settings: MemberSettings, wall_ms: int) -> str:
+    """Return the id in the data folder, or a new one if it is empty.
+
+    An emptied folder never takes the id that it had: the group may count on
+    votes and entries that were lost with it.
+    """
+    path = settings.data_folder / _IDENTITY
+    if path.exists():
+        return msgspec.json.decode(path.read_bytes(), type=str)
+    if settings.founding and settings.link_address in settings.seeds:
+        return settings.link_address
+    return f"{settings.link_address}#{wall_ms}"
+
+
+def raft_settings(settings: MemberSettings, member_id: str) -> RaftSettings:
+    """Return the log's settings; only a founder knows the first group."""
+    founders: tuple[Member, ...] = ()
+    if member_id == settings.link_address:
+        founders = tuple(Member(seed, seed) for seed in settings.seeds)
+    return RaftSettings(
+        member_id=member_id,
+        link_address=settings.link_address,
+        data_folder=settings.data_folder,
+        initial_members=founders,
+        election_timeout_ms=settings.election_timeout_ms,
+        heartbeat_ms=settings.heartbeat_ms,
+    )
+
+
+class ControlMember:
+    """One member of the control group, from its settings to its end."""
+
+    def __init__(
+        self, settings: MemberSettings, secret: bytes, api: TargetApi, clock: Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        settings.data_folder.mkdir(parents=True, exist_ok=True)
+        member_id = choose_member_id(settings, clock.wall_ms())
+        self.member_id = member_id
+        self.machine = JobMachine()
+        self.link = Link(
+            settings.link_address,
+            job_codec(secret),
+            self._receive,
+            clock,
+            LINK_SETTINGS,
+            settings.link_address,
+        )
+        self.log = ReplicatedLog(
+            raft_settings(settings, member_id),
+            self.machine,
+            self.send,
+            clock,
+            self._on_leadership,
+        )
+        self.service = JobService(
+            settings.leader, self.log, self.machine, self.send, api, clock
+        )
+        self.machine.on_reset = self.service.on_reset
+        self.caller = ControlCaller(
+            settings.link_address, settings.seeds, self.send, clock
+        )
+        self.leadership = LeadershipChange(False, 0, "", "")
+        self.leader_hint = ""
+        self._leaderless_since_ms = clock.monotonic_ms()
+        self._unheard_since: dict[str, int] = {}
+        self._closing = threading.Event()
+        self._keeper = threading.Thread(target=self._keep, name="group", daemon=True)
+
+    def start(self) -> None:
+        """Take part in the group, or ask to join it."""
+        self.link.start()
+        self.log.start()
+        self.service.start()
+        self.caller.start()
+        self._keeper.start()
+        _LOG.info(
+            "event=member_started member=%s founding=%s seeds=%s",
+            self.member_id,
+            self.settings.founding,
+            ",".join(self.settings.seeds),
+        )
+
+    def hand_over(self) -> None:
+        """Pass the leadership on, if this member has it."""
+        if self.log.status().role != "leader":
+            return
+        done = threading.Event()
+
+        def on_done(outcome: ProposeOutcome) -> None:
+            _LOG.info("event=leadership_handed_over status=%s", outcome.status)
+            done.set()
+
+        self.log.transfer_leadership(on_done)
+        done.wait(HAND_OVER_LIMIT_MS / 1_000)
+
+    def stop(self) -> None:
+        """Close everything; :meth:`hand_over` comes before a planned stop."""
+        self._closing.set()
+        self.caller.close()
+        self.service.close()
+        self.log.close()
+        self.link.close()
+
+    def send(self, address: str, message: Any) -> None:
+        """Send a message, also to this member itself."""
+        if address == self.settings.link_address:
+            self._receive(address, message)
+        else:
+            self.link.send(address, message)
+
+    def _receive(self, sender: str, message: Any) -> None:
+        if type(message) in _RAFT_TYPES:
+            self.log.receive(sender, message)
+        elif isinstance(message, Call):
+            self.service.receive(message)
+        elif isinstance(message, Reply | NotLeading):
+            self.caller.receive(message)
+        elif isinstance(message, JoinGroup):
+            self._on_join(sender, message)
+        elif isinstance(message, JoinAnswer):
+            self.leader_hint = message.leader_address
+
+    def _on_leadership(self, change: LeadershipChange) -> None:
+        self.leadership = change
+        if not change.leader_id:
+            self._leaderless_since_ms = self.clock.monotonic_ms()
+        self.service.on_leadership(change)
+
+    # Membership.
+
+    def _keep(self) -> None:
+        while not self._closing.wait(JOIN_INTERVAL_MS / 1_000):
+            try:
+                self._keep_once()
+            except Exception:
+                _LOG.exception("event=group_keeper_failed")
+
+    def _keep_once(self) -> None:
+        if self.leadership.is_leader:
+            change = surplus_member(self._views(), len(self.settings.seeds))
+            if change is not None:
+                self._change(change)
+            return
+        self._unheard_since.clear()
+        if self._should_ask():
+            self._ask_to_join()
+
+    def _should_ask(self) -> bool:
+        if self.log.membership().find(self.member_id) is None:
+            return True
+        if self.leadership.leader_id:
+            return False
+        silent_ms = self.clock.monotonic_ms() - self._leaderless_since_ms
+        return silent_ms >= LEADERLESS_MS
+
+    def _ask_to_join(self) -> None:
+        join = JoinGroup(
+            self.member_id, self.settings.link_address, self.settings.failure_domain
+        )
+        known = {m.link_address for m in self.log.membership().members}
+        receivers = known | set(self.settings.seeds) | {self.leader_hint}
+        for address in receivers - {"", self.settings.link_address}:
+            self.send(address, join)
+
+    def _on_join(self, sender: str, join: JoinGroup) -> None:
+        leader = self.leadership.leader_address
+        if not self.leadership.is_leader or not self.log.lease_valid():
+            self.send(sender, JoinAnswer(join.member_id, False, leader))
+            return
+        change = on_join(self._views(), join)
+        if change is not None:
+            self._change(change)
+        known = change is None
+        self.send(sender, JoinAnswer(join.member_id, known, leader))
+
+    def _change(self, change: Add | Remove) -> None:
+        if isinstance(change, Add):
+            join = change.join
+            member = Member(
+                join.member_id, join.link_address, True, join.failure_domain
+            )
+            self.log.add_member(member, _log_change("add", join.member_id, "asked"))
+        else:
+            done = _log_change("remove", change.member_id, change.why)
+            self.log.remove_member(change.member_id, done)
+
+    def _views(self) -> tuple[MemberView, ...]:
+        now_ms = self.clock.monotonic_ms()
+        views = []
+        for status in self.log.status().members:
+            member = status.member
+            since_ms = now_ms
+            if status.reachable or member.member_id == self.member_id:
+                self._unheard_since.pop(member.member_id, None)
+            else:
+                since_ms = self._unheard_since.setdefault(member.member_id, now_ms)
+            views.append(
+                MemberView(
+                    member.member_id,
+                    member.link_address,
+                    member.voter,
+                    now_ms - since_ms,
+                )
+            )
+        return tuple(views)
+
+
+def _log_change(
+    action: str, member_id: str, why: str
+) -> Callable[[ProposeOutcome], None]:
+    def on_done(outcome: ProposeOutcome) -> None:
+        _LOG.info(
+            "event=member_change action=%s member=%s why=%s status=%s reason=%r",
+            action,
+            member_id,
+            why,
+            outcome.status,
+            outcome.result.decode(),
+        )
+
+    return on_done
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -0,0 +1,291 @@
+"""Runs the leader's decisions on one thread, beside the replicated log."""
+
+import heapq
+import itertools
+import logging
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pykka
+from foxspring_control import ProposeOutcome
+from foxspring_control.raft import LeadershipChange, ReplicatedLog
+from foxspring_model import Clock
+
+from foxspring_jobs._call_handler import CallHandler
+from foxspring_jobs._commands import Command, encode_command
+from foxspring_jobs._leader import Leader, LeaderSettings
+from foxspring_jobs._machine import JobMachine
+from foxspring_jobs._operations import Answer, Call, NotLeading, Reply, operation_of
+from foxspring_jobs._orders import (
+    HoldRequest,
+    Order,
+
+
+    StartOrder,
+    TargetApi,
+)
+from foxspring_jobs._session import TargetSession
+from foxspring_jobs._snapshot import decode_state, encode_state
+
+_LOG = logging.getLogger(__name__)
+
+TICK_MS = 50
+TOKENS_A_TURN = 1_000
+TURNS_A_TERM = 1_000
+TOKENS_A_TERM = TOKENS_A_TURN * TURNS_A_TERM
+Action = Callable[[], object]
+Send = Callable[[str, Any], object]
+
+
+class _Lane(pykka.ThreadingActor):
+    """Runs actions one after the other on a thread of its own."""
+
+    use_daemon_thread = True
+
+    def on_receive(self, message: Any) -> None:
+        """Run one action; a failure ends only that action."""
+        try:
+            message()
+        except Exception:
+            _LOG.exception("event=action_failed")
+
+
+def tell(lane: Any, action: Action) -> bool:
+    """Queue an action; tell whether the lane still runs."""
+    try:
+        lane.tell(action)
+    except pykka.ActorDeadError:
+        return False
+    return True
+
+
+class _Channel:
+    """The two lanes to one life of a target: looks and orders."""
+
+    def __init__(self) -> None:
+        self.looks = _Lane.start()
+        self.orders = _Lane.start()
+        self.closed = threading.Event()
+
+    def close(self) -> None:
+        """End both lanes without waiting for a call that is under way."""
+        self.closed.set()
+        self.looks.stop(block=False)
+        self.orders.stop(block=False)
+
+
+class JobService:
+    """One control member's part in jobs: leads, or tells who does.
+
+    Safe to call from any thread; every method only queues for its lane.
+    """
+
+    def __init__(
+        self,
+        settings: LeaderSettings,
+        log: ReplicatedLog,
+        machine: JobMachine,
+        send: Send,
+        api: TargetApi,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.machine = machine
+        self.send = send
+        self.api = api
+        self.clock = clock
+        self.leader: Leader | None = None
+        self.leadership = LeadershipChange(False, 0, "", "")
+        self.generation = 0
+        self.channels: dict[TargetSession, _Channel] = {}
+        self.lane = _Lane.start()
+        self._timers: list[tuple[int, int, Action]] = []
+        self._numbers = itertools.count()
+        self._closing = threading.Event()
+        self._ticker = threading.Thread(target=self._tick, name="tick", daemon=True)
+
+    def start(self) -> None:
+        """Begin to keep time."""
+        self._ticker.start()
+
+    def close(self) -> None:
+        """Stop leading and end every lane."""
+        self._closing.set()
+        self.post(self._end_leader)
+        self.lane.stop()
+
+    def post(self, action: Action) -> None:
+        """Run an action on the service's thread."""
+        tell(self.lane, action)
+
+    def on_leadership(self, change: LeadershipChange) -> None:
+        """Take a change of who leads."""
+        self.post(lambda: self._on_leadership(change))
+
+    def on_reset(self) -> None:
+        """The state was replaced by a snapshot."""
+        self.post(self._lead_again)
+
+    def receive(self, call: Call) -> None:
+        """Handle a call; the reply goes to the call's own address."""
+        self.post(lambda: self._handle(call))
+
+    # Leadership.
+
+    def _on_leadership(self, change: LeadershipChange) -> None:
+        self.leadership = change
+        self._end_leader()
+        _LOG.info(
+            "event=leadership term=%d leader=%s leading=%s",
+            change.term,
+            change.leader_id or "-",
+            change.is_leader,
+        )
+        if change.is_leader:
+            self._lead()
+
+    def _end_leader(self) -> None:
+        if self.leader is not None:
+            self.leader.end()
+            self.leader = None
+
+    def _lead_again(self) -> None:
+        if self.leadership.is_leader:
+            self._end_leader()
+            self._lead()
+
+    def _lead(self) -> None:
+        self.generation += 1
+        turn = self.generation % TURNS_A_TERM
+        token = self.leadership.term * TOKENS_A_TERM + turn * TOKENS_A_TURN
+        with self.machine.lock:
+            draft, _ = decode_state(encode_state(self.machine.state, 0))
+        self.leader = Leader(self.settings, token, draft, self, self.clock)
+        self.leader.begin()
+
+    # Calls.
+
+    def _handle(self, call: Call) -> None:
+        try:
+            operation = operation_of(call)
+        except (KeyError, msgspec.DecodeError) as error:
+            _LOG.error("event=call_malformed kind=%s reason=%r", call.kind, str(error))
+            return
+        if self.leader is None or self.leader.deposed:
+            self._decline(call)
+            return
+        handler = CallHandler(self.leader, self.machine, self.log, self.post)
+        handler.handle(
+            operation,
+            lambda answer: self._reply(call, answer),
+            lambda: self._decline(call),
+        )
+
+    def _reply(self, call: Call, answer: Answer) -> None:
+        reply = Reply(call.call_id, answer, self.own_address(), self.members())
+        self.send(call.reply_to, reply)
+
+    def _decline(self, call: Call) -> None:
+        leader = self.leadership.leader_address
+        if leader == self.own_address():
+            leader = ""
+        self.send(call.reply_to, NotLeading(call.call_id, leader, self.members()))
+
+    def own_address(self) -> str:
+        """Return this member's link address."""
+        return self.log.settings.link_address
+
+    def members(self) -> tuple[str, ...]:
+        """Return the link addresses of the control members."""
+        return tuple(m.link_address for m in self.log.membership().members)
+
+    # What the leader acts through.
+
+    def propose(self, command: Command, done: Callable[[bool], None]) -> None:
+        """Append a command; call back on the service's thread once settled."""
+
+        def on_done(outcome: ProposeOutcome) -> None:
+            self.post(lambda: done(outcome.status == "applied"))
+
+        kind, body = encode_command(command)
+        self.log.propose(kind, body, on_done)
+
+    def lease_valid(self) -> bool:
+        """Tell whether no other member can lead now."""
+        return self.log.lease_valid()
+
+    def look(self, session: TargetSession, request: HoldRequest) -> None:
+        """Send a hold on the target's own lane."""
+        channel = self._channel(session)
+        leader = self.leader
+
+        def run() -> None:
+            if channel.closed.is_set():
+                return
+            reading = self.api.hold(session.place, request)
+            if leader is not None:
+                self.post(lambda: leader.on_look(session, reading))
+
+        tell(channel.looks, run)
+
+    def order(self, session: TargetSession, order: Order) -> None:
+        """Send an order on the target's own lane."""
+        channel = self._channel(session)
+        leader = self.leader
+        if leader is None:
+            return
+        now_ms = self.clock.monotonic_ms()
+        renews = isinstance(order, StartOrder) and self.lease_valid()
+        lease_until = session.clock.grant(now_ms) if renews else None
+        until = session.clock.longest_lease if lease_until is None else lease_until
+
+        def run() -> None:
+            if channel.closed.is_set():
+                return
+            reading = self.api.order(session.place, order, session.token, until)
+            self.post(lambda: leader.on_order(session, order, reading))
+
+        tell(channel.orders, run)
+
+    def release(self, session: TargetSession) -> None:
+        """Drop the connections to a target and what waits for it."""
+        channel = self.channels.pop(session, None)
+        if channel is not None:
+            channel.close()
+        self.api.forget(session.place)
+
+    def later(self, delay_ms: int, action: Action) -> None:
+        """Run an action on the service's thread after a delay."""
+        due_ms = self.clock.monotonic_ms() + delay_ms
+        heapq.heappush(self._timers, (due_ms, next(self._numbers), action))
+
+    def _channel(self, session: TargetSession) -> _Channel:
+        channel = self.channels.get(session)
+        if channel is None:
+            channel = _Channel()
+            self.channels[session] = channel
+        return channel
+
+    # Time.
+
+    def _tick(self) -> None:
+        while not self._closing.wait(TICK_MS / 1_000):
+            self.post(self._on_tick)
+
+    def _on_tick(self) -> None:
+        now_ms = self.clock.monotonic_ms()
+        while self._timers and self._timers[0][0] <= now_ms:
+            _, _, action = heapq.heappop(self._timers)
+            action()
+        if self.leader is None:
+            return
+        if self.leader.deposed and self.lease_valid():
+            _LOG.warning("event=leader_restarted term=%d", self.leadership.term)
+            self._lead_again()
+        else:
+            self.leader.tick()
+
+
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -0,0 +1,82 @@
+"""What the leader knows of one life of a target beyond the replicated state."""
+
+from collections.abc import Iterable
+
+from foxspring_jobs._commands import RegisterTarget, RunKey, TargetLife
+from foxspring_jobs._health import TargetHealth
+from foxspring_jobs._orders import RunningRow, TargetPlace
+from foxspring_jobs._target_clock import TargetClock
+
+SILENT_LOOKS = 1
+
+
+class Progress:
+    """How one run has come along; times are the leader's."""
+
+    __slots__ = ("figure", "moved_ms", "percent", "started_ms")
+
+    def __init__(self, started_ms: int) -> None:
+        self.started_ms = started_ms
+        self.percent = -1
+        self.moved_ms = started_ms
+        self.figure = 0
+
+
+class TargetSession:
+    """One leader's dealings with one life of a target."""
+
+    def __init__(
+        self, registered: RegisterTarget, since_ms: int, lease_ms: int, token: int
+    ) -> None:
+        self.token = token
+        self.adopting: RegisterTarget | None = None
+        self.place = TargetPlace(registered.life, registered.address)
+        self.clock = TargetClock(since_ms, lease_ms)
+        self.health = TargetHealth()
+        self.draining = registered.draining
+        self.left = False
+        self.closed = False
+        self.fenced = False
+        self.taken_over = False
+        self.looking = False
+        self.silent = 0
+        self.asked_ms = since_ms
+        self.cursor = 0
+        self.seen_end = 0
+        self.sent: set[RunKey] = set()
+        self.stopping: set[RunKey] = set()
+        self.doubtful: set[RunKey] = set()
+        self.unsettled: dict[RunKey, int] = {}
+        self.progress: dict[RunKey, Progress] = {}
+
+    @property
+    def life(self) -> TargetLife:
+        """Return which life of the target this is about."""
+        return self.place.life
+
+    def may_start(self, now_ms: int, running: int) -> bool:
+        """Tell whether new work may be given to the target now."""
+        usable = self.taken_over and not (self.draining or self.fenced)
+        heard = self.silent < SILENT_LOOKS
+        return usable and heard and self.health.may_start(now_ms, running)
+
+    def note_started(self, run: RunKey, now_ms: int) -> None:
+        """A start was acknowledged."""
+        self.progress.setdefault(run, Progress(now_ms))
+
+    def note_running(self, rows: Iterable[RunningRow], now_ms: int) -> None:
+        """Take the progress that the target tells."""
+        for row in rows:
+            progress = self.progress.setdefault(row.run, Progress(now_ms))
+            progress.figure = row.figure
+            if row.percent != progress.percent:
+                progress.percent = row.percent
+                progress.moved_ms = now_ms
+
+    def forget_run(self, run: RunKey) -> None:
+        """A run's end is committed."""
+        self.sent.discard(run)
+        self.stopping.discard(run)
+        self.doubtful.discard(run)
+        self.unsettled.pop(run, None)
+        self.progress.pop(run, None)
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_snapshot.py
@@ -0,0 +1,162 @@
+"""The replicated state as bytes, for snapshots and digests."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from foxspring_jobs._commands import (
+    RegisterTarget,
+
+    TargetLife,
+
+)
+from foxspring_jobs._specs import JobSpec, Queue, QueueTable
+from foxspring_jobs._state import (
+    ENDED_PHASES,
+    JobPhase,
+    JobState,
+    State,
+    StepState,
+    TargetState,
+    TaskState,
+)
+
+
+class _TaskRow(NamedTuple):
+    done: bool
+    attempts: int
+    last_run: int
+    checkpoint: str
+    runs: tuple[tuple[int, TargetLife], ...]
+
+
+class _StepRow(NamedTuple):
+    failed_runs: tuple[int, ...]
+    tasks: tuple[_TaskRow, ...]
+
+
+class _JobRow(NamedTuple):
+    job_id: str
+    queue: Queue
+    spec: JobSpec
+    submitted_ms: int
+    phase: JobPhase
+    ended_ms: int
+    finished: int
+    occurrences: tuple[tuple[int, tuple[_StepRow, ...]], ...]
+
+
+class _StateRow(NamedTuple):
+    applied_index: int
+    table: QueueTable
+    forgotten_jobs: int
+    targets: tuple[RegisterTarget, ...]
+    jobs: tuple[_JobRow, ...]
+
+
+_DECODER = msgspec.msgpack.Decoder(_StateRow)
+
+
+def encode_state(state: State, applied_index: int) -> bytes:
+    """Return the whole state as applied up to an index of the log."""
+    row = _StateRow(
+        applied_index,
+        state.table,
+        state.forgotten_jobs,
+        tuple(target.registered for target in state.targets.values()),
+        tuple(_job_row(job) for job in state.jobs.values()),
+    )
+    return msgspec.msgpack.encode(row)
+
+
+def decode_state(data: bytes) -> tuple[State, int]:
+    """Return a state and the index that it was applied up to.
+
+    Raises:
+        ValueError: the bytes are no state.
+    """
+    try:
+        row = _DECODER.decode(data)
+    except msgspec.DecodeError as error:
+        raise ValueError(f"not a state: {error}") from error
+    state = State()
+    state.table = row.table
+    state.forgotten_jobs = row.forgotten_jobs
+    for registered in row.targets:
+        state.targets[registered.life.target_id] = TargetState(registered)
+    for job_row in row.jobs:
+        job = _job(job_row)
+        state.jobs[job.job_id] = job
+        if job.phase not in ENDED_PHASES:
+            state.active[job.job_id] = job
+        _place_runs(state, job)
+    return state, row.applied_index
+
+
+def _job_row(job: JobState) -> _JobRow:
+    occurrences = tuple(
+        (number, tuple(_step_row(step) for step in steps))
+        for number, steps in job.occurrences.items()
+    )
+    return _JobRow(
+        job.job_id,
+        job.queue,
+        job.spec,
+        job.submitted_ms,
+        job.phase,
+        job.ended_ms,
+        job.finished,
+        occurrences,
+    )
+
+
+def _step_row(step: StepState) -> _StepRow:
+    tasks = tuple(
+        _TaskRow(
+            task.done,
+            task.attempts,
+            task.last_run,
+            task.checkpoint,
+            tuple(task.runs.items()),
+        )
+        for task in step.tasks
+    )
+    return _StepRow(tuple(sorted(step.failed_runs)), tasks)
+
+
+def _job(row: _JobRow) -> JobState:
+    job = JobState(row.job_id, row.queue, row.spec, row.submitted_ms)
+    job.phase = row.phase
+    job.ended_ms = row.ended_ms
+    job.finished = row.finished
+    job.occurrences = {
+        number: [_step(step) for step in steps] for number, steps in row.occurrences
+    }
+    return job
+
+
+def _step(row: _StepRow) -> StepState:
+    step = StepState(0)
+    step.failed_runs = set(row.failed_runs)
+    step.tasks = [_task(task) for task in row.tasks]
+    step.undone = sum(not task.done for task in step.tasks)
+    return step
+
+
+def _task(row: _TaskRow) -> TaskState:
+    task = TaskState()
+    task.done = row.done
+    task.attempts = row.attempts
+    task.last_run = row.last_run
+    task.checkpoint = row.checkpoint
+    task.runs = dict(row.runs)
+    return task
+
+
+def _place_runs(state: State, job: JobState) -> None:
+    for run, life in state.runs_of(job):
+        target = state.target(life)
+        if target is not None:
+            target.add(run, job.spec.steps[run.task.step])
+
+
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -0,0 +1,346 @@
+"""The replicated state: configuration, targets, jobs and their tasks."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from foxspring_model import CHECKS, NOTHING, Invariant, Resources
+
+from foxspring_jobs._commands import (
+    Advance,
+    CancelJob,
+    RegisterTarget,
+    ReplaceTable,
+    RunEnd,
+    RunKey,
+    RunStart,
+    SubmitJob,
+    TargetLife,
+    TaskKey,
+)
+from foxspring_jobs._specs import JobSpec, Queue, QueueTable, StepSpec
+
+
+class EndKind(StrEnum):
+    """How a run ended; ``REFUSED`` means that it never began."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    REFUSED = "refused"
+
+
+class JobPhase(StrEnum):
+    """Where a job is."""
+
+    PENDING = "pending"
+    ACTIVE = "active"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+ENDED_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
+
+
+class TaskState:
+    """One task: its live runs and what earlier ones left."""
+
+    __slots__ = ("attempts", "checkpoint", "done", "last_run", "runs")
+
+    def __init__(self) -> None:
+        self.done = False
+        self.attempts = 0
+        self.last_run = 0
+        self.checkpoint = ""
+        self.runs: dict[int, TargetLife] = {}
+
+
+class StepState:
+    """The tasks of one step in one occurrence."""
+
+    __slots__ = ("failed_runs", "tasks", "undone")
+
+    def __init__(self, count: int) -> None:
+        self.tasks = [TaskState() for _ in range(count)]
+        self.undone = count
+        self.failed_runs: set[int] = set()
+
+
+class JobState:
+    """One accepted job. ``submitted_ms`` is wall time of its acceptance."""
+
+    def __init__(
+        self, job_id: str, queue: Queue, spec: JobSpec, submitted_ms: int
+    ) -> None:
+        self.job_id = job_id
+        self.queue = queue
+        self.spec = spec
+        self.submitted_ms = submitted_ms
+        self.phase = JobPhase.PENDING
+        self.ended_ms = 0
+        self.occurrences: dict[int, list[StepState]] = {}
+        self.finished = 0
+        if not spec.is_timed():
+            self.open(0)
+
+    def open(self, occurrence: int) -> None:
+        """Begin an occurrence that has fallen due."""
+        if occurrence not in self.occurrences:
+            steps = [StepState(step.count) for step in self.spec.steps]
+            self.occurrences[occurrence] = steps
+
+    def has_ended(self) -> bool:
+        """Tell whether nothing of the job may start again."""
+        return self.phase in ENDED_PHASES
+
+    def step_is_ready(self, occurrence: int, step: int) -> bool:
+        """Tell whether all steps before ``step`` are done."""
+        steps = self.occurrences[occurrence]
+        return all(steps[n].undone == 0 for n in self.spec.steps[step].after)
+
+
+class TargetState:
+    """One life of a target, and the runs that may be on it."""
+
+    def __init__(self, registered: RegisterTarget) -> None:
+        self.registered = registered
+        self.runs: dict[RunKey, StepSpec] = {}
+        self.used = NOTHING
+
+    @property
+    def life(self) -> TargetLife:
+        """Return which life this is."""
+        return self.registered.life
+
+    def add(self, run: RunKey, step: StepSpec) -> None:
+        """Hold the run's resources."""
+        self.runs[run] = step
+        self.used = self.used.plus(step.reserved())
+
+    def remove(self, run: RunKey) -> None:
+        """Release the run's resources."""
+        step = self.runs.pop(run, None)
+        if step is not None:
+            self.used = self.used.minus(step.reserved())
+
+    def free(self) -> Resources:
+        """Return the capacity that no run holds."""
+        return self.registered.capacity.minus(self.used)
+
+
+class Applied(NamedTuple):
+    """What applying a command did; ``detail`` says why nothing changed."""
+
+    changed: bool
+    detail: str = ""
+
+
+def _may_hold(
+    start: RunStart, task: TaskState, target: TargetState, step: StepSpec
+) -> bool:
+    detail = f"run={start.run} target={start.life.target_id}"
+    alone = not task.runs or step.may_copy
+    fits = step.reserved().fits_in(target.free())
+    return CHECKS.check(Invariant.ONE_PLACE, alone, detail) and CHECKS.check(
+        Invariant.CAPACITY, fits, detail
+    )
+
+
+class State:
+    """The whole replicated state; equal commands give equal states."""
+
+    def __init__(self) -> None:
+        self.table = QueueTable()
+        self.jobs: dict[str, JobState] = {}
+        self.active: dict[str, JobState] = {}
+        self.targets: dict[str, TargetState] = {}
+        self.forgotten_jobs = 0
+
+    def apply(self, command: Any, at_ms: int) -> Applied:
+        """Apply one command; ``at_ms`` is the appending leader's wall clock."""
+        match command:
+            case ReplaceTable():
+                return self._replace_table(command.table)
+            case SubmitJob():
+                return self._submit(command, at_ms)
+            case CancelJob():
+                return self._cancel(command.job_id, at_ms)
+            case RegisterTarget():
+                return self._register(command)
+            case Advance():
+                return self._advance(command, at_ms)
+            case _:
+                return Applied(False, "unknown command")
+
+    def task(self, key: TaskKey) -> TaskState | None:
+        """Return a task's state, or none if its job is not known."""
+        job = self.jobs.get(key.job_id)
+        steps = job.occurrences.get(key.occurrence) if job else None
+        if steps is None or not 0 <= key.step < len(steps):
+            return None
+        tasks = steps[key.step].tasks
+        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+
+    def target(self, life: TargetLife) -> TargetState | None:
+        """Return the target if this life is the one that is known."""
+        target = self.targets.get(life.target_id)
+        return target if target is not None and target.life == life else None
+
+    def runs_of(self, job: JobState) -> Iterator[tuple[RunKey, TargetLife]]:
+        """Yield every run of a job that may be on a target."""
+        for occurrence, steps in job.occurrences.items():
+            for number, step in enumerate(steps):
+                for index, task in enumerate(step.tasks):
+                    key = TaskKey(job.job_id, occurrence, number, index)
+                    for run, life in task.runs.items():
+                        yield RunKey(key, run), life
+
+    def _replace_table(self, table: QueueTable) -> Applied:
+        if table.version <= self.table.version:
+            return Applied(False, "not newer")
+        self.table = table
+        return Applied(True)
+
+    def _submit(self, command: SubmitJob, at_ms: int) -> Applied:
+        if command.job_id in self.jobs:
+            return Applied(False, "known")
+        job = JobState(command.job_id, command.queue, command.spec, at_ms)
+        self.jobs[command.job_id] = job
+        self.active[command.job_id] = job
+        return Applied(True)
+
+    def _cancel(self, job_id: str, at_ms: int) -> Applied:
+        job = self.jobs.get(job_id)
+        if job is None:
+            return Applied(False, "unknown")
+        if job.has_ended():
+            return Applied(False, "ended")
+        self._end_job(job, JobPhase.CANCELLED, at_ms)
+        return Applied(True)
+
+    def _end_job(self, job: JobState, phase: JobPhase, at_ms: int) -> None:
+        job.phase = phase
+        job.ended_ms = at_ms
+        self.active.pop(job.job_id, None)
+
+    def _register(self, command: RegisterTarget) -> Applied:
+        known = self.targets.get(command.life.target_id)
+        if known is None:
+            self.targets[command.life.target_id] = TargetState(command)
+            return Applied(True)
+        if command.life.born_ms < known.life.born_ms:
+            return Applied(False, "older life")
+        if command.life.born_ms > known.life.born_ms:
+            self._end_life(known)
+            self.targets[command.life.target_id] = TargetState(command)
+            return Applied(True)
+        if known.registered.draining and not command.draining:
+            return Applied(False, "draining")
+        known.registered = command
+        return Applied(True)
+
+    def _end_life(self, target: TargetState) -> None:
+        del self.targets[target.life.target_id]
+        for run in list(target.runs):
+            self._end_run(RunEnd(run, target.life, EndKind.LAPSED), 0)
+
+    def _advance(self, command: Advance, at_ms: int) -> Applied:
+        for end in command.ends:
+            self._end_run(end, at_ms)
+        for life in command.gone:
+            target = self.target(life)
+            if target is not None:
+                self._end_life(target)
+        for job_id, occurrence in command.opened:
+            job = self.active.get(job_id)
+            if job is not None:
+                job.open(occurrence)
+        for start in command.starts:
+            self._start_run(start)
+        for job_id in command.forgotten:
+            self._forget(job_id)
+        return Applied(True)
+
+    def _forget(self, job_id: str) -> None:
+        job = self.jobs.get(job_id)
+        if job is not None and job.has_ended() and not any(self.runs_of(job)):
+            del self.jobs[job_id]
+            self.forgotten_jobs += 1
+
+    def _start_run(self, start: RunStart) -> None:
+        key = start.run.task
+        job = self.active.get(key.job_id)
+        task = self.task(key)
+        target = self.target(start.life)
+        if job is None or task is None or target is None:
+            return
+        step = job.spec.steps[key.step]
+        if task.done or start.run.number <= task.last_run:
+            return
+        if not _may_hold(start, task, target, step):
+            return
+        task.last_run = start.run.number
+        task.runs[start.run.number] = start.life
+        target.add(start.run, step)
+        job.phase = JobPhase.ACTIVE
+
+    def _end_run(self, end: RunEnd, at_ms: int) -> None:
+        key = end.run.task
+        task = self.task(key)
+        if task is None or task.runs.get(end.run.number) != end.life:
+            return
+        del task.runs[end.run.number]
+        target = self.target(end.life)
+        if target is not None:
+            target.remove(end.run)
+        if end.checkpoint:
+            self._keep_checkpoint(end)
+        job = self.jobs[key.job_id]
+        if job.has_ended():
+            return
+        if end.kind == EndKind.DONE:
+            self._complete(job, end.run, at_ms)
+        elif end.kind == EndKind.FAILED:
+            self._count_failure(job, end.run, at_ms)
+
+    def _keep_checkpoint(self, end: RunEnd) -> None:
+        key = end.run.task
+        job = self.jobs[key.job_id]
+        tasks = job.occurrences[key.occurrence][key.step].tasks
+        if job.spec.steps[key.step].gang:
+            for task in tasks:
+                task.checkpoint = end.checkpoint
+        else:
+            tasks[key.index].checkpoint = end.checkpoint
+
+    def _complete(self, job: JobState, run: RunKey, at_ms: int) -> None:
+        spec = job.spec.steps[run.task.step]
+        if spec.lasting:
+            return
+        step = job.occurrences[run.task.occurrence][run.task.step]
+        ended = step.tasks if spec.gang else [step.tasks[run.task.index]]
+        fresh = [task for task in ended if not task.done]
+        for task in fresh:
+            task.done = True
+        step.undone -= len(fresh)
+        steps = job.occurrences[run.task.occurrence]
+        if fresh and all(other.undone == 0 for other in steps):
+            job.finished += 1
+        if job.finished == job.spec.occurrences():
+            self._end_job(job, JobPhase.COMPLETED, at_ms)
+
+    def _count_failure(self, job: JobState, run: RunKey, at_ms: int) -> None:
+        spec = job.spec.steps[run.task.step]
+        if spec.lasting:
+            return
+        step = job.occurrences[run.task.occurrence][run.task.step]
+        task = step.tasks[run.task.index]
+        task.attempts += 1
+        step.failed_runs.add(run.number)
+        failures = len(step.failed_runs) if spec.gang else task.attempts
+        if failures >= job.queue.max_attempts and not task.done:
+            self._end_job(job, JobPhase.FAILED, at_ms)
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_clock.py
@@ -0,0 +1,55 @@
+"""What is known of a target's clock, and when leases on it have surely ended.
+
+A lease is a reading of the target's own steady clock, which may run up to
+``SLOWEST_PERCENT`` of true speed. Every estimate here errs to the safe side.
+"""
+
+SLOWEST_PERCENT = 98
+LAPSE_MARGIN_MS = 250
+
+
+class TargetClock:
+    """Bounds on one target's clock; times without a name are the leader's own.
+
+    ``since_ms`` is when this leader took over: an earlier leader may have given
+    a lease of ``lease_ms`` at any moment before it.
+    """
+
+    def __init__(self, since_ms: int, lease_ms: int) -> None:
+        self.since_ms = since_ms
+        self.lease_ms = lease_ms
+        self.sample: tuple[int, int] | None = None
+        self.longest_lease = 0
+
+    def note(self, reading: int, received_ms: int) -> None:
+        """Take a reading that the target made before ``received_ms``."""
+        if self.sample is None:
+            self.longest_lease = max(self.longest_lease, reading + self.lease_ms)
+        elif reading <= self.reading_at(received_ms):
+            return
+        self.sample = (reading, received_ms)
+
+    def reading_at(self, now_ms: int) -> int:
+        """Return a reading that the target's clock has surely passed."""
+        if self.sample is None:
+            return 0
+        reading, received_ms = self.sample
+        return reading + max(0, now_ms - received_ms) * SLOWEST_PERCENT // 100
+
+    def grant(self, now_ms: int) -> int | None:
+        """Return the reading at which a lease given now ends, if it is known.
+
+        The lease counts as given from this call on.
+        """
+        if self.sample is None:
+            return None
+        until = self.reading_at(now_ms) + self.lease_ms
+        self.longest_lease = max(self.longest_lease, until)
+        return until
+
+    def lapsed(self, now_ms: int) -> bool:
+        """Tell whether every lease ever given has surely ended."""
+        if self.sample is None:
+            wait_ms = self.lease_ms * 100 // SLOWEST_PERCENT + LAPSE_MARGIN_MS
+            return now_ms >= self.since_ms + wait_ms
+        return self.reading_at(now_ms) >= self.longest_lease + LAPSE_MARGIN_MS
