--- a/packages/foxspring-jobs/foxspring_jobs/_commands.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_commands.py
@@ -102,9 +102,7 @@
     RegisterTarget,
     Advance,
 )
-_DECODERS = {
-    kind.__name__: msgspec.msgpack.Decoder(kind) for kind in COMMAND_TYPES
-}
+_DECODERS = {kind.__name__: msgspec.msgpack.Decoder(kind) for kind in COMMAND_TYPES}
 _ENCODER = msgspec.msgpack.Encoder()
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_group.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_group.py
@@ -48,9 +48,7 @@
     return Add(join)
 
 
-def surplus_member(
-    members: tuple[MemberView, ...], group_size: int
-) -> Remove | None:
+def surplus_member(members: tuple[MemberView, ...], group_size: int) -> Remove | None:
     """Return a lost voter to remove once others have made up for it."""
     voters = [member for member in members if member.voter]
     if len(voters) <= group_size:
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple, Protocol
 
 from foxspring_model import Clock
@@ -23,20 +23,30 @@
     SubmitJob,
     TargetLife,
 )
+from foxspring_jobs._interference import Interference
 from foxspring_jobs._operations import Answer, Outcome, TargetReport
 from foxspring_jobs._orders import (
     HoldRequest,
     Order,
+    PaceOrder,
     Reading,
     Result,
     StartOrder,
     StopOrder,
     TargetView,
 )
-from foxspring_jobs._placement import Room, began_ms, plan_starts
+from foxspring_jobs._placement import Planner, Room, began_ms, waiting_steps
+from foxspring_jobs._pressure import (
+    FillRow,
+    Move,
+    Pace,
+    Relief,
+    ServingRow,
+    relieve,
+)
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import Queue
-from foxspring_jobs._state import EndKind, JobState, State
+from foxspring_jobs._state import EndKind, JobState, State, TargetState
 
 _LOG = logging.getLogger(__name__)
 
@@ -44,6 +54,11 @@
 RETRY_ORDER_MS = 150
 RETRY_LOOK_MS = 250
 MAX_IN_FLIGHT = 2
+LONG_LOOK_WAIT_MS = 2_000
+SWEEP_MS = 200
+REPLAN_MS = 200
+SURVEY_MS = 100
+RELIEF_PAUSE_MS = 600
 FORGET_FACTOR_PERCENT = 150
 
 
@@ -100,7 +115,14 @@
         self.sessions: dict[str, TargetSession] = {}
         self.turns: dict[str, int] = {}
         self.sequences: dict[TargetLife, int] = {}
-        self.counts: dict[str, int] = {}
+        self.plan_due = True
+        self.planned_ms = self.started_ms
+        self.swept_ms = self.started_ms
+        self.opened: tuple[tuple[str, int], ...] = ()
+        self.forgotten: tuple[str, ...] = ()
+        self.table = Interference()
+        self.survey: Planner | None = None
+        self.surveyed_ms = 0
 
     def begin(self) -> None:
         """Take over every known target."""
@@ -146,7 +168,27 @@
 
         def done(committed: bool) -> None:
             self._log_call("job_submitted", job_id, committed, queue.name)
+            for number, step in enumerate(spec.steps):
+                _LOG.info(
+                    "event=step_declared job=%s step=%d count=%d cores_milli=%d "
+                    "memory_mb=%d estimated_ms=%d after=%s lasting=%s fills=%s "
+                    "target_ms=%d image=%s per_target=%d away=%d",
+                    job_id,
+                    number,
+                    step.count,
+                    step.resources.cores_milli,
+                    step.resources.memory_mb,
+                    step.estimated_ms,
+                    ",".join(map(str, step.after)) or "-",
+                    step.lasting,
+                    step.fills,
+                    step.latency_target_ms,
+                    step.image or "-",
+                    step.max_per_target,
+                    step.max_away,
+                )
             answer(_answer(committed))
+            self.plan_due = True
             self.decide()
 
         self._propose(SubmitJob(job_id, queue, spec), done)
@@ -262,6 +304,12 @@
         session = self.sessions.get(fresh.life.target_id)
         if session is not None and session.life == fresh.life:
             session.draining = session.draining or fresh.draining
+            self._evacuate(session)
+
+    def _evacuate(self, session: TargetSession) -> None:
+        target = self.draft.target(session.life)
+        if session.draining and target is not None:
+            self._stop_useless(list(target.runs))
 
     def leaving(
         self, target_id: str, born_ms: int, answer: Callable[[Answer], None]
@@ -281,6 +329,7 @@
         if held is not None:
             if held.life == registered.life:
                 held.draining = held.draining or registered.draining
+                self._evacuate(held)
                 return
             self._close_session(held)
         self._begin_session(registered)
@@ -351,9 +400,7 @@
         else:
             self.ports.later(RETRY_LOOK_MS, lambda: self._look(session, wait_ms=0))
 
-    def _take_view(
-        self, session: TargetSession, view: TargetView, now_ms: int
-    ) -> None:
+    def _take_view(self, session: TargetSession, view: TargetView, now_ms: int) -> None:
         if session.adopting is not None:
             self._take_adopted(session, session.adopting, view)
             return
@@ -367,13 +414,63 @@
             if row.run not in target.runs:
                 self._order(session, StopOrder(row.run))
         session.note_running(view.running, now_ms)
+        self._relieve(session, target)
         if view.complete:
             self._settle(session, listed)
         if not session.taken_over:
             session.taken_over = True
+            self.plan_due = True
             self._resend_unlisted(session, listed)
+            self._stop_useless(list(target.runs))
         if not news:
-            self._look(session, LOOK_WAIT_MS)
+            self._look(session, self._wait_ms(target))
+
+    def _wait_ms(self, target: TargetState) -> int:
+        watched = target.serving and target.fills
+        return LOOK_WAIT_MS if watched else LONG_LOOK_WAIT_MS
+
+    def _relieve(self, session: TargetSession, target: TargetState) -> None:
+        now_ms = self.clock.monotonic_ms()
+        session.measure(target, self.table)
+        if now_ms < session.relieved_ms + RELIEF_PAUSE_MS:
+            return
+        serving, fills = session.rows(target)
+        reliefs = relieve(serving, fills, self.table, self._has_place)
+        if reliefs:
+            session.relieved_ms = now_ms
+        for relief in reliefs:
+            self._log_relief(session, relief, serving)
+            if isinstance(relief, Move):
+                self._send_stop(session, relief.run)
+            else:
+                session.paces[relief.run] = relief.percent
+                self._order(session, PaceOrder(relief.run, relief.percent))
+
+    def _has_place(self, fill: FillRow) -> bool:
+        job = self.draft.active.get(fill.run.task.job_id)
+        if job is None:
+            return False
+        step = job.spec.steps[fill.run.task.step]
+        now_ms = self.clock.monotonic_ms()
+        if self.survey is None or now_ms >= self.surveyed_ms + SURVEY_MS:
+            self.survey = Planner(self.draft, self._rooms(), self.table)
+            self.surveyed_ms = now_ms
+        return self.survey.has_place(fill.run.task, step, job)
+
+    def _log_relief(
+        self, session: TargetSession, relief: Relief, serving: list[ServingRow]
+    ) -> None:
+        worst = max(row.tail_ms for row in serving)
+        _LOG.info(
+            "event=fill_relieved action=%s job=%s task=%d.%d.%d run=%d target=%s "
+            "percent=%d worst_tail_ms=%d",
+            type(relief).__name__.lower(),
+            *relief.run.task,
+            relief.run.number,
+            session.life.target_id,
+            relief.percent if isinstance(relief, Pace) else 0,
+            worst,
+        )
 
     def _take_adopted(
         self, session: TargetSession, fresh: RegisterTarget, view: TargetView
@@ -556,133 +653,3 @@
         for session in list(self.sessions.values()):
             if session.silent and session.clock.lapsed(now_ms):
                 self._lose(session.life, "lease_lapsed")
-        self.decide()
-
-    def _lose(self, life: TargetLife, why: str) -> None:
-        session = self.sessions.get(life.target_id)
-        target = self.draft.target(life)
-        runs = len(target.runs) if target else 0
-        _LOG.warning(
-            "event=target_lost target=%s born=%d why=%s runs=%d", *life, why, runs
-        )
-        if session is not None and session.life == life:
-            self._close_session(session)
-            del self.sessions[life.target_id]
-        if target is not None and life not in self.gone:
-            self.gone.append(life)
-
-    def decide(self) -> None:
-        """Propose what is due: ends, lost targets, times and starts."""
-        if self.deposed or self.in_flight >= MAX_IN_FLIGHT:
-            return
-        self._send_stops()
-        ends, self.ends = self.ends, []
-        gone, self.gone = tuple(self.gone), []
-        opened = self._due_occurrences()
-        forgotten = self._expired_jobs()
-        settled = Advance(tuple(end for _, _, end in ends), gone, opened, (), forgotten)
-        if any(settled):
-            self.draft.apply(settled, self.clock.wall_ms())
-        starts = self._plan()
-        if not any(settled) and not starts:
-            return
-        self.draft.apply(Advance(starts=starts), self.clock.wall_ms())
-        self._commit(settled._replace(starts=starts), ends)
-
-    def _commit(
-        self, advance: Advance, ends: list[tuple[TargetSession, int, RunEnd]]
-    ) -> None:
-        self.in_flight += 1
-
-        def done(committed: bool) -> None:
-            self.in_flight -= 1
-            if not committed:
-                self.deposed = True
-                return
-            for start in advance.starts:
-                self._order_start(start)
-            self._forget_ends(ends)
-            self.decide()
-
-        self.ports.propose(advance, done)
-
-    def _order_start(self, start: RunStart) -> None:
-        session = self.sessions.get(start.life.target_id)
-        target = self.draft.target(start.life)
-        if session is None or session.life != start.life or target is None:
-            return
-        if start.run in target.runs and start.run not in session.sent:
-            self._send_start(session, start.run)
-
-    def _forget_ends(self, ends: list[tuple[TargetSession, int, RunEnd]]) -> None:
-        for session, number, end in ends:
-            session.cursor = max(session.cursor, number)
-            session.forget_run(end.run)
-        for session in {id(s): s for s, _, _ in ends}.values():
-            self._look(session, LOOK_WAIT_MS)
-
-    def _send_stops(self) -> None:
-        """Stop runs whose job has ended or whose task is done elsewhere."""
-        for session in self.sessions.values():
-            target = self.draft.target(session.life)
-            if target is None or not target.runs:
-                continue
-            for run in list(target.runs):
-                if run in session.sent or session.taken_over:
-                    self._stop_if_useless(session, run)
-
-    def _stop_if_useless(self, session: TargetSession, run: RunKey) -> None:
-        job = self.draft.jobs.get(run.task.job_id)
-        task = self.draft.task(run.task)
-        if job is None or task is None:
-            return
-        evacuate = session.draining and self._moves_well(job, run)
-        if job.has_ended() or task.done or evacuate:
-            self._send_stop(session, run)
-
-    def _moves_well(self, job: JobState, run: RunKey) -> bool:
-        step = job.spec.steps[run.task.step]
-        return step.lasting or step.checkpoints
-
-    def _due_occurrences(self) -> tuple[tuple[str, int], ...]:
-        wall_ms = self.clock.wall_ms()
-        due = []
-        for job in self.draft.active.values():
-            if not job.spec.is_timed():
-                continue
-            for number in range(job.spec.repetitions):
-                if number not in job.occurrences and wall_ms >= began_ms(job, number):
-                    due.append((job.job_id, number))
-        return tuple(due)
-
-    def _expired_jobs(self) -> tuple[str, ...]:
-        keep_ms = self.settings.keep_ended_ms * FORGET_FACTOR_PERCENT // 100
-        limit = self.clock.wall_ms() - keep_ms
-        return tuple(
-            job.job_id
-            for job in self.draft.jobs.values()
-            if job.has_ended()
-            and job.ended_ms < limit
-            and not any(self.draft.runs_of(job))
-        )
-
-    def _plan(self) -> tuple[RunStart, ...]:
-        now_ms = self.clock.monotonic_ms()
-        rooms = []
-        for session in self.sessions.values():
-            target = self.draft.target(session.life)
-            if target is None or not session.may_start(now_ms, len(target.runs)):
-                continue
-            limit = 1 if session.health.rounds else 0
-            rooms.append(Room(target, session.health.on_probation(), limit))
-        if not rooms:
-            return ()
-        return tuple(plan_starts(self.draft, rooms, self.clock.wall_ms()))
-
-
-def _ignore(_answer: Answer) -> None:
-    """Take an answer that nobody waits for."""
-
-
-def _answer(committed: bool) -> Answer:
-    return Answer(Outcome.OK if committed else Outcome.UNKNOWN)
--- a/packages/foxspring-jobs/foxspring_jobs/_machine.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_machine.py
@@ -42,6 +42,8 @@
     def _apply(self, entry: LogEntry) -> bytes:
         command = decode_command(entry.kind, entry.body)
         applied = self.state.apply(command, entry.at_ms)
+        # Only a leader's draft acts on these.
+        self.state.useless.clear()
         self._applied_index = entry.log_index
         return msgspec.json.encode(applied)
 
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -16,7 +16,7 @@
     ReplicatedLog,
 )
 from foxspring_link import Codec, Link, LinkSettings
-from foxspring_model import Clock
+from foxspring_model import Clock, LinkPing, LinkPong
 
 from foxspring_jobs._caller import ControlCaller
 from foxspring_jobs._group import Add, MemberView, Remove, on_join, surplus_member
@@ -62,7 +62,7 @@
 
 def job_codec(secret: bytes) -> Codec:
     """Return the codec of all messages between job daemons."""
-    return Codec(secret, (*JOB_MESSAGES, *RAFT_MESSAGES))
+    return Codec(secret, (*JOB_MESSAGES, *RAFT_MESSAGES, LinkPing, LinkPong))
 
 
 def choose_member_id(settings: MemberSettings, wall_ms: int) -> str:
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -2,59 +2,77 @@
 
 Load pattern: a wave of wide steps comes beside short urgent ones and lasting
 services. Jobs that can still meet their aim go first, by slack, within their
-priority; what can't meet it any more waits for what can. Filling work keeps
-away from tasks with a latency target, since it lengthens their tail.
+priority; what can't meet it any more waits for what can. Tasks with a latency
+target are packed by image, and fills go where they lengthen no tail and find
+processor time that is left.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from foxspring_jobs._commands import RunKey, RunStart, TaskKey
+from foxspring_jobs._interference import CORE, FIRST_QUIET, Interference
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import JobState, State, TargetState
 
 LATE_FACTOR = 3
 PERCENT = 100
+RISK_SHARE = 0.75
+OWN_MARGIN = 0.05
+HALF_PERCENT = 50
+SERVING_USE_PERCENT = 35
+LEAST_LIMIT = 0.01
+StepPlace = tuple[str, int, int]
+Score = tuple[float, ...]
+
+
+def step_place(task: TaskKey) -> StepPlace:
+    """Return which step of which occurrence a task belongs to."""
+    return task.job_id, task.occurrence, task.step
 
 
 class Room:
     """A target as the planner sees it; starts of the same plan count."""
 
     def __init__(
-        self, target: TargetState, probation: bool = False, limit: int = 0
+        self,
+        target: TargetState,
+        probation: bool = False,
+        limit: int = 0,
+        own: Mapping[str, float] | None = None,
     ) -> None:
+        self.own = own or {}
         self.target = target
         self.free = target.free()
         self.probation = probation
         self.limit = limit
         self.started = 0
-        self.serving = 0
-        self.filling = 0
-        self.of_step: dict[tuple[str, int, int], int] = {}
-        for run, step in target.runs.items():
-            self._count(run.task, step)
-
-    def _count(self, task: TaskKey, step: StepSpec) -> None:
+        self.serving = dict(target.serving)
+        self.fills = dict(target.fills)
+        self.fill_cores = sum(self.fills.values())
+        self.serving_cores = target.serving_cores
+        self.of_step: dict[StepPlace, int] = {}
+        self.expected: list[tuple[str, float, float]] = []
+
+    def take(self, task: TaskKey, step: StepSpec, sign: int = 1) -> None:
+        """Count a start of this plan; ``sign`` -1 undoes it."""
+        self.started += sign
+        self.expected = []
+        reserved = step.reserved()
+        if sign > 0:
+            self.free = self.free.minus(reserved)
+        else:
+            self.free = self.free.plus(reserved)
+        cores = sign * step.resources.cores_milli
         if step.latency_target_ms:
-            self.serving += 1
+            key = (step.image, step.latency_target_ms)
+            self.serving[key] = self.serving.get(key, 0) + sign
+            self.serving_cores += cores
         if step.fills:
-            self.filling += 1
-        place = (task.job_id, task.occurrence, task.step)
-        self.of_step[place] = self.of_step.get(place, 0) + 1
-
-    def take(self, task: TaskKey, step: StepSpec) -> None:
-        """Count a start of this plan."""
-        self.started += 1
-        self.free = self.free.minus(step.reserved())
-        self._count(task, step)
-
-    def give_back(self, task: TaskKey, step: StepSpec) -> None:
-        """Undo :meth:`take`."""
-        self.started -= 1
-        self.free = self.free.plus(step.reserved())
-        self.serving -= bool(step.latency_target_ms)
-        self.filling -= step.fills
-        self.of_step[(task.job_id, task.occurrence, task.step)] -= 1
+            self.fills[step.image] = self.fills.get(step.image, 0) + cores
+            self.fill_cores += cores
+        place = step_place(task)
+        self.of_step[place] = self.of_step.get(place, 0) + sign
 
     def accepts(self, task: TaskKey, step: StepSpec, service: str) -> bool:
         """Tell whether one more task of a step may start here."""
@@ -65,12 +83,23 @@
             return False
         if step.required_label and step.required_label not in registered.labels:
             return False
-        place = (task.job_id, task.occurrence, task.step)
         bound = step.max_per_target
-        if bound and self.of_step.get(place, 0) >= bound:
+        if bound and self.held_of(step_place(task)) >= bound:
             return False
         return step.reserved().fits_in(self.free)
 
+    def held_of(self, place: StepPlace) -> int:
+        """Return how many tasks of a step are here."""
+        return self.target.of_step.get(place, 0) + self.of_step.get(place, 0)
+
+    def spare_cores(self) -> int:
+        """Return the thousandths of cores that nothing is expected to use.
+
+        Tasks with a latency target use only a part of what they reserve.
+        """
+        unused = self.serving_cores * (PERCENT - SERVING_USE_PERCENT) // PERCENT
+        return self.free.cores_milli + unused - self.fill_cores
+
     def used_percent(self) -> int:
         """Return the fullest of cores and memory."""
         capacity = self.target.registered.capacity
@@ -79,6 +108,54 @@
             _percent_used(self.free.memory_mb, capacity.memory_mb),
         )
 
+    def risk(self, effects: "Effects", image: str, cores: int) -> float:
+        """Return the highest pressure to expect, as a share of what is allowed.
+
+        ``image`` is a fill that would come with ``cores`` more.
+        """
+        if not self.serving:
+            return 0.0
+        if not self.expected:
+            self._expect(effects)
+        return max(
+            (held + effects.of(serving, image) * cores) / limit
+            for serving, held, limit in self.expected
+        )
+
+    def _expect(self, effects: "Effects") -> None:
+        for (serving, target_ms), count in self.serving.items():
+            if count <= 0:
+                continue
+            held = self.own.get(serving, effects.quiet(serving)) + OWN_MARGIN
+            for fill, cores in self.fills.items():
+                held += effects.of(serving, fill) * cores
+            limit = effects.limit(serving, target_ms)
+            self.expected.append((serving, held, max(limit, LEAST_LIMIT)))
+
+
+class Effects:
+    """What one plan needs of the interference learnt, looked up once."""
+
+    def __init__(self, table: Interference) -> None:
+        self.table = table
+        self._per_milli: dict[tuple[str, str], float] = {}
+
+    def of(self, serving: str, fill: str) -> float:
+        """Return what a thousandth of a core of a fill is taken to add."""
+        effect = self._per_milli.get((serving, fill))
+        if effect is None:
+            effect = self.table.effect(serving, fill) / CORE
+            self._per_milli[serving, fill] = effect
+        return effect
+
+    def quiet(self, serving: str) -> float:
+        """Return a serving image's usual pressure without fills."""
+        return self.table.quiet.get(serving, FIRST_QUIET)
+
+    def limit(self, serving: str, target_ms: int) -> float:
+        """Return the pressure that a plan may expect at most."""
+        return self.table.pressure(serving, target_ms * RISK_SHARE, target_ms)
+
 
 def _percent_used(free: int, capacity: int) -> int:
     return PERCENT - free * PERCENT // capacity if capacity > 0 else PERCENT
@@ -105,17 +182,9 @@
     return max(lengths)
 
 
-def _whole_chain_ms(job: JobState) -> int:
-    lengths: list[int] = []
-    for spec in job.spec.steps:
-        before = max((lengths[n] for n in spec.after), default=0)
-        lengths.append(before + spec.estimated_ms)
-    return max(lengths)
-
-
 def aim_ms(job: JobState) -> int:
     """Return how long after its beginning a job should be completed."""
-    stretched = int(job.queue.stretch_factor * _whole_chain_ms(job))
+    stretched = int(job.queue.stretch_factor * job.spec.longest_chain_ms())
     return stretched + job.queue.latency_target_ms
 
 
@@ -130,15 +199,13 @@
     """Return the steps that may start tasks, in the order to serve them."""
     found: list[Waiting] = []
     for job in state.active.values():
-        for occurrence in job.occurrences:
-            found += _waiting_of(job, occurrence, wall_ms)
+        for occurrence, steps in job.occurrences.items():
+            if any(step.idle for step in steps):
+                found += _waiting_of(job, occurrence, wall_ms)
     return sorted(found)
 
 
 def _waiting_of(job: JobState, occurrence: int, wall_ms: int) -> Iterator[Waiting]:
-    steps = job.occurrences[occurrence]
-    if all(step.undone == 0 for step in steps):
-        return
     aim = aim_ms(job)
     age_ms = wall_ms - began_ms(job, occurrence)
     rest_ms = chain_ms(job, occurrence)
@@ -147,9 +214,8 @@
     lateness = 0 if slack_ms >= 0 else (1 if late_slack_ms >= 0 else 2)
     if job.spec.lasts():
         lateness = 0
-    for number, step in enumerate(steps):
-        idle = any(not task.done and not task.runs for task in step.tasks)
-        if idle and job.step_is_ready(occurrence, number):
+    for number, step in enumerate(job.occurrences[occurrence]):
+        if step.idle and job.step_is_ready(occurrence, number):
             yield Waiting(
                 job.queue.priority,
                 lateness,
@@ -160,81 +226,166 @@
             )
 
 
-def plan_starts(
-    state: State, rooms: Iterable[Room], wall_ms: int, allowed: "Allowed | None" = None
-) -> list[RunStart]:
-    """Return the starts to commit now, in order."""
-    held = list(rooms)
-    starts: list[RunStart] = []
-    blocked: set[tuple[str, StepSpec]] = set()
-    for waiting in waiting_steps(state, wall_ms):
-        job = state.active[waiting.job_id]
-        step = job.spec.steps[waiting.step]
-        kind = (job.queue.service, step._replace(count=0, after=()))
-        if kind in blocked:
-            continue
-        usable = _allowed_rooms(job, waiting, held, allowed)
-        planned, complete = _plan_step(job, waiting, step, usable)
-        starts += planned
-        if not complete and usable is held and not step.max_per_target:
-            blocked.add(kind)
-    return starts
-
-
-Allowed = Mapping[tuple[str, int, int], frozenset[str]]
-
-
-def _allowed_rooms(
-    job: JobState, waiting: Waiting, rooms: list[Room], allowed: Allowed | None
-) -> list[Room]:
-    if allowed is None or not job.queue.needs_advice():
-        return rooms
-    names = allowed.get((waiting.job_id, waiting.occurrence, waiting.step), frozenset())
-    return [room for room in rooms if room.target.life.target_id in names]
-
-
-def _plan_step(
-    job: JobState, waiting: Waiting, step: StepSpec, rooms: list[Room]
-) -> tuple[list[RunStart], bool]:
-    if step.gang:
-        return _plan_gang(job, waiting, step, rooms)
-    starts: list[RunStart] = []
-    tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
-    for index, task in enumerate(tasks):
-        if task.done or task.runs:
-            continue
-        key = TaskKey(waiting.job_id, waiting.occurrence, waiting.step, index)
-        room = choose_room(key, step, job.queue.service, rooms, task.attempts)
-        if room is None:
-            return starts, False
-        room.take(key, step)
-        starts.append(RunStart(RunKey(key, task.last_run + 1), room.target.life))
-    return starts, True
-
-
-def _plan_gang(
-    job: JobState, waiting: Waiting, step: StepSpec, rooms: list[Room]
-) -> tuple[list[RunStart], bool]:
-    tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
-    if any(task.runs for task in tasks):
-        return [], True
-    number = max(task.last_run for task in tasks) + 1
-    for group in _gang_groups(step, rooms):
-        placed: list[tuple[TaskKey, Room]] = []
-        for index in range(len(tasks)):
+Allowed = Mapping[StepPlace, frozenset[str]]
+
+
+class Planner:
+    """One plan over the rooms that may start something now."""
+
+    def __init__(
+        self,
+        state: State,
+        rooms: Iterable[Room],
+        table: Interference,
+        allowed: Allowed | None = None,
+    ) -> None:
+        self.state = state
+        self.rooms = list(rooms)
+        self.effects = Effects(table)
+        self.allowed = allowed or {}
+        self.busy = _is_busy(self.rooms)
+        self.blocked_fills: dict[tuple[str, str], int] = {}
+
+    def plan(self, steps: Iterable[Waiting]) -> list[RunStart]:
+        """Return the starts to commit now for steps in their order."""
+        starts: list[RunStart] = []
+        blocked: set[tuple[str, StepSpec]] = set()
+        for waiting in steps:
+            job = self.state.active[waiting.job_id]
+            step = job.spec.steps[waiting.step]
+            kind = (job.queue.service, step._replace(count=0, after=()))
+            if kind in blocked:
+                continue
+            rooms = self._usable_rooms(job, waiting)
+            if step.gang:
+                planned = self._plan_gang(job, waiting, step, rooms)
+            else:
+                planned = self._plan_tasks(job, waiting, step, rooms)
+            starts += planned
+            bounded = step.max_per_target or step.gang or step.fills
+            if not planned and rooms is self.rooms and not bounded:
+                blocked.add(kind)
+        return starts
+
+    def has_place(self, task: TaskKey, step: StepSpec, job: JobState) -> bool:
+        """Tell whether a task would find a good target, and count it there."""
+        room = self._choose(task, step, job, self.rooms, patient=True)
+        if room is not None:
+            room.take(task, step)
+        return room is not None
+
+    def _usable_rooms(self, job: JobState, waiting: Waiting) -> list[Room]:
+        if not job.queue.needs_advice():
+            return self.rooms
+        place = (waiting.job_id, waiting.occurrence, waiting.step)
+        names = self.allowed.get(place, frozenset())
+        return [room for room in self.rooms if room.target.life.target_id in names]
+
+    def _plan_tasks(
+        self, job: JobState, waiting: Waiting, step: StepSpec, rooms: list[Room]
+    ) -> list[RunStart]:
+        starts: list[RunStart] = []
+        steps = job.occurrences[waiting.occurrence]
+        fill_kind = (job.queue.service, step.image)
+        cores = step.resources.cores_milli
+        if step.fills and cores >= self.blocked_fills.get(fill_kind, cores + 1):
+            return []
+        running = any(s.running for s in steps)
+        for index, task in enumerate(steps[waiting.step].tasks):
+            if task.done or task.runs:
+                continue
             key = TaskKey(waiting.job_id, waiting.occurrence, waiting.step, index)
-            room = choose_room(key, step, job.queue.service, group, 0)
+            # While half of all is free, a job gets one task whatever it costs.
+            patient = self.busy or running or bool(starts)
+            room = self._choose(key, step, job, rooms, patient)
             if room is None:
+                if step.fills and rooms is self.rooms:
+                    self.blocked_fills[fill_kind] = cores
                 break
             room.take(key, step)
-            placed.append((key, room))
-        if len(placed) == len(tasks):
-            return [
-                RunStart(RunKey(key, number), room.target.life) for key, room in placed
-            ], True
-        for key, room in placed:
-            room.give_back(key, step)
-    return [], False
+            starts.append(RunStart(RunKey(key, task.last_run + 1), room.target.life))
+        return starts
+
+    def _plan_gang(
+        self, job: JobState, waiting: Waiting, step: StepSpec, rooms: list[Room]
+    ) -> list[RunStart]:
+        tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
+        if any(task.runs for task in tasks):
+            return []
+        number = max(task.last_run for task in tasks) + 1
+        for group in _gang_groups(step, rooms):
+            placed: list[tuple[TaskKey, Room]] = []
+            for index in range(len(tasks)):
+                key = TaskKey(waiting.job_id, waiting.occurrence, waiting.step, index)
+                room = self._choose(key, step, job, group, patient=False)
+                if room is None:
+                    break
+                room.take(key, step)
+                placed.append((key, room))
+            if len(placed) == len(tasks):
+                return [RunStart(RunKey(k, number), r.target.life) for k, r in placed]
+            for key, room in placed:
+                room.take(key, step, sign=-1)
+        return []
+
+    def _choose(
+        self,
+        task: TaskKey,
+        step: StepSpec,
+        job: JobState,
+        rooms: list[Room],
+        patient: bool,
+    ) -> Room | None:
+        best = None
+        best_score: Score = ()
+        failed_before = bool(self._attempts(job, task))
+        for room in rooms:
+            if not room.accepts(task, step, job.queue.service):
+                continue
+            score = self._score(room, step, failed_before)
+            if best is None or score < best_score:
+                best, best_score = room, score
+        if best is None or not step.fills or not patient:
+            return best
+        # The second and third of a fill's score: too risky, too crowded.
+        return None if best_score[1] or best_score[2] else best
+
+    def _attempts(self, job: JobState, task: TaskKey) -> int:
+        return job.occurrences[task.occurrence][task.step].tasks[task.index].attempts
+
+    def _score(self, room: Room, step: StepSpec, failed_before: bool) -> Score:
+        rack = room.target.registered.rack
+        far = bool(step.data_rack) and rack != step.data_rack
+        # A task that has failed must not meet a doubtful target again.
+        doubt = room.probation * (2 if failed_before else 1)
+        cores = step.resources.cores_milli
+        spare = room.spare_cores()
+        if step.latency_target_ms:
+            return (doubt, self._serving_risk(room, step), *self._packing(room, step))
+        if step.fills:
+            risk = room.risk(self.effects, step.image, cores)
+            return (doubt, risk > 1, spare < cores, far, risk > 0, -spare)
+        return (doubt, far, -spare)
+
+    def _serving_risk(self, room: Room, step: StepSpec) -> bool:
+        effects = self.effects
+        expected = effects.quiet(step.image)
+        for fill, cores in room.fills.items():
+            expected += effects.of(step.image, fill) * cores
+        return expected > effects.limit(step.image, step.latency_target_ms)
+
+    def _packing(self, room: Room, step: StepSpec) -> tuple[int, int]:
+        own = (step.image, step.latency_target_ms)
+        others = sum(
+            count > 0 and image != own for image, count in room.serving.items()
+        )
+        return others, -room.used_percent()
+
+
+def _is_busy(rooms: list[Room]) -> bool:
+    capacity = sum(r.target.registered.capacity.cores_milli for r in rooms)
+    free = sum(max(0, room.free.cores_milli) for room in rooms)
+    return free * PERCENT < capacity * HALF_PERCENT
 
 
 def _gang_groups(step: StepSpec, rooms: list[Room]) -> Iterator[list[Room]]:
@@ -245,36 +396,9 @@
         preferred = racks.pop(step.data_rack, None)
         if preferred is not None:
             yield preferred
-        yield from sorted(racks.values(), key=lambda r: -_free_cores(r))
+        yield from sorted(racks.values(), key=_free_cores, reverse=True)
     yield rooms
 
 
 def _free_cores(rooms: list[Room]) -> int:
     return sum(room.free.cores_milli for room in rooms)
-
-
-def choose_room(
-    task: TaskKey, step: StepSpec, service: str, rooms: list[Room], attempts: int
-) -> Room | None:
-    """Return the best target for one task, or none if it fits nowhere."""
-    best = None
-    best_score: tuple[int, ...] = ()
-    for room in rooms:
-        if not room.accepts(task, step, service):
-            continue
-        score = _score(room, step, attempts)
-        if best is None or score < best_score:
-            best, best_score = room, score
-    return best
-
-
-def _score(room: Room, step: StepSpec, attempts: int) -> tuple[int, ...]:
-    far = int(bool(step.data_rack) and room.target.registered.rack != step.data_rack)
-    # A task that has failed must not meet a doubtful target again.
-    doubt = int(room.probation) * (2 if attempts else 1)
-    used = room.used_percent()
-    if step.latency_target_ms:
-        return (doubt, room.filling, room.serving, far, used)
-    if step.fills:
-        return (doubt, room.serving, far, room.filling, used)
-    return (doubt, far, used, room.filling)
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -21,8 +21,6 @@
 from foxspring_jobs._orders import (
     HoldRequest,
     Order,
-
-
     StartOrder,
     TargetApi,
 )
@@ -287,5 +285,3 @@
             self._lead_again()
         else:
             self.leader.tick()
-
-
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -4,22 +4,28 @@
 
 from foxspring_jobs._commands import RegisterTarget, RunKey, TargetLife
 from foxspring_jobs._health import TargetHealth
+from foxspring_jobs._interference import Interference
 from foxspring_jobs._orders import RunningRow, TargetPlace
+from foxspring_jobs._pressure import FillRow, ServingRow
+from foxspring_jobs._state import TargetState
 from foxspring_jobs._target_clock import TargetClock
 
 SILENT_LOOKS = 1
+AT_WORK_PERCENT = 100
+NEARLY_DONE_PERCENT = 85
 
 
 class Progress:
     """How one run has come along; times are the leader's."""
 
-    __slots__ = ("figure", "moved_ms", "percent", "started_ms")
+    __slots__ = ("figure", "moved_ms", "own", "percent", "started_ms")
 
     def __init__(self, started_ms: int) -> None:
         self.started_ms = started_ms
         self.percent = -1
         self.moved_ms = started_ms
         self.figure = 0
+        self.own = 0.0
 
 
 class TargetSession:
@@ -48,6 +54,9 @@
         self.doubtful: set[RunKey] = set()
         self.unsettled: dict[RunKey, int] = {}
         self.progress: dict[RunKey, Progress] = {}
+        self.paces: dict[RunKey, int] = {}
+        self.own: dict[str, float] = {}
+        self.relieved_ms = 0
 
     @property
     def life(self) -> TargetLife:
@@ -80,3 +89,48 @@
         self.doubtful.discard(run)
         self.unsettled.pop(run, None)
         self.progress.pop(run, None)
+        self.paces.pop(run, None)
+
+    def measure(self, target: TargetState, table: Interference) -> None:
+        """Learn from the newest figures how fills press on serving tasks."""
+        used: dict[str, int] = {}
+        for run, step in target.runs.items():
+            progress = self.progress.get(run)
+            if progress is not None and step.fills:
+                used[step.image] = used.get(step.image, 0) + progress.figure
+        self.own = {}
+        for run, step in target.runs.items():
+            progress = self.progress.get(run)
+            if progress is None or not step.latency_target_ms:
+                continue
+            if progress.percent != AT_WORK_PERCENT:
+                continue
+            progress.own = table.observe(
+                step.image, progress.figure, step.latency_target_ms, used
+            )
+            self.own[step.image] = max(self.own.get(step.image, 0.0), progress.own)
+
+    def rows(self, target: TargetState) -> tuple[list[ServingRow], list[FillRow]]:
+        """Return the newest look's serving tasks at work, and its fills."""
+        serving: list[ServingRow] = []
+        fills: list[FillRow] = []
+        for run, step in target.runs.items():
+            progress = self.progress.get(run)
+            if progress is None or run in self.stopping:
+                continue
+            at_work = progress.percent == AT_WORK_PERCENT
+            if step.latency_target_ms and at_work:
+                serving.append(
+                    ServingRow(
+                        step.image,
+                        step.latency_target_ms,
+                        progress.figure,
+                        progress.own,
+                    )
+                )
+            elif step.fills:
+                movable = step.checkpoints and progress.percent < NEARLY_DONE_PERCENT
+                pace = self.paces.get(run, AT_WORK_PERCENT)
+                cores = step.resources.cores_milli
+                fills.append(FillRow(run, step.image, cores, pace, movable))
+        return serving, fills
--- a/packages/foxspring-jobs/foxspring_jobs/_snapshot.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_snapshot.py
@@ -6,9 +6,7 @@
 
 from foxspring_jobs._commands import (
     RegisterTarget,
-
     TargetLife,
-
 )
 from foxspring_jobs._specs import JobSpec, Queue, QueueTable
 from foxspring_jobs._state import (
@@ -136,10 +134,8 @@
 
 
 def _step(row: _StepRow) -> StepState:
-    step = StepState(0)
+    step = StepState([_task(task) for task in row.tasks])
     step.failed_runs = set(row.failed_runs)
-    step.tasks = [_task(task) for task in row.tasks]
-    step.undone = sum(not task.done for task in step.tasks)
     return step
 
 
@@ -158,5 +154,3 @@
         target = state.target(life)
         if target is not None:
             target.add(run, job.spec.steps[run.task.step])
-
-
--- a/packages/foxspring-jobs/foxspring_jobs/_specs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_specs.py
@@ -62,6 +62,14 @@
         """Return how often the steps run."""
         return max(1, self.repetitions)
 
+    def longest_chain_ms(self) -> int:
+        """Return the estimated time of the longest chain of steps."""
+        lengths: list[int] = []
+        for step in self.steps:
+            before = max((lengths[n] for n in step.after), default=0)
+            lengths.append(before + step.estimated_ms)
+        return max(lengths)
+
     def lasts(self) -> bool:
         """Tell whether the job ends only when it is cancelled."""
         return any(step.lasting for step in self.steps)
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -60,14 +60,27 @@
 
 
 class StepState:
-    """The tasks of one step in one occurrence."""
+    """The tasks of one step in one occurrence.
 
-    __slots__ = ("failed_runs", "tasks", "undone")
+    ``idle`` counts tasks that are neither done nor on a target, ``running``
+    the runs that may be on one.
+    """
 
-    def __init__(self, count: int) -> None:
-        self.tasks = [TaskState() for _ in range(count)]
-        self.undone = count
+    __slots__ = ("failed_runs", "idle", "running", "tasks", "undone")
+
+    def __init__(self, tasks: list[TaskState]) -> None:
+        self.tasks = tasks
         self.failed_runs: set[int] = set()
+        self.undone = 0
+        self.idle = 0
+        self.running = 0
+        self.recount()
+
+    def recount(self) -> None:
+        """Count the tasks anew after one has changed."""
+        self.undone = sum(not task.done for task in self.tasks)
+        self.idle = sum(not task.done and not task.runs for task in self.tasks)
+        self.running = sum(len(task.runs) for task in self.tasks)
 
 
 class JobState:
@@ -90,7 +103,10 @@
     def open(self, occurrence: int) -> None:
         """Begin an occurrence that has fallen due."""
         if occurrence not in self.occurrences:
-            steps = [StepState(step.count) for step in self.spec.steps]
+            steps = [
+                StepState([TaskState() for _ in range(step.count)])
+                for step in self.spec.steps
+            ]
             self.occurrences[occurrence] = steps
 
     def has_ended(self) -> bool:
@@ -110,6 +126,10 @@
         self.registered = registered
         self.runs: dict[RunKey, StepSpec] = {}
         self.used = NOTHING
+        self.serving: dict[tuple[str, int], int] = {}
+        self.serving_cores = 0
+        self.fills: dict[str, int] = {}
+        self.of_step: dict[tuple[str, int, int], int] = {}
 
     @property
     def life(self) -> TargetLife:
@@ -120,18 +140,37 @@
         """Hold the run's resources."""
         self.runs[run] = step
         self.used = self.used.plus(step.reserved())
+        self._count(run, step, 1)
 
     def remove(self, run: RunKey) -> None:
         """Release the run's resources."""
         step = self.runs.pop(run, None)
         if step is not None:
             self.used = self.used.minus(step.reserved())
+            self._count(run, step, -1)
+
+    def _count(self, run: RunKey, step: StepSpec, sign: int) -> None:
+        cores = sign * step.resources.cores_milli
+        if step.latency_target_ms:
+            _add(self.serving, (step.image, step.latency_target_ms), sign)
+            self.serving_cores += cores
+        if step.fills:
+            _add(self.fills, step.image, cores)
+        _add(self.of_step, run.task[:3], sign)
 
     def free(self) -> Resources:
         """Return the capacity that no run holds."""
         return self.registered.capacity.minus(self.used)
 
 
+def _add(counts: dict[Any, int], key: Any, amount: int) -> None:
+    total = counts.get(key, 0) + amount
+    if total:
+        counts[key] = total
+    else:
+        counts.pop(key, None)
+
+
 class Applied(NamedTuple):
     """What applying a command did; ``detail`` says why nothing changed."""
 
@@ -159,6 +198,7 @@
         self.active: dict[str, JobState] = {}
         self.targets: dict[str, TargetState] = {}
         self.forgotten_jobs = 0
+        self.useless: list[RunKey] = []
 
     def apply(self, command: Any, at_ms: int) -> Applied:
         """Apply one command; ``at_ms`` is the appending leader's wall clock."""
@@ -226,6 +266,7 @@
         job.phase = phase
         job.ended_ms = at_ms
         self.active.pop(job.job_id, None)
+        self.useless += [run for run, _ in self.runs_of(job)]
 
     def _register(self, command: RegisterTarget) -> Applied:
         known = self.targets.get(command.life.target_id)
@@ -286,6 +327,7 @@
         task.last_run = start.run.number
         task.runs[start.run.number] = start.life
         target.add(start.run, step)
+        job.occurrences[key.occurrence][key.step].recount()
         job.phase = JobPhase.ACTIVE
 
     def _end_run(self, end: RunEnd, at_ms: int) -> None:
@@ -300,12 +342,16 @@
         if end.checkpoint:
             self._keep_checkpoint(end)
         job = self.jobs[key.job_id]
+        step = job.occurrences[key.occurrence][key.step]
         if job.has_ended():
-            return
-        if end.kind == EndKind.DONE:
+            step.recount()
+        elif end.kind == EndKind.DONE:
             self._complete(job, end.run, at_ms)
         elif end.kind == EndKind.FAILED:
+            step.recount()
             self._count_failure(job, end.run, at_ms)
+        else:
+            step.recount()
 
     def _keep_checkpoint(self, end: RunEnd) -> None:
         key = end.run.task
@@ -319,14 +365,18 @@
 
     def _complete(self, job: JobState, run: RunKey, at_ms: int) -> None:
         spec = job.spec.steps[run.task.step]
+        step = job.occurrences[run.task.occurrence][run.task.step]
         if spec.lasting:
+            step.recount()
             return
-        step = job.occurrences[run.task.occurrence][run.task.step]
         ended = step.tasks if spec.gang else [step.tasks[run.task.index]]
         fresh = [task for task in ended if not task.done]
-        for task in fresh:
-            task.done = True
-        step.undone -= len(fresh)
+        for index, task in enumerate(step.tasks):
+            if task in fresh:
+                task.done = True
+                key = run.task._replace(index=index)
+                self.useless += [RunKey(key, number) for number in task.runs]
+        step.recount()
         steps = job.occurrences[run.task.occurrence]
         if fresh and all(other.undone == 0 for other in steps):
             job.finished += 1
