--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Development commands; `make demo` and `make test` need only Python 3.11 and pip.
 PYTHON ?= python3.11
 VENV ?= .venv
-PACKAGES := model link config control entry daemon testing
+PACKAGES := model link config control jobs entry daemon testing
 export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/foxspring-$(p)))
 RUN := $(VENV)/bin/python
 
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -358,7 +358,9 @@
         now_ms = self.clock.monotonic_ms()
         session.looking = True
         session.asked_ms = now_ms
-        renews = self.ports.lease_valid() and not session.left
+        # Renewing towards a silent target would put off the time at which its
+        # runs may surely be given up.
+        renews = self.ports.lease_valid() and not session.left and not session.silent
         lease_until = session.clock.grant(now_ms) if renews else None
         self.ports.look(
             session, HoldRequest(session.token, session.cursor, lease_until, wait_ms)
@@ -653,3 +655,147 @@
         for session in list(self.sessions.values()):
             if session.silent and session.clock.lapsed(now_ms):
                 self._lose(session.life, "lease_lapsed")
+        if now_ms >= self.swept_ms + SWEEP_MS:
+            self.swept_ms = now_ms
+            self.opened = self._due_occurrences()
+            self.forgotten = self._expired_jobs()
+        if now_ms >= self.planned_ms + REPLAN_MS:
+            self.plan_due = True
+        self.decide()
+
+    def _lose(self, life: TargetLife, why: str) -> None:
+        session = self.sessions.get(life.target_id)
+        target = self.draft.target(life)
+        runs = len(target.runs) if target else 0
+        _LOG.warning(
+            "event=target_lost target=%s born=%d why=%s runs=%d", *life, why, runs
+        )
+        if session is not None and session.life == life:
+            self._close_session(session)
+            del self.sessions[life.target_id]
+        if target is not None and life not in self.gone:
+            self.gone.append(life)
+
+    def decide(self) -> None:
+        """Propose what is due: ends, lost targets, times and starts."""
+        if self.deposed or self.in_flight >= MAX_IN_FLIGHT:
+            return
+        ends, self.ends = self.ends, []
+        gone, self.gone = tuple(self.gone), []
+        opened, self.opened = self.opened, ()
+        forgotten, self.forgotten = self.forgotten, ()
+        settled = Advance(tuple(end for _, _, end in ends), gone, opened, (), forgotten)
+        if any(settled):
+            self.plan_due = True
+            self.draft.apply(settled, self.clock.wall_ms())
+        useless, self.draft.useless = self.draft.useless, []
+        self._stop_useless(useless)
+        starts = self._plan()
+        if not any(settled) and not starts:
+            return
+        self.draft.apply(Advance(starts=starts), self.clock.wall_ms())
+        self._commit(settled._replace(starts=starts), ends)
+
+    def _commit(
+        self, advance: Advance, ends: list[tuple[TargetSession, int, RunEnd]]
+    ) -> None:
+        self.in_flight += 1
+
+        def done(committed: bool) -> None:
+            self.in_flight -= 1
+            if not committed:
+                self.deposed = True
+                return
+            for start in advance.starts:
+                self._order_start(start)
+            self._forget_ends(ends)
+            self.decide()
+
+        self.ports.propose(advance, done)
+
+    def _order_start(self, start: RunStart) -> None:
+        session = self.sessions.get(start.life.target_id)
+        target = self.draft.target(start.life)
+        if session is None or session.life != start.life or target is None:
+            return
+        if start.run in target.runs and start.run not in session.sent:
+            self._send_start(session, start.run)
+
+    def _forget_ends(self, ends: list[tuple[TargetSession, int, RunEnd]]) -> None:
+        for session, number, end in ends:
+            session.cursor = max(session.cursor, number)
+            session.forget_run(end.run)
+        for session in {id(s): s for s, _, _ in ends}.values():
+            self._look(session, LOOK_WAIT_MS)
+
+    def _stop_useless(self, runs: Iterable[RunKey]) -> None:
+        """Stop runs whose job has ended or whose task is done elsewhere."""
+        for run in runs:
+            job = self.draft.jobs.get(run.task.job_id)
+            task = self.draft.task(run.task)
+            life = task.runs.get(run.number) if task else None
+            if job is None or task is None or life is None:
+                continue
+            session = self.sessions.get(life.target_id)
+            if session is None or session.life != life:
+                continue
+            evacuate = session.draining and self._moves_well(job, run)
+            if job.has_ended() or task.done or evacuate:
+                self._send_stop(session, run)
+
+    def _moves_well(self, job: JobState, run: RunKey) -> bool:
+        step = job.spec.steps[run.task.step]
+        return step.lasting or step.checkpoints
+
+    def _due_occurrences(self) -> tuple[tuple[str, int], ...]:
+        wall_ms = self.clock.wall_ms()
+        due = []
+        for job in self.draft.active.values():
+            if not job.spec.is_timed():
+                continue
+            for number in range(job.spec.repetitions):
+                if number not in job.occurrences and wall_ms >= began_ms(job, number):
+                    due.append((job.job_id, number))
+        return tuple(due)
+
+    def _expired_jobs(self) -> tuple[str, ...]:
+        keep_ms = self.settings.keep_ended_ms * FORGET_FACTOR_PERCENT // 100
+        limit = self.clock.wall_ms() - keep_ms
+        return tuple(
+            job.job_id
+            for job in self.draft.jobs.values()
+            if job.has_ended()
+            and job.ended_ms < limit
+            and not any(self.draft.runs_of(job))
+        )
+
+    def _plan(self) -> tuple[RunStart, ...]:
+        if not self.plan_due:
+            return ()
+        self.plan_due = False
+        self.planned_ms = self.clock.monotonic_ms()
+        waiting = waiting_steps(self.draft, self.clock.wall_ms())
+        if not waiting:
+            return ()
+        planner = Planner(self.draft, self._rooms(), self.table)
+        return tuple(planner.plan(waiting))
+
+    def _rooms(self) -> list[Room]:
+        now_ms = self.clock.monotonic_ms()
+        rooms = []
+        for session in self.sessions.values():
+            target = self.draft.target(session.life)
+            if target is None or not session.may_start(now_ms, len(target.runs)):
+                continue
+            limit = 1 if session.health.rounds else 0
+            probation = session.health.on_probation()
+            rooms.append(Room(target, probation, limit, session.own))
+        return rooms
+
+
+def _ignore(_answer: Answer) -> None:
+    """Take an answer that nobody waits for."""
+
+
+def _answer(committed: bool) -> Answer:
+    return Answer(Outcome.OK if committed else Outcome.UNKNOWN)
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -236,7 +236,8 @@
         if leader is None:
             return
         now_ms = self.clock.monotonic_ms()
-        renews = isinstance(order, StartOrder) and self.lease_valid()
+        starts = isinstance(order, StartOrder)
+        renews = starts and not session.silent and self.lease_valid()
         lease_until = session.clock.grant(now_ms) if renews else None
         until = session.clock.longest_lease if lease_until is None else lease_until
 
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/builders.py
@@ -0,0 +1,92 @@
+"""Builders of jobs, targets and states for tests."""
+
+from typing import Any
+
+from foxspring_model import Resources
+
+from foxspring_jobs._commands import (
+    Advance,
+    RegisterTarget,
+    ReplaceTable,
+    RunEnd,
+    RunKey,
+    RunStart,
+    SubmitJob,
+    TargetLife,
+    TaskKey,
+)
+from foxspring_jobs._specs import JobSpec, Queue, QueueTable, ServicePool, StepSpec
+from foxspring_jobs._state import EndKind, State
+
+JOB = "00000000000000a1"
+OTHER_JOB = "00000000000000b2"
+QUEUE = Queue(
+    name="checks",
+    host="jobs.example",
+    path_prefix="/checks/",
+    service="pool",
+    timeout_ms=3_000,
+    latency_target_ms=250,
+    max_attempts=2,
+    stretch_factor=1.5,
+)
+TABLE = QueueTable(1, (QUEUE,), (ServicePool("pool"),), b"{}")
+
+
+def step(count: int = 1, **more: Any) -> StepSpec:
+    """Return a step of small tasks."""
+    resources = more.pop("resources", Resources(cores_milli=1_000, memory_mb=100))
+    return StepSpec(count, resources, more.pop("estimated_ms", 500), **more)
+
+
+def spec(*steps: StepSpec, **more: Any) -> JobSpec:
+    """Return a job of the given steps, or of one task."""
+    return JobSpec("payload", steps or (step(),), **more)
+
+
+def registered(
+    name: str = "t1", born_ms: int = 1, cores: int = 4_000, **more: Any
+) -> RegisterTarget:
+    """Return a target's registration."""
+    return RegisterTarget(
+        TargetLife(name, born_ms),
+        more.pop("address", f"{name}.example:80"),
+        "pool",
+        "fd-1",
+        Resources(cores_milli=cores, memory_mb=8_000),
+        **more,
+    )
+
+
+def state_with(*targets: RegisterTarget) -> State:
+    """Return a state with the table and the given targets."""
+    state = State()
+    state.apply(ReplaceTable(TABLE), 0)
+    for target in targets:
+        state.apply(target, 0)
+    return state
+
+
+def submit(state: State, job: JobSpec, job_id: str = JOB) -> None:
+    """Accept a job."""
+    state.apply(SubmitJob(job_id, QUEUE, job), 0)
+
+
+def run_key(
+    index: int = 0, number: int = 1, step_number: int = 0, job_id: str = JOB
+) -> RunKey:
+    """Return the key of a run."""
+    return RunKey(TaskKey(job_id, 0, step_number, index), number)
+
+
+def start(state: State, run: RunKey, target: str = "t1") -> None:
+    """Commit a start."""
+    life = state.targets[target].life
+    state.apply(Advance(starts=(RunStart(run, life),)), 0)
+
+
+def end(state: State, run: RunKey, kind: str = EndKind.DONE, **more: Any) -> None:
+    """Commit an end on the target that holds the run."""
+    task = state.task(run.task)
+    life = task.runs[run.number] if task else TargetLife("t1", 1)
+    state.apply(Advance(ends=(RunEnd(run, life, kind, **more),)), 0)
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_site.py
@@ -0,0 +1,230 @@
+"""A site in virtual time: one leader at a time, fake targets, a committed state."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from foxspring_link import PausedClock
+
+from foxspring_jobs._commands import Command, RegisterTarget, RunKey
+from foxspring_jobs._leader import Leader, LeaderSettings
+from foxspring_jobs._operations import Answer, TargetReport
+from foxspring_jobs._orders import HoldRequest, Order, Reading, Result, StartOrder
+from foxspring_jobs._session import TargetSession
+from foxspring_jobs._snapshot import decode_state, encode_state
+from foxspring_jobs._specs import JobSpec
+from foxspring_jobs._state import EndKind, JobPhase, State
+from foxspring_jobs.tests.builders import JOB, QUEUE, state_with
+from foxspring_jobs.tests.fake_target import FakeTarget
+
+COMMIT_MS = 20
+CALL_MS = 1
+STEP_MS = 5
+TICK_MS = 50
+HEARTBEAT_MS = 1_000
+NO_ANSWER_MS = 600
+
+
+class LeaderPorts:
+    """Carries one leader's proposals and orders into the site."""
+
+    def __init__(self, site: "FakeSite") -> None:
+        self.site = site
+        self.leads = True
+        self.held_back_ms = 0
+
+    def propose(self, command: Command, done: Callable[[bool], None]) -> None:
+        """Commit after a delay, unless leadership is lost before."""
+        self.site.later(COMMIT_MS, lambda: self._commit(command, done))
+
+    def _commit(self, command: Command, done: Callable[[bool], None]) -> None:
+        if self.leads:
+            self.site.committed.apply(command, self.site.clock.wall_ms())
+        done(self.leads)
+
+    def lease_valid(self) -> bool:
+        """Tell whether this leader still leads."""
+        return self.leads
+
+    def look(self, session: TargetSession, request: HoldRequest) -> None:
+        """Look after the wait, or earlier if there is something to tell."""
+        deadline = self.site.clock.now_ms + request.wait_ms
+        self.site.later(CALL_MS, lambda: self._look(session, request, deadline))
+
+    def _look(
+        self, session: TargetSession, request: HoldRequest, deadline: int
+    ) -> None:
+        target = self.site.targets.get(session.place.address)
+        if target is None or not target.alive or not target.hears:
+            self._no_answer(lambda leader: leader.on_look(session, NO_READING))
+            return
+        if target.registered.life.target_id != session.life.target_id:
+            self._answer(lambda leader: leader.on_look(session, OTHER_LIFE))
+            return
+        if target.registered.life != session.life:
+            self._answer(lambda leader: leader.on_look(session, REBORN))
+            return
+        waiting = any(row.number > request.cursor for row in target.finished)
+        if not waiting and self.site.clock.now_ms < deadline:
+            self.site.later(STEP_MS, lambda: self._look(session, request, deadline))
+            return
+        reading = target.hold(request)
+        if target.answers:
+            self._answer(lambda leader: leader.on_look(session, reading))
+        else:
+            self._no_answer(lambda leader: leader.on_look(session, NO_READING))
+
+    def order(self, session: TargetSession, order: Order) -> None:
+        """Deliver an order after ``held_back_ms``."""
+        until = session.clock.longest_lease
+        if isinstance(order, StartOrder) and not session.silent:
+            until = session.clock.grant(self.site.clock.now_ms) or 0
+        delay = CALL_MS + self.held_back_ms
+        self.site.later(delay, lambda: self._order(session, order, until))
+
+    def _order(self, session: TargetSession, order: Order, until: int) -> None:
+        target = self.site.targets.get(session.place.address)
+        if target is None or not target.alive or not target.hears:
+            self._no_answer(lambda leader: leader.on_order(session, order, NO_READING))
+            return
+        if target.registered.life.target_id != session.life.target_id:
+            self._answer(lambda leader: leader.on_order(session, order, OTHER_LIFE))
+            return
+        reading = target.order(order, session.token, until)
+        if target.answers and not self.held_back_ms:
+            self._answer(lambda leader: leader.on_order(session, order, reading))
+        else:
+            self._no_answer(lambda leader: leader.on_order(session, order, NO_READING))
+
+    def _answer(self, action: Callable[[Leader], None]) -> None:
+        self.site.later(CALL_MS, lambda: self._tell(action))
+
+    def _no_answer(self, action: Callable[[Leader], None]) -> None:
+        self.site.later(NO_ANSWER_MS, lambda: self._tell(action))
+
+    def _tell(self, action: Callable[[Leader], None]) -> None:
+        if self.leads:
+            action(self.site.leader)
+
+    def release(self, session: TargetSession) -> None:
+        """Nothing is kept for a session."""
+
+    def later(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """Run an action of the leader after a delay."""
+        self.site.later(delay_ms, action)
+
+
+NO_READING = Reading(Result.NO_ANSWER)
+OTHER_LIFE = Reading(Result.OTHER_LIFE)
+REBORN = Reading(Result.REBORN)
+
+
+class FakeSite:
+    """Runs a site step by step, and checks its promises at each step."""
+
+    def __init__(self, *registered: RegisterTarget) -> None:
+        self.clock = PausedClock()
+        self.committed: State = state_with()
+        self.targets: dict[str, FakeTarget] = {}
+        self.answers: list[Answer] = []
+        self.broken: list[str] = []
+        self.done: set[object] = set()
+        self._events: list[tuple[int, int, Callable[[], Any]]] = []
+        self._numbers = itertools.count()
+        self.term = 0
+        for target in registered:
+            self.add(target)
+        self.lead()
+
+    def later(self, delay_ms: int, action: Callable[[], Any]) -> None:
+        """Run an action after a delay of virtual time."""
+        due = self.clock.now_ms + delay_ms
+        heapq.heappush(self._events, (due, next(self._numbers), action))
+
+    def add(self, registered: RegisterTarget, clock_start: int = 5_000) -> FakeTarget:
+        """Start a life of a target at its address."""
+        target = FakeTarget(registered, self.clock, clock_start)
+        self.targets[registered.address] = target
+        return target
+
+    def lead(self) -> None:
+        """Begin a new leadership from the committed state."""
+        self.term += 1
+        draft, _ = decode_state(encode_state(self.committed, 0))
+        self.ports = LeaderPorts(self)
+        self.leader = Leader(
+            LeaderSettings(), self.term * 1_000_000, draft, self.ports, self.clock
+        )
+        self.leader.begin()
+
+    def change_leader(self, pause_ms: int = 0) -> None:
+        """Depose the leader; another leads after a pause."""
+        self.ports.leads = False
+        self.leader.end()
+        self.run(pause_ms, leading=False)
+        self.lead()
+
+    def submit(self, job: JobSpec, job_id: str = JOB) -> None:
+        """Hand in a job."""
+        self.leader.submit(job_id, QUEUE, job, self.answers.append)
+
+    def cancel(self, job_id: str = JOB) -> None:
+        """Cancel a job."""
+        self.leader.cancel(job_id, self.answers.append)
+
+    def phase(self, job_id: str = JOB) -> JobPhase:
+        """Return a job's committed phase."""
+        return self.committed.jobs[job_id].phase
+
+    def starts_of(self, run: RunKey) -> int:
+        """Return how often a run was started on any target."""
+        return sum(target.started.count(run) for target in self.targets.values())
+
+    def run(self, duration_ms: int, leading: bool = True) -> None:
+        """Let virtual time pass."""
+        end = self.clock.now_ms + duration_ms
+        while self.clock.now_ms < end:
+            self.clock.advance(STEP_MS)
+            for target in self.targets.values():
+                target.advance()
+            while self._events and self._events[0][0] <= self.clock.now_ms:
+                heapq.heappop(self._events)[2]()
+            if leading:
+                self._keep_time()
+            self._check()
+
+    def _keep_time(self) -> None:
+        if self.clock.now_ms % TICK_MS == 0:
+            self.leader.tick()
+        if self.clock.now_ms % HEARTBEAT_MS == 0:
+            for target in self.targets.values():
+                self._heartbeat(target)
+
+    def _heartbeat(self, target: FakeTarget) -> None:
+        if target.alive and target.hears:
+            report = TargetReport(target.registered, self.clock.now_ms, target.now())
+            self.leader.report(report, self.answers.append)
+
+    def _check(self) -> None:
+        places: dict[object, str] = {}
+        for address, target in self.targets.items():
+            for run in target.running if target.alive else ():
+                if run.task in places:
+                    self.broken.append(f"{run.task} at {places[run.task]}, {address}")
+                if run.task in self.done:
+                    self.broken.append(f"{run.task} ran again at {address}")
+                places[run.task] = address
+        for job in self.committed.jobs.values():
+            self._note_done(job.job_id)
+
+    def _note_done(self, job_id: str) -> None:
+        for target in self.targets.values():
+            for row in target.finished:
+                cursor = self._cursor(target)
+                if row.kind == EndKind.DONE and row.number <= cursor:
+                    self.done.add(row.run.task)
+
+    def _cursor(self, target: FakeTarget) -> int:
+        session = self.leader.sessions.get(target.registered.life.target_id)
+        return session.cursor if session is not None else 0
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -0,0 +1,116 @@
+"""A target that keeps the contract on runs, leases, tokens and ends."""
+
+from typing import NamedTuple
+
+from foxspring_link import PausedClock
+
+from foxspring_jobs._commands import RegisterTarget, RunKey
+from foxspring_jobs._orders import (
+    FinishedRow,
+    HoldRequest,
+    Order,
+    PaceOrder,
+    Reading,
+    Result,
+    RunningRow,
+    StartOrder,
+    StopOrder,
+    TargetView,
+)
+from foxspring_jobs._state import EndKind
+
+
+class FakeRun(NamedTuple):
+    """A run at work until ``ends_ms`` of the target's clock."""
+
+    ends_ms: int
+    kind: str
+
+
+class FakeTarget:
+    """One life of a target; its clock begins at ``clock_start``."""
+
+    def __init__(
+        self, registered: RegisterTarget, clock: PausedClock, clock_start: int = 5_000
+    ) -> None:
+        self.registered = registered
+        self.clock = clock
+        self.offset = clock_start - clock.now_ms
+        self.token = 0
+        self.lease_until = 0
+        self.running: dict[RunKey, FakeRun] = {}
+        self.finished: list[FinishedRow] = []
+        self.ends = 0
+        self.highest: dict[object, int] = {}
+        self.started: list[RunKey] = []
+        self.work_ms = 500
+        self.fails = False
+        self.alive = True
+        self.hears = True
+        self.answers = True
+        self.figures: dict[RunKey, int] = {}
+        self.paces: dict[RunKey, int] = {}
+
+    def now(self) -> int:
+        """Return the target's own clock."""
+        return self.clock.now_ms + self.offset
+
+    def advance(self) -> None:
+        """End what is due: done, failed, or lapsed with the lease."""
+        for run, state in list(self.running.items()):
+            if self.now() >= state.ends_ms:
+                self._end(run, state.kind)
+        if self.running and self.now() >= self.lease_until:
+            for run in list(self.running):
+                self._end(run, EndKind.LAPSED)
+
+    def _end(self, run: RunKey, kind: str) -> None:
+        del self.running[run]
+        self.ends += 1
+        self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
+        self.finished.append(FinishedRow(self.ends, run, kind, ""))
+
+    def hold(self, request: HoldRequest) -> Reading:
+        """Carry out a look."""
+        if request.token < self.token:
+            return Reading(Result.FENCED, self.now())
+        self.token = request.token
+        if request.lease_until is not None:
+            self.lease_until = max(self.lease_until, request.lease_until)
+        kept = [row for row in self.finished if row.number > request.cursor]
+        self.finished = kept
+        rows = tuple(
+            RunningRow(run, "", 100, self.figures.get(run, 0)) for run in self.running
+        )
+        return Reading(Result.OK, self.now(), TargetView(self.now(), rows, tuple(kept)))
+
+    def order(self, order: Order, token: int, lease_until: int) -> Reading:
+        """Carry out an order."""
+        if token < self.token:
+            return Reading(Result.FENCED, self.now())
+        self.token = token
+        if isinstance(order, StartOrder):
+            return self._start(order.run, lease_until)
+        if isinstance(order, StopOrder):
+            self._stop(order.run)
+        if isinstance(order, PaceOrder):
+            self.paces[order.run] = order.percent
+        return Reading(Result.OK, self.now())
+
+    def _start(self, run: RunKey, lease_until: int) -> Reading:
+        self.lease_until = max(self.lease_until, lease_until)
+        if run in self.running:
+            return Reading(Result.OK, self.now())
+        if run.number <= self.highest.get(run.task, 0):
+            return Reading(Result.OLD, self.now())
+        if lease_until <= self.now():
+            return Reading(Result.LATE, self.now())
+        kind = EndKind.FAILED if self.fails else EndKind.DONE
+        self.running[run] = FakeRun(self.now() + self.work_ms, kind)
+        self.started.append(run)
+        return Reading(Result.OK, self.now())
+
+    def _stop(self, run: RunKey) -> None:
+        if run in self.running:
+            self._end(run, EndKind.STOPPED)
+        self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
