--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 PACKAGES := model link config control jobs entry daemon testing
-export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/foxspring-$(p)))
+export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/foxspring-$(p)) $(CURDIR)/platform)
 RUN := $(VENV)/bin/python
 
 .PHONY: demo test check format bench soak settings-page
@@ -23,7 +23,7 @@
 check: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check --no-cache .
 	$(VENV)/bin/ruff check --no-cache .
-	$(VENV)/bin/mypy --no-incremental --cache-dir=/dev/null $(foreach p,$(PACKAGES),packages/foxspring-$(p)/foxspring_$(p)) tools
+	$(VENV)/bin/mypy --no-incremental --cache-dir=/dev/null $(foreach p,$(PACKAGES),packages/foxspring-$(p)/foxspring_$(p)) platform/foxspring_platform tools
 
 format: $(VENV)/.installed
 	$(VENV)/bin/ruff format --no-cache .
--- a/packages/foxspring-daemon/foxspring_daemon/_logging.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_logging.py
@@ -4,6 +4,8 @@
 import sys
 import time
 
+from foxspring_daemon._log_output import BoundedHandler
+
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@%+,[]()"
 )
@@ -60,8 +62,11 @@
 
 
 def set_up_logging(daemon_id: str, level: str) -> None:
-    """Log to standard error from ``level`` (``debug`` to ``error``) on."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Log to standard output from ``level`` (``debug`` to ``error``) on.
+
+    Writing never blocks: lines that a slow reader leaves behind are counted.
+    """
+    handler = BoundedHandler(sys.stdout)
     handler.setFormatter(KeyValueFormatter(daemon_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/packages/foxspring-daemon/foxspring_daemon/tests/test_log_output.py
@@ -0,0 +1,70 @@
+"""A storm of lines or a stopped reader costs lines, never decisions."""
+
+import logging
+import threading
+import unittest
+
+from foxspring_daemon._log_output import BoundedHandler, EventBudget
+
+
+class StoppedReader:
+    """Blocks every write until it is let go."""
+
+    def __init__(self) -> None:
+        self.go = threading.Event()
+        self.text = ""
+
+    def write(self, text: str) -> None:
+        self.go.wait()
+        self.text += text
+
+    def flush(self) -> None:
+        pass
+
+
+def record(message: str, level: int = logging.INFO) -> logging.LogRecord:
+    return logging.LogRecord("m", level, "f", 1, message, (), None)
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    def handler(self, reader: StoppedReader, queue_lines: int = 50) -> BoundedHandler:
+        handler = BoundedHandler(
+            reader, queue_lines=queue_lines, now_s=lambda: self.now_s
+        )
+        self.addCleanup(handler.close)
+        self.addCleanup(reader.go.set)
+        return handler
+
+    def setUp(self) -> None:
+        self.now_s = 5.0
+
+    def test_stopped_reader_blocks_nothing_and_loses_are_counted(self) -> None:
+        reader = StoppedReader()
+        handler = self.handler(reader, queue_lines=10)
+        for number in range(100):
+            handler.emit(record(f"event=e{number}"))
+        self.assertGreaterEqual(handler.dropped, 80)
+        reader.go.set()
+        handler.close()
+        self.assertIn("event=e0", reader.text)
+
+    def test_storm_of_one_event_stays_within_its_budget(self) -> None:
+        reader = StoppedReader()
+        reader.go.set()
+        handler = self.handler(reader)
+        handler.budget = EventBudget(5)
+        for _ in range(50):
+            handler.emit(record("event=storm"))
+        handler.emit(record("event=other"))
+        handler.emit(record("event=storm", logging.ERROR))
+        self.now_s = 6.0
+        handler.emit(record("event=storm"))
+        handler.close()
+        lines = reader.text.splitlines()
+        self.assertEqual(lines.count("event=storm"), 7)
+        self.assertIn("event=other", lines)
+        self.assertIn("event=lines_left_out of=storm count=46", lines)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/foxspring-jobs/foxspring_jobs/_call_handler.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_call_handler.py
@@ -139,7 +139,7 @@
                 return routed
             queue, job_id = routed
             if not job_id:
-                return Answer(Outcome.OK, count=self._waiting(queue))
+                return Answer(Outcome.OK, waiting=self._waiting(queue))
             if not is_job_id(job_id):
                 return BAD_ID
             job = self.state().jobs.get(job_id)
--- a/packages/foxspring-jobs/foxspring_jobs/_commands.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_commands.py
@@ -14,7 +14,7 @@
     job_id: str
     occurrence: int
     step: int
-    index: int
+    ordinal: int
 
 
 class TargetLife(NamedTuple):
@@ -102,7 +102,9 @@
     RegisterTarget,
     Advance,
 )
-_DECODERS = {kind.__name__: msgspec.msgpack.Decoder(kind) for kind in COMMAND_TYPES}
+_DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    kind.__name__: msgspec.msgpack.Decoder(kind) for kind in COMMAND_TYPES
+}
 _ENCODER = msgspec.msgpack.Encoder()
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_health.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_health.py
@@ -20,14 +20,14 @@
         self.stalled = False
 
     def note_done(self) -> None:
-        """A run was done here: trust the target again."""
+        """Trust the target again: a run was done here."""
         self.failed_jobs.clear()
         self.rounds = 0
         self.distrusted_until_ms = 0
         self.stalled = False
 
     def note_failed(self, job_id: str, now_ms: int) -> None:
-        """A run failed here; failures of several jobs blame the target."""
+        """Count a run that failed here; failures of several jobs blame the target."""
         self.failed_jobs.add(job_id)
         if len(self.failed_jobs) >= FAILURES_TO_DISTRUST:
             self.distrust(now_ms)
--- a/packages/foxspring-jobs/foxspring_jobs/_http_front.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_http_front.py
@@ -48,7 +48,7 @@
         self.draining = False
         front = self
 
-        class Gateway(wsgi.Gateway_10):  # type: ignore[misc]
+        class Gateway(wsgi.Gateway_10):
             def respond(self) -> None:
                 if front.draining:
                     self.req.close_connection = True
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -175,7 +175,7 @@
                     "target_ms=%d image=%s per_target=%d away=%d",
                     job_id,
                     number,
-                    step.count,
+                    step.task_count,
                     step.resources.cores_milli,
                     step.resources.memory_mb,
                     step.estimated_ms,
@@ -279,10 +279,11 @@
     def _retire_address(self, fresh: RegisterTarget) -> None:
         for target in list(self.draft.targets.values()):
             old = target.registered
-            other = old.life.target_id != fresh.life.target_id
-            if other and old.address == fresh.address:
-                if old.life.born_ms < fresh.life.born_ms:
-                    self._lose(old.life, "address_reused")
+            if old.life.target_id == fresh.life.target_id:
+                continue
+            older = old.life.born_ms < fresh.life.born_ms
+            if older and old.address == fresh.address:
+                self._lose(old.life, "address_reused")
 
     def _register(
         self, fresh: RegisterTarget, answer: Callable[[Answer], None]
@@ -615,11 +616,11 @@
                 return
             self._order(session, order)
 
-        if result is Result.UNHEALTHY and isinstance(order, StartOrder):
-            if order.run not in session.doubtful:
-                session.health.distrust(self.clock.monotonic_ms())
-                self._end_unbegun(session, order.run, result.value)
-                return
+        declined = result is Result.UNHEALTHY and isinstance(order, StartOrder)
+        if declined and order.run not in session.doubtful:
+            session.health.distrust(self.clock.monotonic_ms())
+            self._end_unbegun(session, order.run, result.value)
+            return
         self.ports.later(RETRY_ORDER_MS, again)
 
     def _on_start(
--- a/packages/foxspring-jobs/foxspring_jobs/_operations.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_operations.py
@@ -89,7 +89,7 @@
     outcome: Outcome
     detail: str = ""
     phase: str = ""
-    count: int = 0
+    waiting: int = 0
     document: bytes = b""
 
 
@@ -148,7 +148,9 @@
     PingLeader,
 )
 JOB_MESSAGES: tuple[type, ...] = (Call, Reply, NotLeading, JoinGroup, JoinAnswer)
-_DECODERS = {kind.__name__: msgspec.msgpack.Decoder(kind) for kind in OPERATIONS}
+_DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    kind.__name__: msgspec.msgpack.Decoder(kind) for kind in OPERATIONS
+}
 _ENCODER = msgspec.msgpack.Encoder()
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
+from foxspring_model import Resources
+
 from foxspring_jobs._commands import RunKey, RunStart, TaskKey
 from foxspring_jobs._interference import CORE, FIRST_QUIET, Interference
 from foxspring_jobs._specs import StepSpec
@@ -74,8 +76,12 @@
         place = step_place(task)
         self.of_step[place] = self.of_step.get(place, 0) + sign
 
-    def accepts(self, task: TaskKey, step: StepSpec, service: str) -> bool:
+    def accepts(
+        self, task: TaskKey, step: StepSpec, reserved: Resources, service: str
+    ) -> bool:
         """Tell whether one more task of a step may start here."""
+        if not reserved.fits_in(self.free):
+            return False
         registered = self.target.registered
         if registered.service != service or registered.draining:
             return False
@@ -84,9 +90,7 @@
         if step.required_label and step.required_label not in registered.labels:
             return False
         bound = step.max_per_target
-        if bound and self.held_of(step_place(task)) >= bound:
-            return False
-        return step.reserved().fits_in(self.free)
+        return not bound or self.held_of(step_place(task)) < bound
 
     def held_of(self, place: StepPlace) -> int:
         """Return how many tasks of a step are here."""
@@ -253,7 +257,7 @@
         for waiting in steps:
             job = self.state.active[waiting.job_id]
             step = job.spec.steps[waiting.step]
-            kind = (job.queue.service, step._replace(count=0, after=()))
+            kind = (job.queue.service, step._replace(task_count=0, after=()))
             if kind in blocked:
                 continue
             rooms = self._usable_rooms(job, waiting)
@@ -339,8 +343,9 @@
         best = None
         best_score: Score = ()
         failed_before = bool(self._attempts(job, task))
+        reserved = step.reserved()
         for room in rooms:
-            if not room.accepts(task, step, job.queue.service):
+            if not room.accepts(task, step, reserved, job.queue.service):
                 continue
             score = self._score(room, step, failed_before)
             if best is None or score < best_score:
@@ -351,7 +356,7 @@
         return None if best_score[1] or best_score[2] else best
 
     def _attempts(self, job: JobState, task: TaskKey) -> int:
-        return job.occurrences[task.occurrence][task.step].tasks[task.index].attempts
+        return job.occurrences[task.occurrence][task.step].tasks[task.ordinal].attempts
 
     def _score(self, room: Room, step: StepSpec, failed_before: bool) -> Score:
         rack = room.target.registered.rack
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -124,7 +124,7 @@
         self.post(lambda: self._on_leadership(change))
 
     def on_reset(self) -> None:
-        """The state was replaced by a snapshot."""
+        """Lead anew from a state that a snapshot has replaced."""
         self.post(self._lead_again)
 
     def receive(self, call: Call) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -70,7 +70,7 @@
         return usable and heard and self.health.may_start(now_ms, running)
 
     def note_started(self, run: RunKey, now_ms: int) -> None:
-        """A start was acknowledged."""
+        """Begin to follow a run whose start was acknowledged."""
         self.progress.setdefault(run, Progress(now_ms))
 
     def note_running(self, rows: Iterable[RunningRow], now_ms: int) -> None:
@@ -83,7 +83,7 @@
                 progress.moved_ms = now_ms
 
     def forget_run(self, run: RunKey) -> None:
-        """A run's end is committed."""
+        """Drop what is known of a run whose end is committed."""
         self.sent.discard(run)
         self.stopping.discard(run)
         self.doubtful.discard(run)
--- a/packages/foxspring-jobs/foxspring_jobs/_specs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_specs.py
@@ -9,7 +9,7 @@
 
 
 class StepSpec(NamedTuple):
-    """One step of a job: ``count`` equal tasks; times in milliseconds.
+    """One step of a job: ``task_count`` equal tasks; times in milliseconds.
 
     ``after`` names earlier steps that must be done first. ``gang`` tasks start
     together and end together. ``may_copy`` allows parallel runs of one task.
@@ -18,7 +18,7 @@
     ``max_per_target`` and ``max_away`` are 0 where there is no such bound.
     """
 
-    count: int
+    task_count: int
     resources: Resources
     estimated_ms: int = 0
     after: tuple[int, ...] = ()
@@ -169,7 +169,7 @@
 
 
 def _step_problem(number: int, step: StepSpec) -> str:
-    if step.count < 1:
+    if step.task_count < 1:
         return "count must be at least 1"
     if step.resources.is_negative():
         return "a size is negative"
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -104,7 +104,7 @@
         """Begin an occurrence that has fallen due."""
         if occurrence not in self.occurrences:
             steps = [
-                StepState([TaskState() for _ in range(step.count)])
+                StepState([TaskState() for _ in range(step.task_count)])
                 for step in self.spec.steps
             ]
             self.occurrences[occurrence] = steps
@@ -223,7 +223,7 @@
         if steps is None or not 0 <= key.step < len(steps):
             return None
         tasks = steps[key.step].tasks
-        return tasks[key.index] if 0 <= key.index < len(tasks) else None
+        return tasks[key.ordinal] if 0 <= key.ordinal < len(tasks) else None
 
     def target(self, life: TargetLife) -> TargetState | None:
         """Return the target if this life is the one that is known."""
@@ -361,7 +361,7 @@
             for task in tasks:
                 task.checkpoint = end.checkpoint
         else:
-            tasks[key.index].checkpoint = end.checkpoint
+            tasks[key.ordinal].checkpoint = end.checkpoint
 
     def _complete(self, job: JobState, run: RunKey, at_ms: int) -> None:
         spec = job.spec.steps[run.task.step]
@@ -369,12 +369,12 @@
         if spec.lasting:
             step.recount()
             return
-        ended = step.tasks if spec.gang else [step.tasks[run.task.index]]
+        ended = step.tasks if spec.gang else [step.tasks[run.task.ordinal]]
         fresh = [task for task in ended if not task.done]
         for index, task in enumerate(step.tasks):
             if task in fresh:
                 task.done = True
-                key = run.task._replace(index=index)
+                key = run.task._replace(ordinal=index)
                 self.useless += [RunKey(key, number) for number in task.runs]
         step.recount()
         steps = job.occurrences[run.task.occurrence]
@@ -388,7 +388,7 @@
         if spec.lasting:
             return
         step = job.occurrences[run.task.occurrence][run.task.step]
-        task = step.tasks[run.task.index]
+        task = step.tasks[run.task.ordinal]
         task.attempts += 1
         step.failed_runs.add(run.number)
         failures = len(step.failed_runs) if spec.gang else task.attempts
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group.py
@@ -0,0 +1,122 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from foxspring_jobs._group import (
+    LOST_AFTER_MS,
+    Add,
+    MemberView,
+    Remove,
+    on_join,
+    surplus_member,
+)
+from foxspring_jobs._health import DISTRUST_MS, TargetHealth
+from foxspring_jobs._leader import LeaderSettings
+from foxspring_jobs._member import MemberSettings, choose_member_id, raft_settings
+from foxspring_jobs._operations import JoinGroup
+from foxspring_jobs._target_clock import LAPSE_MARGIN_MS, TargetClock
+
+
+def view(name: str, unheard_ms: int = 0, voter: bool = True) -> MemberView:
+    return MemberView(name, f"{name}:1", voter, unheard_ms)
+
+
+GROUP = (view("a"), view("b"), view("c"))
+
+
+class JoinTest(unittest.TestCase):
+    def test_known_member_needs_no_change(self) -> None:
+        self.assertIsNone(on_join(GROUP, JoinGroup("a", "a:1", "")))
+
+    def test_emptied_member_takes_over_its_address(self) -> None:
+        join = JoinGroup("a#2", "a:1", "")
+        self.assertEqual(on_join(GROUP, join), Remove("a", "address_taken_over"))
+        self.assertEqual(on_join(GROUP[1:], join), Add(join))
+
+    def test_lost_member_is_removed_only_when_replaced(self) -> None:
+        lost = (view("a", LOST_AFTER_MS), view("b"), view("c"))
+        self.assertIsNone(surplus_member(lost, 3))
+        change = surplus_member((*lost, view("d")), 3)
+        self.assertEqual(change, Remove("a", "lost"))
+
+    def test_learner_does_not_make_up_for_a_lost_voter(self) -> None:
+        lost = (view("a", LOST_AFTER_MS), view("b"), view("c"))
+        self.assertIsNone(surplus_member((*lost, view("d", voter=False)), 3))
+
+    def test_nobody_is_removed_while_all_answer(self) -> None:
+        self.assertIsNone(surplus_member((*GROUP, view("d")), 3))
+
+
+class IdentityTest(unittest.TestCase):
+    def settings(self, folder: str, founding: bool, address: str) -> MemberSettings:
+        seeds = ("10.0.0.1:1", "10.0.0.2:1")
+        return MemberSettings(
+            address, Path(folder), "fd", seeds, founding, LeaderSettings()
+        )
+
+    def test_founders_know_the_first_group_and_others_know_none(self) -> None:
+        cases = (
+            (True, "10.0.0.1:1", "10.0.0.1:1", 2),
+            (False, "10.0.0.1:1", "10.0.0.1:1#77", 0),
+            (True, "10.0.0.9:1", "10.0.0.9:1#77", 0),
+        )
+        for founding, address, expected, founders in cases:
+            with self.subTest(address=address), tempfile.TemporaryDirectory() as folder:
+                settings = self.settings(folder, founding, address)
+                member_id = choose_member_id(settings, 77)
+                raft = raft_settings(settings, member_id)
+                self.assertEqual(member_id, expected)
+                self.assertEqual(len(raft.initial_members), founders)
+
+    def test_kept_folder_keeps_its_id(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            Path(folder, "member.json").write_text('"10.0.0.1:1#5"')
+            settings = self.settings(folder, True, "10.0.0.1:1")
+            self.assertEqual(choose_member_id(settings, 77), "10.0.0.1:1#5")
+
+
+class TargetClockTest(unittest.TestCase):
+    def test_lapse_is_sure_for_a_clock_that_is_two_percent_slow(self) -> None:
+        clock = TargetClock(0, 4_000)
+        clock.note(1_000, 0)
+        until = clock.grant(100)
+        self.assertIsNotNone(until)
+        lapse = next(t for t in range(20_000) if clock.lapsed(t))
+        slow_reading = 1_000 + lapse * 98 // 100
+        self.assertGreaterEqual(slow_reading, until or 0)
+
+    def test_without_contact_the_lease_of_an_earlier_leader_is_waited_out(
+        self,
+    ) -> None:
+        clock = TargetClock(10_000, 4_000)
+        self.assertFalse(clock.lapsed(10_000 + 4_000))
+        self.assertTrue(clock.lapsed(10_000 + 4_082 + LAPSE_MARGIN_MS))
+        self.assertIsNone(clock.grant(10_000))
+
+    def test_late_reading_does_not_turn_the_clock_back(self) -> None:
+        clock = TargetClock(0, 4_000)
+        clock.note(5_000, 100)
+        clock.note(1_000, 200)
+        self.assertGreaterEqual(clock.reading_at(200), 5_000)
+
+
+class HealthTest(unittest.TestCase):
+    def test_failures_of_one_job_do_not_blame_the_target(self) -> None:
+        health = TargetHealth()
+        for _ in range(5):
+            health.note_failed("a", 0)
+        self.assertTrue(health.may_start(0, 3))
+
+    def test_failures_of_several_jobs_do_until_a_probe_succeeds(self) -> None:
+        health = TargetHealth()
+        health.note_failed("a", 0)
+        health.note_failed("b", 0)
+        self.assertFalse(health.may_start(DISTRUST_MS - 1, 0))
+        self.assertTrue(health.may_start(DISTRUST_MS, 0))
+        self.assertFalse(health.may_start(DISTRUST_MS, 1))
+        health.note_done()
+        self.assertTrue(health.may_start(DISTRUST_MS, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -0,0 +1,160 @@
+import unittest
+
+from foxspring_model import Resources
+
+from foxspring_jobs._commands import RunStart
+from foxspring_jobs._interference import Interference
+from foxspring_jobs._placement import Planner, Room, waiting_steps
+from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._state import State
+from foxspring_jobs.tests.builders import (
+    JOB,
+    OTHER_JOB,
+    QUEUE,
+    registered,
+    run_key,
+    spec,
+    start,
+    state_with,
+    step,
+    submit,
+)
+
+HEAVY = "heavy"
+LIGHT = "light"
+
+
+def plan(
+    state: State, table: Interference | None = None, wall_ms: int = 0
+) -> list[RunStart]:
+    rooms = [Room(target) for target in state.targets.values()]
+    planner = Planner(state, rooms, table or Interference())
+    return planner.plan(waiting_steps(state, wall_ms))
+
+
+def serving(image: str = "web", **more: object) -> StepSpec:
+    return step(1, lasting=True, image=image, latency_target_ms=50, **more)
+
+
+def filling(count: int, image: str = LIGHT, cores: int = 1_000) -> StepSpec:
+    resources = Resources(cores_milli=cores, memory_mb=100)
+    return step(count, fills=True, image=image, resources=resources)
+
+
+def learnt() -> Interference:
+    """Return a table that has seen heavy fills lengthen tails, light ones not."""
+    table = Interference()
+    for _ in range(60):
+        table.observe("web", 20, 50, {})
+        table.observe("web", 20, 50, {LIGHT: 2_000})
+        table.observe("web", 300, 50, {HEAVY: 2_000})
+    return table
+
+
+class OrderTest(unittest.TestCase):
+    def test_least_slack_first_within_a_priority(self) -> None:
+        state = state_with(registered(cores=1_000))
+        submit(state, spec(step(1, estimated_ms=500)), JOB)
+        submit(state, spec(step(1, estimated_ms=5_000)), OTHER_JOB)
+        starts = plan(state)
+        self.assertEqual([s.run.task.job_id for s in starts], [JOB])
+
+    def test_what_is_hopelessly_late_waits_for_what_is_not(self) -> None:
+        state = state_with(registered(cores=1_000))
+        submit(state, spec(step(1, estimated_ms=100)), JOB)
+        late_ms = 10_000
+        state.jobs[JOB].submitted_ms = 0
+        submit(state, spec(step(1, estimated_ms=100)), OTHER_JOB)
+        state.jobs[OTHER_JOB].submitted_ms = late_ms
+        starts = plan(state, wall_ms=late_ms)
+        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+
+    def test_priority_goes_before_slack(self) -> None:
+        state = state_with(registered(cores=1_000))
+        submit(state, spec(step(1, estimated_ms=100)), JOB)
+        state.jobs[JOB].queue = QUEUE._replace(priority=2)
+        submit(state, spec(step(1, estimated_ms=9_000)), OTHER_JOB)
+        starts = plan(state)
+        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+
+    def test_wide_step_that_does_not_fit_does_not_block_other_sizes(self) -> None:
+        state = state_with(registered(cores=1_000))
+        big = step(1, resources=Resources(cores_milli=3_000, memory_mb=1))
+        submit(state, spec(big), JOB)
+        submit(state, spec(step(1)), OTHER_JOB)
+        self.assertEqual(len(plan(state)), 1)
+
+
+class BoundsTest(unittest.TestCase):
+    def test_never_more_than_fits(self) -> None:
+        state = state_with(registered("t1"), registered("t2"))
+        submit(state, spec(step(30)))
+        self.assertEqual(len(plan(state)), 8)
+
+    def test_step_keeps_its_bound_a_target(self) -> None:
+        state = state_with(registered("t1"), registered("t2"))
+        submit(state, spec(step(6, max_per_target=2)))
+        self.assertEqual(len(plan(state)), 4)
+
+    def test_label_is_required(self) -> None:
+        state = state_with(registered("t1"), registered("t2", labels=("gpu", "r1")))
+        submit(state, spec(step(2, required_label="gpu")))
+        names = {s.life.target_id for s in plan(state)}
+        self.assertEqual(names, {"t2"})
+
+    def test_draining_target_gets_nothing(self) -> None:
+        state = state_with(registered("t1", draining=True))
+        submit(state, spec())
+        self.assertEqual(plan(state), [])
+
+    def test_gang_starts_whole_or_not_at_all(self) -> None:
+        state = state_with(registered("t1"))
+        submit(state, spec(step(5, gang=True)))
+        self.assertEqual(plan(state), [])
+        state.apply(registered("t2"), 0)
+        starts = plan(state)
+        self.assertEqual({s.run.number for s in starts}, {1})
+        self.assertEqual(len(starts), 5)
+
+
+class ServingAndFillsTest(unittest.TestCase):
+    """Fills beside tasks with a latency target: the load of both sites."""
+
+    def serving_site(self) -> State:
+        state = state_with(registered("t1"), registered("t2"))
+        submit(state, spec(serving()), OTHER_JOB)
+        start(state, run_key(job_id=OTHER_JOB), "t1")
+        return state
+
+    def test_heavy_fill_keeps_away_from_serving_tasks(self) -> None:
+        state = self.serving_site()
+        submit(state, spec(filling(3, HEAVY)))
+        names = {s.life.target_id for s in plan(state, learnt())}
+        self.assertEqual(names, {"t2"})
+
+    def test_light_fill_uses_what_serving_tasks_leave(self) -> None:
+        state = self.serving_site()
+        submit(state, spec(filling(6, LIGHT)))
+        names = {s.life.target_id for s in plan(state, learnt())}
+        self.assertEqual(names, {"t1", "t2"})
+
+    def test_fill_that_would_harm_everywhere_waits_while_targets_are_busy(
+        self,
+    ) -> None:
+        state = state_with(registered("t1"))
+        submit(state, spec(serving(resources=Resources(cores_milli=3_000))), OTHER_JOB)
+        start(state, run_key(job_id=OTHER_JOB), "t1")
+        submit(state, spec(filling(2, HEAVY, 2_000)))
+        self.assertEqual(plan(state, learnt()), [])
+
+    def test_serving_tasks_are_packed_by_image(self) -> None:
+        state = self.serving_site()
+        submit(state, spec(serving("web")))
+        self.assertEqual(plan(state, learnt())[0].life.target_id, "t1")
+        state = self.serving_site()
+        submit(state, spec(serving("other")))
+        self.assertEqual(plan(state, learnt())[0].life.target_id, "t2")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_state.py
@@ -62,7 +62,7 @@
         state = state_with(registered())
         submit(state, spec(step(3)))
         submit(state, spec(step(1)))
-        self.assertEqual(state.jobs[JOB].spec.steps[0].count, 3)
+        self.assertEqual(state.jobs[JOB].spec.steps[0].task_count, 3)
 
     def test_checkpoint_of_a_stopped_run_is_kept(self) -> None:
         state = state_with(registered())
--- a/packages/foxspring-model/foxspring_model/_resources.py
+++ b/packages/foxspring-model/foxspring_model/_resources.py
@@ -37,7 +37,13 @@
 
     def fits_in(self, free: "Resources") -> bool:
         """Tell whether no resource of this amount exceeds that of ``free``."""
-        return all(a <= b for a, b in zip(self, free, strict=True))
+        return (
+            self[2] <= free[2]
+            and self[3] <= free[3]
+            and self[0] <= free[0]
+            and self[1] <= free[1]
+            and self[4] <= free[4]
+        )
 
     def is_negative(self) -> bool:
         """Tell whether any resource is below zero."""
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,12 +13,23 @@
 from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PACKAGES = ("model", "link", "config", "control", "entry", "daemon", "testing")
+PACKAGES = (
+    "model",
+    "link",
+    "config",
+    "control",
+    "jobs",
+    "entry",
+    "daemon",
+    "testing",
+    "platform",
+)
 GROUPS = (
     ("testing:0/2",),
     ("testing:1/2",),
     ("control", "link", "config"),
     ("entry", "daemon", "model"),
+    ("jobs", "platform"),
 )
 COUNTS = "counts:"
 
@@ -34,11 +45,18 @@
     )
 
 
+def folder_of(package: str) -> pathlib.Path:
+    """Return the folder that a package is imported from."""
+    if package == "platform":
+        return ROOT / "platform"
+    return ROOT / "packages" / f"foxspring-{package}"
+
+
 def part_of(name: str) -> list[str]:
     """Return the test modules of a part: ``testing:0/2`` is every second one."""
     package, _, part = name.partition(":")
     first, _, step = part.partition("/")
-    top = ROOT / "packages" / f"foxspring-{package}"
+    top = folder_of(package)
     paths = sorted(top.glob(f"foxspring_{package}/**/tests/test_*.py"))
     chosen = paths[int(first) :: int(step)]
     return [".".join(path.relative_to(top).with_suffix("").parts) for path in chosen]
@@ -55,7 +73,7 @@
         if name not in PACKAGES:
             suite.addTests(loader.loadTestsFromName(name))
             continue
-        top = ROOT / "packages" / f"foxspring-{name}"
+        top = folder_of(name)
         start = top / f"foxspring_{name}"
         suite.addTests(loader.discover(str(start), top_level_dir=str(top)))
     return suite
