--- a/packages/foxspring-jobs/foxspring_jobs/_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_interference.py
@@ -18,7 +18,8 @@
 FIRST_DEVIATION = 0.03
 NOISE_VARIANCE = 0.03
 DRIFT_VARIANCE = 1e-7
-CAUTION = 0.7
+CAUTION = 0.5
+NEGLIGIBLE_EFFECT = 0.0025
 FIRST_SHORTEST_SHARE = 0.25
 SHORTEST_FLOOR_MS = 1.0
 SHORTEST_RISE = 0.001
@@ -109,13 +110,17 @@
         risen = held * (1.0 + SHORTEST_RISE)
         self.shortest_ms[serving] = max(SHORTEST_FLOOR_MS, min(risen, tail_ms))
 
+    def fill_images(self) -> set[str]:
+        """Return the fill images that have been seen beside serving tasks."""
+        return {f for estimate in self.estimates.values() for f in estimate.mean}
+
     def effect(self, serving: str, fill: str) -> float:
         """Return what a core of a fill is taken to add, erring to the safe side."""
         estimate = self.estimates.get(serving)
-        if estimate is None:
-            return FIRST_EFFECT + CAUTION * FIRST_DEVIATION
-        mean = max(0.0, estimate.mean.get(fill, FIRST_EFFECT))
-        return mean + CAUTION * estimate.deviation(fill)
+        if estimate is None or fill not in estimate.mean:
+            return FIRST_EFFECT
+        likely = estimate.mean[fill] + CAUTION * estimate.deviation(fill)
+        return likely if likely > NEGLIGIBLE_EFFECT else 0.0
 
     def added(self, serving: str, fills: Mapping[str, int]) -> float:
         """Return the pressure that fills are taken to add."""
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -56,6 +56,7 @@
 MAX_IN_FLIGHT = 2
 LONG_LOOK_WAIT_MS = 2_000
 SWEEP_MS = 200
+LOAD_LINE_MS = 1_000
 REPLAN_MS = 200
 SURVEY_MS = 100
 RELIEF_PAUSE_MS = 600
@@ -118,6 +119,7 @@
         self.plan_due = True
         self.planned_ms = self.started_ms
         self.swept_ms = self.started_ms
+        self.told_ms = self.started_ms
         self.opened: tuple[tuple[str, int], ...] = ()
         self.forgotten: tuple[str, ...] = ()
         self.table = Interference()
@@ -656,6 +658,9 @@
         for session in list(self.sessions.values()):
             if session.silent and session.clock.lapsed(now_ms):
                 self._lose(session.life, "lease_lapsed")
+        if now_ms >= self.told_ms + LOAD_LINE_MS:
+            self.told_ms = now_ms
+            self._log_load()
         if now_ms >= self.swept_ms + SWEEP_MS:
             self.swept_ms = now_ms
             self.opened = self._due_occurrences()
@@ -664,6 +669,28 @@
             self.plan_due = True
         self.decide()
 
+    def _log_load(self) -> None:
+        steps = [
+            (spec, step)
+            for job in self.draft.active.values()
+            for steps in job.occurrences.values()
+            for spec, step in zip(job.spec.steps, steps, strict=True)
+        ]
+        rooms = self._rooms()
+        _LOG.info(
+            "event=load jobs=%d idle=%d running=%d idle_fills=%d running_fills=%d "
+            "paced=%d targets=%d free_cores=%d spare_cores=%d",
+            len(self.draft.active),
+            sum(step.idle for _, step in steps),
+            sum(step.running for _, step in steps),
+            sum(step.idle for spec, step in steps if spec.fills),
+            sum(step.running for spec, step in steps if spec.fills),
+            sum(len(session.paces) for session in self.sessions.values()),
+            len(rooms),
+            sum(room.free.cores_milli for room in rooms) // 1_000,
+            sum(room.spare_cores() for room in rooms) // 1_000,
+        )
+
     def _lose(self, life: TargetLife, why: str) -> None:
         session = self.sessions.get(life.target_id)
         target = self.draft.target(life)
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -19,8 +19,8 @@
 
 LATE_FACTOR = 3
 PERCENT = 100
-RISK_SHARE = 0.75
-OWN_MARGIN = 0.05
+RISK_SHARE = 0.85
+OWN_MARGIN = 0.02
 HALF_PERCENT = 50
 SERVING_USE_PERCENT = 35
 LEAST_LIMIT = 0.01
@@ -92,6 +92,12 @@
         bound = step.max_per_target
         return not bound or self.held_of(step_place(task)) < bound
 
+    def serving_images(self) -> frozenset[str]:
+        """Return the images of the tasks with a latency target here."""
+        return frozenset(
+            image for (image, _), count in self.serving.items() if count > 0
+        )
+
     def held_of(self, place: StepPlace) -> int:
         """Return how many tasks of a step are here."""
         return self.target.of_step.get(place, 0) + self.of_step.get(place, 0)
@@ -121,10 +127,13 @@
             return 0.0
         if not self.expected:
             self._expect(effects)
-        return max(
-            (held + effects.of(serving, image) * cores) / limit
-            for serving, held, limit in self.expected
-        )
+        worst = 0.0
+        for serving, held, limit in self.expected:
+            added = effects.of(serving, image) * cores
+            # What adds nothing is welcome also beside a task that is loaded.
+            if added:
+                worst = max(worst, (held + added) / limit)
+        return worst
 
     def _expect(self, effects: "Effects") -> None:
         for (serving, target_ms), count in self.serving.items():
@@ -143,6 +152,8 @@
     def __init__(self, table: Interference) -> None:
         self.table = table
         self._per_milli: dict[tuple[str, str], float] = {}
+        self._fills = sorted(table.fill_images())
+        self._hostility: dict[frozenset[str], float] = {}
 
     def of(self, serving: str, fill: str) -> float:
         """Return what a thousandth of a core of a fill is taken to add."""
@@ -152,6 +163,17 @@
             self._per_milli[serving, fill] = effect
         return effect
 
+    def hostility(self, serving: frozenset[str]) -> float:
+        """Return how badly serving images together bear fills of any image."""
+        held = self._hostility.get(serving)
+        if held is None:
+            held = sum(
+                max((self.of(image, fill) for image in serving), default=0.0)
+                for fill in self._fills
+            )
+            self._hostility[serving] = held
+        return held
+
     def quiet(self, serving: str) -> float:
         """Return a serving image's usual pressure without fills."""
         return self.table.quiet.get(serving, FIRST_QUIET)
@@ -369,7 +391,10 @@
             return (doubt, self._serving_risk(room, step), *self._packing(room, step))
         if step.fills:
             risk = room.risk(self.effects, step.image, cores)
-            return (doubt, risk > 1, spare < cores, far, risk > 0, -spare)
+            # Harmless fills leave the targets that bear all others free.
+            hostility = self.effects.hostility(room.serving_images())
+            crowded = spare < cores
+            return (doubt, risk > 1, crowded, far, risk > 0, -hostility, -spare)
         return (doubt, far, -spare)
 
     def _serving_risk(self, room: Room, step: StepSpec) -> bool:
@@ -379,12 +404,11 @@
             expected += effects.of(step.image, fill) * cores
         return expected > effects.limit(step.image, step.latency_target_ms)
 
-    def _packing(self, room: Room, step: StepSpec) -> tuple[int, int]:
-        own = (step.image, step.latency_target_ms)
-        others = sum(
-            count > 0 and image != own for image, count in room.serving.items()
-        )
-        return others, -room.used_percent()
+    def _packing(self, room: Room, step: StepSpec) -> Score:
+        images = room.serving_images()
+        more = images | {step.image}
+        spoilt = self.effects.hostility(more) - self.effects.hostility(images)
+        return len(more), spoilt, -room.used_percent()
 
 
 def _is_busy(rooms: list[Room]) -> bool:
