--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -817,7 +817,8 @@
                 continue
             limit = 1 if session.health.rounds else 0
             probation = session.health.on_probation()
-            rooms.append(Room(target, probation, limit, session.own))
+            paced = session.paced_cores(target)
+            rooms.append(Room(target, probation, limit, session.own, paced))
         return rooms
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -34,7 +34,11 @@
 
 
 class Room:
-    """A target as the planner sees it; starts of the same plan count."""
+    """A target as the planner sees it; starts of the same plan count.
+
+    ``own`` is the highest own pressure of each serving image, ``paced`` the
+    thousandths of cores that paced fills of each image do without.
+    """
 
     def __init__(
         self,
@@ -42,6 +46,7 @@
         probation: bool = False,
         limit: int = 0,
         own: Mapping[str, float] | None = None,
+        paced: Mapping[str, int] | None = None,
     ) -> None:
         self.own = own or {}
         self.target = target
@@ -54,6 +59,9 @@
         self.fill_cores = sum(self.fills.values())
         self.serving_cores = target.serving_cores
         self.of_step: dict[StepPlace, int] = {}
+        for image, cores in (paced or {}).items():
+            self.fills[image] = self.fills.get(image, 0) - cores
+            self.fill_cores -= cores
         self.expected: list[tuple[str, float, float]] = []
 
     def take(self, task: TaskKey, step: StepSpec, sign: int = 1) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/_pressure.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_pressure.py
@@ -17,6 +17,8 @@
 GOAL_SHARE = 0.75
 PACE_STEP_PERCENT = 10
 LEAST_RAISE_PERCENT = 20
+LEAST_PACE_PERCENT = 30
+LEAST_SHARE = 0.01
 
 
 class ServingRow(NamedTuple):
@@ -92,7 +94,7 @@
         blamed = [(_blame(fill, row.image, table), fill) for fill in fills]
         blamed.sort(key=lambda pair: pair[0], reverse=True)
         for share, fill in blamed:
-            if excess <= 0 or share <= 0:
+            if excess <= 0 or share < LEAST_SHARE:
                 break
             if fill.run not in chosen:
                 chosen[fill.run] = _relief(fill, share, excess, has_place)
@@ -101,11 +103,11 @@
 
 
 def _relief(fill: FillRow, share: float, excess: float, has_place: HasPlace) -> Relief:
-    if fill.movable and has_place(fill):
-        return Move(fill.run)
     kept = max(0.0, 1.0 - excess / share) * fill.pace
-    steps = int(kept) // PACE_STEP_PERCENT
-    return Pace(fill.run, steps * PACE_STEP_PERCENT)
+    pace = int(kept) // PACE_STEP_PERCENT * PACE_STEP_PERCENT
+    if fill.movable and (pace < LEAST_PACE_PERCENT or has_place(fill)):
+        return Move(fill.run)
+    return Pace(fill.run, pace)
 
 
 def _let_go(
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -110,6 +110,17 @@
             )
             self.own[step.image] = max(self.own.get(step.image, 0.0), progress.own)
 
+    def paced_cores(self, target: TargetState) -> dict[str, int]:
+        """Return the thousandths of cores that paced fills do without."""
+        saved: dict[str, int] = {}
+        for run, pace in self.paces.items():
+            step = target.runs.get(run)
+            if step is not None:
+                cores = step.resources.cores_milli * (AT_WORK_PERCENT - pace)
+                cores //= AT_WORK_PERCENT
+                saved[step.image] = saved.get(step.image, 0) + cores
+        return saved
+
     def rows(self, target: TargetState) -> tuple[list[ServingRow], list[FillRow]]:
         """Return the newest look's serving tasks at work, and its fills."""
         serving: list[ServingRow] = []
