--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -25,13 +25,15 @@
     """Times in milliseconds.
 
     ``attempt_ms`` is how long one member may take to answer; all operations
-    are idempotent, so a call without an answer is sent again.
+    are idempotent, so a call without an answer is sent again. Once no leader has
+    answered anything for ``lost_ms`` calls are refused at once; pings go on.
     """
 
     attempt_ms: int = 400
     pause_ms: int = 40
     ping_ms: int = 500
     ready_ms: int = 3_000
+    lost_ms: int = 2_000
 
 
 class _Pending:
@@ -81,6 +83,11 @@
         age_ms = self.clock.monotonic_ms() - self.answered_ms
         return age_ms < self.settings.ready_ms
 
+    def _control_is_lost(self) -> bool:
+        """Tell whether an answer in time is no longer to be expected."""
+        silent_ms = self.clock.monotonic_ms() - self.answered_ms
+        return silent_ms >= self.settings.lost_ms
+
     def receive(self, message: Reply | NotLeading) -> None:
         """Take a message that answers a call."""
         if message.members:
@@ -96,6 +103,8 @@
 
         ``UNAVAILABLE`` is only returned if nothing was or will be done.
         """
+        if self._control_is_lost() and not isinstance(operation, PingLeader):
+            return Answer(Outcome.UNAVAILABLE, "no control leader")
         deadline_ms = self.clock.monotonic_ms() + timeout_ms
         call_id = next(self._numbers)
         pending = _Pending()
