--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -22,6 +22,7 @@
 RISK_SHARE = 0.85
 OWN_MARGIN = 0.02
 HALF_PERCENT = 50
+SHORT_WORK_PERCENT = 7
 SERVING_USE_PERCENT = 35
 LEAST_LIMIT = 0.01
 StepPlace = tuple[str, int, int]
@@ -97,9 +98,17 @@
             return False
         if step.required_label and step.required_label not in registered.labels:
             return False
+        if step.lasting and not self._keeps_reserve(reserved):
+            return False
         bound = step.max_per_target
         return not bound or self.held_of(step_place(task)) < bound
 
+    def _keeps_reserve(self, reserved: Resources) -> bool:
+        """Tell whether short work would still find room beside a lasting task."""
+        capacity = self.target.registered.capacity.cores_milli
+        left = self.free.cores_milli - reserved.cores_milli
+        return left * PERCENT >= capacity * SHORT_WORK_PERCENT
+
     def serving_images(self) -> frozenset[str]:
         """Return the images of the tasks with a latency target here."""
         return frozenset(
@@ -247,7 +256,8 @@
     late_slack_ms = LATE_FACTOR * aim - age_ms - rest_ms
     lateness = 0 if slack_ms >= 0 else (1 if late_slack_ms >= 0 else 2)
     if job.spec.lasts():
-        lateness = 0
+        # Short work goes first: it gives its room back soon.
+        lateness = 1
     for number, step in enumerate(job.occurrences[occurrence]):
         if step.idle and job.step_is_ready(occurrence, number):
             yield Waiting(
