Replace runs that stand still; copy tasks that allow it when overdue

A target that hangs answers every call while its tasks stand still; a run that has not moved for 1.5 s between looks is stopped and goes on elsewhere, and the target is not trusted for a while. Both tests fail without it (the job never completes).

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -46,6 +46,7 @@
 )
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import Queue
+from foxspring_jobs._stalls import is_stalled, wants_copy
 from foxspring_jobs._state import EndKind, JobState, State, TargetState
 
 _LOG = logging.getLogger(__name__)
@@ -420,6 +421,7 @@
                 self._order(session, StopOrder(row.run))
         session.note_running(view.running, now_ms)
         self._relieve(session, target)
+        self._replace_stalled(session, target)
         if view.complete:
             self._settle(session, listed)
         if not session.taken_over:
@@ -430,6 +432,23 @@
         if not news:
             self._look(session, self._wait_ms(target))
 
+    def _replace_stalled(self, session: TargetSession, target: TargetState) -> None:
+        now_ms = self.clock.monotonic_ms()
+        stalled = [row for row in session.progress_of(target) if is_stalled(row)]
+        if stalled and now_ms >= session.health.distrusted_until_ms:
+            session.health.distrust(now_ms)
+        for row in stalled:
+            _LOG.warning(
+                "event=run_stalled job=%s task=%d.%d.%d run=%d target=%s percent=%d "
+                "still_ms=%d",
+                *row.run.task,
+                row.run.number,
+                session.life.target_id,
+                row.percent,
+                row.seen_ms - row.moved_ms,
+            )
+            self._send_stop(session, row.run)
+
     def _wait_ms(self, target: TargetState) -> int:
         watched = target.serving and target.fills
         return LOOK_WAIT_MS if watched else LONG_LOOK_WAIT_MS
@@ -803,10 +822,23 @@
         self.plan_due = False
         self.planned_ms = self.clock.monotonic_ms()
         waiting = waiting_steps(self.draft, self.clock.wall_ms())
-        if not waiting:
+        overdue = self._overdue_runs()
+        if not waiting and not overdue:
             return ()
         planner = Planner(self.draft, self._rooms(), self.table)
-        return tuple(planner.plan(waiting))
+        starts = planner.plan(waiting)
+        return (*starts, *planner.plan_copies(overdue))
+
+    def _overdue_runs(self) -> list[RunKey]:
+        now_ms = self.clock.monotonic_ms()
+        overdue = []
+        for session in self.sessions.values():
+            target = self.draft.target(session.life)
+            if target is None or not any(s.may_copy for s in target.runs.values()):
+                continue
+            rows = session.progress_of(target)
+            overdue += [row.run for row in rows if wants_copy(row, now_ms)]
+        return overdue
 
     def _rooms(self) -> list[Room]:
         now_ms = self.clock.monotonic_ms()
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -311,6 +311,24 @@
                 blocked.add(kind)
         return starts
 
+    def plan_copies(self, overdue: Iterable[RunKey]) -> list[RunStart]:
+        """Return second runs, on other targets, of tasks that have only one."""
+        starts: list[RunStart] = []
+        for run in overdue:
+            job = self.state.active.get(run.task.job_id)
+            task = self.state.task(run.task)
+            if job is None or task is None or task.done or len(task.runs) != 1:
+                continue
+            held = next(iter(task.runs.values()))
+            others = [r for r in self.rooms if r.target.life != held]
+            step = job.spec.steps[run.task.step]
+            room = self._choose(run.task, step, job, others, patient=True)
+            if room is not None and not room.probation:
+                room.take(run.task, step)
+                number = task.last_run + 1
+                starts.append(RunStart(RunKey(run.task, number), room.target.life))
+        return starts
+
     def has_place(self, task: TaskKey, step: StepSpec, job: JobState) -> bool:
         """Tell whether a task would find a good target, and count it there."""
         room = self._choose(task, step, job, self.rooms, patient=True)
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -7,11 +7,11 @@
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._orders import RunningRow, TargetPlace
 from foxspring_jobs._pressure import FillRow, ServingRow
+from foxspring_jobs._stalls import AT_WORK_PERCENT, RunProgress
 from foxspring_jobs._state import TargetState
 from foxspring_jobs._target_clock import TargetClock
 
 SILENT_LOOKS = 1
-AT_WORK_PERCENT = 100
 NEARLY_DONE_PERCENT = 85
 
 
@@ -57,6 +57,7 @@
         self.paces: dict[RunKey, int] = {}
         self.own: dict[str, float] = {}
         self.relieved_ms = 0
+        self.seen_ms = since_ms
 
     @property
     def life(self) -> TargetLife:
@@ -75,6 +76,7 @@
 
     def note_running(self, rows: Iterable[RunningRow], now_ms: int) -> None:
         """Take the progress that the target tells."""
+        self.seen_ms = now_ms
         for row in rows:
             progress = self.progress.setdefault(row.run, Progress(now_ms))
             progress.figure = row.figure
@@ -91,6 +93,28 @@
         self.progress.pop(run, None)
         self.paces.pop(run, None)
 
+    def progress_of(self, target: TargetState) -> list[RunProgress]:
+        """Return how the runs that a look or an answer has shown come along."""
+        rows = []
+        for run, step in target.runs.items():
+            progress = self.progress.get(run)
+            if progress is None or run in self.stopping:
+                continue
+            rows.append(
+                RunProgress(
+                    run,
+                    step,
+                    progress.started_ms,
+                    progress.moved_ms,
+                    self.seen_ms,
+                    progress.percent,
+                    self.paces.get(run, AT_WORK_PERCENT),
+                    progress.figure,
+                    self.silent > 0,
+                )
+            )
+        return rows
+
     def measure(self, target: TargetState, table: Interference) -> None:
         """Learn from the newest figures how fills press on serving tasks."""
         used: dict[str, int] = {}
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_stalls.py
@@ -0,0 +1,55 @@
+"""Runs that stand still or are overdue, from the progress that targets tell.
+
+Load pattern: tasks on some targets stand still, or take many times as long, while
+the targets answer every call. A run that has stopped moving is stopped and goes on
+elsewhere; a task that allows copies gets one when its run is overdue or silent.
+"""
+
+from typing import NamedTuple
+
+from foxspring_jobs._commands import RunKey
+from foxspring_jobs._specs import StepSpec
+
+STALL_MS = 1_500
+AT_WORK_PERCENT = 100
+STARVED_PACE_PERCENT = 10
+COPY_FACTOR = 2
+COPY_MARGIN_MS = 300
+
+
+class RunProgress(NamedTuple):
+    """One run as last seen; times are the leader's, in milliseconds.
+
+    ``percent`` is -1 before the first look. ``silent`` tells that its target
+    did not answer the newest look.
+    """
+
+    run: RunKey
+    step: StepSpec
+    started_ms: int
+    moved_ms: int
+    seen_ms: int
+    percent: int
+    pace: int
+    cores_used: int
+    silent: bool
+
+
+def is_stalled(progress: RunProgress) -> bool:
+    """Tell whether a run has stood still from look to look."""
+    if progress.percent < 0 or progress.percent >= AT_WORK_PERCENT:
+        return False
+    if progress.step.fills:
+        starved = progress.pace <= STARVED_PACE_PERCENT or progress.cores_used > 0
+        if starved:
+            return False
+    return progress.seen_ms - progress.moved_ms >= STALL_MS
+
+
+def wants_copy(progress: RunProgress, now_ms: int) -> bool:
+    """Tell whether a task that allows copies should get one now."""
+    step = progress.step
+    if not step.may_copy or step.lasting or step.gang:
+        return False
+    expected_ms = COPY_FACTOR * step.estimated_ms + COPY_MARGIN_MS
+    return progress.silent or now_ms - progress.started_ms >= expected_ms
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -19,6 +19,8 @@
 )
 from foxspring_jobs._state import EndKind
 
+LASTING_MS = 20_000
+
 
 class FakeRun(NamedTuple):
     """A run at work until ``ends_ms`` of the target's clock."""
@@ -48,6 +50,7 @@
         self.alive = True
         self.hears = True
         self.answers = True
+        self.hangs = False
         self.figures: dict[RunKey, int] = {}
         self.paces: dict[RunKey, int] = {}
 
@@ -58,7 +61,7 @@
     def advance(self) -> None:
         """End what is due: done, failed, or lapsed with the lease."""
         for run, state in list(self.running.items()):
-            if self.now() >= state.ends_ms:
+            if self.now() >= state.ends_ms and not self.hangs:
                 self._end(run, state.kind)
         if self.running and self.now() >= self.lease_until:
             for run in list(self.running):
@@ -80,10 +83,18 @@
         kept = [row for row in self.finished if row.number > request.cursor]
         self.finished = kept
         rows = tuple(
-            RunningRow(run, "", 100, self.figures.get(run, 0)) for run in self.running
+            RunningRow(run, "", self._percent(run), self.figures.get(run, 0))
+            for run in self.running
         )
         return Reading(Result.OK, self.now(), TargetView(self.now(), rows, tuple(kept)))
 
+    def _percent(self, run: RunKey) -> int:
+        """Return how far a run is; a lasting one is simply at work."""
+        if self.work_ms >= LASTING_MS and not self.hangs:
+            return 100
+        left = max(0, self.running[run].ends_ms - self.now())
+        return 0 if self.hangs else max(1, 99 - left * 99 // self.work_ms)
+
     def order(self, order: Order, token: int, lease_until: int) -> Reading:
         """Carry out an order."""
         if token < self.token:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -162,6 +162,24 @@
         phases = [job.phase for job in site.committed.jobs.values()]
         self.assertEqual(set(phases), {JobPhase.COMPLETED})
 
+    def test_tasks_that_stand_still_go_on_elsewhere(self) -> None:
+        site = self.site()
+        site.targets["t1.example:80"].hangs = True
+        site.submit(spec(step(4)))
+        site.run(7_000)
+        self.assertIs(site.phase(), JobPhase.COMPLETED)
+
+    def test_task_that_allows_copies_does_not_wait_for_a_silent_target(self) -> None:
+        site = self.site()
+        site.submit(spec(step(1, may_copy=True)))
+        site.run(100)
+        cut = next(t for t in site.targets.values() if t.running)
+        cut.hears = False
+        site.run(2_400)
+        self.assertIs(site.phase(), JobPhase.COMPLETED)
+        cut.hears = True
+        site.run(6_000)
+
     def test_run_that_a_target_refuses_for_good_is_settled(self) -> None:
         site = self.site("t1")
         target = site.targets["t1.example:80"]
