--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -20,7 +20,7 @@
 
 from foxspring_jobs._caller import ControlCaller
 from foxspring_jobs._group import Add, MemberView, Remove, on_join, surplus_member
-from foxspring_jobs._leader import LeaderSettings
+from foxspring_jobs._lead_state import LeaderSettings
 from foxspring_jobs._machine import JobMachine
 from foxspring_jobs._operations import (
     JOB_MESSAGES,
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -15,7 +15,8 @@
 
 from foxspring_jobs._call_handler import CallHandler
 from foxspring_jobs._commands import Command, encode_command
-from foxspring_jobs._leader import Leader, LeaderSettings
+from foxspring_jobs._lead_state import LeaderSettings
+from foxspring_jobs._leader import Leader
 from foxspring_jobs._machine import JobMachine
 from foxspring_jobs._operations import Answer, Call, NotLeading, Reply, operation_of
 from foxspring_jobs._orders import (
@@ -172,7 +173,7 @@
         except (KeyError, msgspec.DecodeError) as error:
             _LOG.error("event=call_malformed kind=%s reason=%r", call.kind, str(error))
             return
-        if self.leader is None or self.leader.deposed:
+        if self.leader is None or self.leader.is_deposed():
             self._decline(call)
             return
         handler = CallHandler(self.leader, self.machine, self.log, self.post)
@@ -281,7 +282,7 @@
             action()
         if self.leader is None:
             return
-        if self.leader.deposed and self.lease_valid():
+        if self.leader.is_deposed() and self.lease_valid():
             _LOG.warning("event=leader_restarted term=%d", self.leadership.term)
             self._lead_again()
         else:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_site.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_site.py
@@ -8,7 +8,8 @@
 from foxspring_link import PausedClock
 
 from foxspring_jobs._commands import Command, RegisterTarget, RunKey
-from foxspring_jobs._leader import Leader, LeaderSettings
+from foxspring_jobs._lead_state import LeaderSettings
+from foxspring_jobs._leader import Leader
 from foxspring_jobs._operations import Answer, TargetReport
 from foxspring_jobs._orders import HoldRequest, Order, Reading, Result, StartOrder
 from foxspring_jobs._session import TargetSession
@@ -226,5 +227,5 @@
                     self.done.add(row.run.task)
 
     def _cursor(self, target: FakeTarget) -> int:
-        session = self.leader.sessions.get(target.registered.life.target_id)
+        session = self.leader.lead.sessions.get(target.registered.life.target_id)
         return session.cursor if session is not None else 0
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_group.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group.py
@@ -11,7 +11,7 @@
     surplus_member,
 )
 from foxspring_jobs._health import DISTRUST_MS, TargetHealth
-from foxspring_jobs._leader import LeaderSettings
+from foxspring_jobs._lead_state import LeaderSettings
 from foxspring_jobs._member import MemberSettings, choose_member_id, raft_settings
 from foxspring_jobs._operations import JoinGroup
 from foxspring_jobs._target_clock import LAPSE_MARGIN_MS, TargetClock
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -45,7 +45,9 @@
         site.cancel()
         site.run(2_500)
         self.assertTrue(all(not t.running for t in site.targets.values()))
-        self.assertTrue(all(not t.runs for t in site.leader.draft.targets.values()))
+        self.assertTrue(
+            all(not t.runs for t in site.leader.lead.draft.targets.values())
+        )
 
     def test_cancelling_an_unknown_job_is_gone(self) -> None:
         site = self.site()
@@ -150,7 +152,7 @@
         site.add(registered("t3", born_ms=9, address="t1.example:80"))
         site.run(4_000)
         self.assertIs(site.phase(), JobPhase.COMPLETED)
-        self.assertNotIn("t1", site.leader.draft.targets)
+        self.assertNotIn("t1", site.leader.lead.draft.targets)
 
     def test_target_that_fails_everything_does_not_fail_the_jobs(self) -> None:
         site = self.site("t1", "t2", "t3")
