--- a/packages/foxspring-jobs/foxspring_jobs/__init__.py
+++ b/packages/foxspring-jobs/foxspring_jobs/__init__.py
@@ -16,6 +16,7 @@
 )
 from foxspring_jobs._lead_state import LeaderSettings
 from foxspring_jobs._member import ControlMember, MemberSettings, job_codec
+from foxspring_jobs._metrics import Metrics, metrics_page
 from foxspring_jobs._operations import (
     Answer,
     CancelCall,
@@ -71,6 +72,7 @@
     "JobSpec",
     "LeaderSettings",
     "MemberSettings",
+    "Metrics",
     "NotLeading",
     "Order",
     "Outcome",
@@ -99,4 +101,5 @@
     "TargetView",
     "TaskKey",
     "job_codec",
+    "metrics_page",
 ]
--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -8,6 +8,7 @@
 
 from foxspring_model import Clock
 
+from foxspring_jobs._metrics import CALL_SECONDS, CALLS, Metrics
 from foxspring_jobs._operations import (
     Answer,
     NotLeading,
@@ -51,8 +52,10 @@
         seeds: Iterable[str],
         send: Callable[[str, Any], object],
         clock: Clock,
+        metrics: Metrics,
         settings: CallerSettings | None = None,
     ) -> None:
+        self.metrics = metrics
         self.own_address = own_address
         self.seeds = tuple(seeds)
         self.members = self.seeds
@@ -103,8 +106,20 @@
 
         ``UNAVAILABLE`` is only returned if nothing was or will be done.
         """
-        if self._control_is_lost() and not isinstance(operation, PingLeader):
-            return Answer(Outcome.UNAVAILABLE, "no control leader")
+        if isinstance(operation, PingLeader):
+            return self._find_answer(operation, timeout_ms)
+        began_ms = self.clock.monotonic_ms()
+        if self._control_is_lost():
+            answer = Answer(Outcome.UNAVAILABLE, "no control leader")
+        else:
+            answer = self._find_answer(operation, timeout_ms)
+        kind = type(operation).__name__
+        self.metrics.count(CALLS, kind, answer.outcome.value)
+        took_ms = self.clock.monotonic_ms() - began_ms
+        self.metrics.observe_ms(CALL_SECONDS, took_ms, kind)
+        return answer
+
+    def _find_answer(self, operation: Any, timeout_ms: int) -> Answer:
         deadline_ms = self.clock.monotonic_ms() + timeout_ms
         call_id = next(self._numbers)
         pending = _Pending()
--- a/packages/foxspring-jobs/foxspring_jobs/_entry.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_entry.py
@@ -8,6 +8,7 @@
 
 from foxspring_jobs._caller import ControlCaller
 from foxspring_jobs._member import LINK_SETTINGS, job_codec
+from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import NotLeading, Reply
 
 _LOG = logging.getLogger(__name__)
@@ -27,7 +28,10 @@
             LINK_SETTINGS,
             link_address,
         )
-        self.caller = ControlCaller(link_address, seeds, self.link.send, clock)
+        self.metrics = Metrics()
+        self.caller = ControlCaller(
+            link_address, seeds, self.link.send, clock, self.metrics
+        )
 
     def start(self) -> None:
         """Begin to look for the leader."""
--- a/packages/foxspring-jobs/foxspring_jobs/_lead_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_lead_state.py
@@ -7,6 +7,7 @@
 
 from foxspring_jobs._commands import Command, RegisterTarget, RunEnd, TargetLife
 from foxspring_jobs._interference import Interference
+from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import Answer
 from foxspring_jobs._orders import HoldRequest, Order
 from foxspring_jobs._session import TargetSession
@@ -66,7 +67,9 @@
         draft: State,
         ports: Ports,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
+        self.metrics = metrics
         self.settings = settings
         self.token = token
         self.draft = draft
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -26,6 +26,13 @@
     PendingEnd,
     Ports,
 )
+from foxspring_jobs._metrics import (
+    COMMIT_SECONDS,
+    COMMITS,
+    FIRST_START_SECONDS,
+    STARTS,
+    Metrics,
+)
 from foxspring_jobs._operations import Answer, Outcome, TargetReport
 from foxspring_jobs._orders import Order, Reading
 from foxspring_jobs._placement import Planner, began_ms, waiting_steps
@@ -54,8 +61,10 @@
         draft: State,
         ports: Ports,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
-        self.lead = LeadState(settings, token, draft, ports, clock)
+        self.lead = LeadState(settings, token, draft, ports, clock, metrics)
+        self.metrics = metrics
         self.orders = TargetOrders(self.lead)
         self.looks = TargetLooks(self.lead, self.orders)
         self.lead.decide = self.decide
@@ -310,19 +319,35 @@
 
     def _commit(self, advance: Advance, ends: list[PendingEnd]) -> None:
         self.in_flight += 1
+        proposed_ms = self.lead.clock.monotonic_ms()
 
         def done(committed: bool) -> None:
             self.in_flight -= 1
+            self._measure_commit(proposed_ms, committed)
             if not committed:
                 self.lead.deposed = True
                 return
             for start in advance.starts:
+                self._measure_start(start)
                 self.orders.order_start(start)
             self.looks.forget_ends(ends)
             self.decide()
 
         self.lead.ports.propose(advance, done)
 
+    def _measure_commit(self, proposed_ms: int, committed: bool) -> None:
+        took_ms = self.lead.clock.monotonic_ms() - proposed_ms
+        self.metrics.count(COMMITS, "applied" if committed else "unknown")
+        self.metrics.observe_ms(COMMIT_SECONDS, took_ms)
+
+    def _measure_start(self, start: RunStart) -> None:
+        self.metrics.count(STARTS)
+        job = self.lead.draft.jobs.get(start.run.task.job_id)
+        first = (start.run.task[1:], start.run.number) == ((0, 0, 0), 1)
+        if job is not None and first and not job.spec.is_timed():
+            waited_ms = self.lead.clock.wall_ms() - job.submitted_ms
+            self.metrics.observe_ms(FIRST_START_SECONDS, max(0, waited_ms))
+
     def _due_occurrences(self) -> tuple[tuple[str, int], ...]:
         wall_ms = self.lead.clock.wall_ms()
         due = []
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -22,6 +22,7 @@
 from foxspring_jobs._group import Add, MemberView, Remove, on_join, surplus_member
 from foxspring_jobs._lead_state import LeaderSettings
 from foxspring_jobs._machine import JobMachine
+from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import (
     JOB_MESSAGES,
     Call,
@@ -106,6 +107,7 @@
         member_id = choose_member_id(settings, clock.wall_ms())
         self.member_id = member_id
         self.machine = JobMachine()
+        self.metrics = Metrics()
         self.link = Link(
             settings.link_address,
             job_codec(secret),
@@ -122,11 +124,17 @@
             self._on_leadership,
         )
         self.service = JobService(
-            settings.leader, self.log, self.machine, self.send, api, clock
+            settings.leader,
+            self.log,
+            self.machine,
+            self.send,
+            api,
+            clock,
+            self.metrics,
         )
         self.machine.on_reset = self.service.on_reset
         self.caller = ControlCaller(
-            settings.link_address, settings.seeds, self.send, clock
+            settings.link_address, settings.seeds, self.send, clock, self.metrics
         )
         self.leadership = LeadershipChange(False, 0, "", "")
         self.leader_hint = ""
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -0,0 +1,148 @@
+"""Counters and latency histograms of the job daemons."""
+
+import threading
+from typing import NamedTuple
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+from foxspring_model import CHECKS
+
+PREFIX = "foxspring_"
+BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.3, 0.6, 1.2, 3.0, 10.0)
+MS_PER_S = 1_000
+
+
+class Metric(NamedTuple):
+    """A metric as the docs list it; ``unit`` is ``events`` for counters."""
+
+    name: str
+    unit: str
+    labels: tuple[str, ...]
+    meaning: str
+
+
+CALLS = Metric(
+    "job_calls_total",
+    "events",
+    ("call", "outcome"),
+    "Calls passed to the leader, by what became of them.",
+)
+CALL_SECONDS = Metric(
+    "job_call_seconds", "seconds", ("call",), "From a call to its answer."
+)
+COMMITS = Metric(
+    "job_commits_total", "events", ("outcome",), "Decisions proposed to the log."
+)
+COMMIT_SECONDS = Metric(
+    "job_commit_seconds", "seconds", (), "From a proposal to its commit."
+)
+STARTS = Metric("job_starts_total", "events", (), "Runs committed to a target.")
+FIRST_START_SECONDS = Metric(
+    "job_first_start_seconds",
+    "seconds",
+    (),
+    "From accepting a job to its first committed start.",
+)
+ENDS = Metric("job_ends_total", "events", ("kind",), "Runs that ended, by how.")
+ORDERS = Metric(
+    "job_orders_total", "events", ("order", "result"), "Orders, by the answer."
+)
+LOOKS = Metric("job_looks_total", "events", ("result",), "Looks, by the answer.")
+LOST = Metric("job_targets_lost_total", "events", ("why",), "Targets given up.")
+RELIEFS = Metric(
+    "job_fills_relieved_total",
+    "events",
+    ("action",),
+    "Fills paced or moved for tasks with a latency target.",
+)
+LEADING = Metric("job_leading", "1 or 0", (), "Whether this member leads.")
+CHECKED = Metric(
+    "invariant_checks_total", "events", ("invariant",), "Checks of a promise."
+)
+VIOLATED = Metric(
+    "violations_total", "events", ("invariant",), "Promises found broken."
+)
+
+METRICS: tuple[Metric, ...] = (
+    CALLS,
+    CALL_SECONDS,
+    COMMITS,
+    COMMIT_SECONDS,
+    STARTS,
+    FIRST_START_SECONDS,
+    ENDS,
+    ORDERS,
+    LOOKS,
+    LOST,
+    RELIEFS,
+    LEADING,
+    CHECKED,
+    VIOLATED,
+)
+
+
+class Metrics:
+    """The metrics of one process; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._lock = threading.Lock()
+        self._values: dict[Metric, Counter | Gauge] = {}
+        self._durations: dict[Metric, Histogram] = {}
+        for metric in METRICS:
+            self._add(metric)
+
+    def _add(self, metric: Metric) -> None:
+        name = PREFIX + metric.name
+        if metric.unit == "seconds":
+            self._durations[metric] = Histogram(
+                name, metric.meaning, registry=self.registry, buckets=BUCKETS_S
+            )
+            return
+        kind = Counter if metric.unit == "events" else Gauge
+        self._values[metric] = kind(name, metric.meaning, registry=self.registry)
+
+    def count(self, metric: Metric, *labels: str, amount: int = 1) -> None:
+        """Add to a counter; labels in the order of its list."""
+        named = dict(zip(metric.labels, labels, strict=True))
+        with self._lock:
+            self._values[metric].add(named, amount)
+
+    def observe_ms(self, metric: Metric, duration_ms: int, *labels: str) -> None:
+        """Add a duration to a histogram."""
+        named = dict(zip(metric.labels, labels, strict=True))
+        with self._lock:
+            self._durations[metric].add(named, duration_ms / MS_PER_S)
+
+    def set(self, metric: Metric, value: int) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._values[metric].set({}, value)
+
+    def exposition(self) -> bytes:
+        """Return all metrics as text in the exposition format."""
+        with self._lock:
+            for invariant, checked in sorted(CHECKS.checked.items()):
+                name = {"invariant": invariant.value}
+                violated = CHECKS.violated.get(invariant, 0)
+                self._values[CHECKED].set(name, checked)
+                self._values[VIOLATED].set(name, violated)
+            body, _ = render(self.registry, [])
+        return bytes(body)
+
+
+def metrics_page() -> str:
+    """Return the docs page that lists every metric."""
+    lines = [
+        "# Metrics of the job daemons",
+        "",
+        "Made from `foxspring_jobs._metrics`; every name begins with `foxspring_`.",
+        "",
+        "| metric | unit | labels | meaning |",
+        "|---|---|---|---|",
+    ]
+    for metric in METRICS:
+        labels = ", ".join(metric.labels) or "none"
+        row = f"| {metric.name} | {metric.unit} | {labels} | {metric.meaning} |"
+        lines.append(row)
+    return "\n".join(lines) + "\n"
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -18,6 +18,7 @@
 from foxspring_jobs._lead_state import LeaderSettings
 from foxspring_jobs._leader import Leader
 from foxspring_jobs._machine import JobMachine
+from foxspring_jobs._metrics import LEADING, Metrics
 from foxspring_jobs._operations import Answer, Call, NotLeading, Reply, operation_of
 from foxspring_jobs._orders import (
     HoldRequest,
@@ -89,7 +90,9 @@
         send: Send,
         api: TargetApi,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
+        self.metrics = metrics
         self.settings = settings
         self.log = log
         self.machine = machine
@@ -137,6 +140,7 @@
     def _on_leadership(self, change: LeadershipChange) -> None:
         self.leadership = change
         self._end_leader()
+        self.metrics.set(LEADING, int(change.is_leader))
         _LOG.info(
             "event=leadership term=%d leader=%s leading=%s",
             change.term,
@@ -162,7 +166,9 @@
         token = self.leadership.term * TOKENS_A_TERM + turn * TOKENS_A_TURN
         with self.machine.lock:
             draft, _ = decode_state(encode_state(self.machine.state, 0))
-        self.leader = Leader(self.settings, token, draft, self, self.clock)
+        self.leader = Leader(
+            self.settings, token, draft, self, self.clock, self.metrics
+        )
         self.leader.begin()
 
     # Calls.
--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -5,6 +5,7 @@
 
 from foxspring_jobs._commands import RegisterTarget, RunEnd, RunKey, TargetLife
 from foxspring_jobs._lead_state import LeadState, PendingEnd
+from foxspring_jobs._metrics import ENDS, LOOKS, LOST, RELIEFS
 from foxspring_jobs._operations import Answer
 from foxspring_jobs._orders import (
     HoldRequest,
@@ -129,6 +130,7 @@
         if session.closed or self.lead.deposed:
             return
         now_ms = self.lead.clock.monotonic_ms()
+        self.lead.metrics.count(LOOKS, reading.result.value)
         if reading.clock_ms is not None:
             session.clock.note(reading.clock_ms, now_ms)
         if reading.result is Result.OK and reading.view is not None:
@@ -238,6 +240,7 @@
         self, session: TargetSession, relief: Relief, serving: list[ServingRow]
     ) -> None:
         worst = max(row.tail_ms for row in serving)
+        self.lead.metrics.count(RELIEFS, type(relief).__name__.lower())
         _LOG.info(
             "event=fill_relieved action=%s job=%s task=%d.%d.%d run=%d target=%s "
             "percent=%d worst_tail_ms=%d",
@@ -286,6 +289,7 @@
             lasting = job is not None and job.spec.steps[key.step].lasting
             if not lasting:
                 session.health.note_failed(key.job_id, now_ms)
+        self.lead.metrics.count(ENDS, end.kind)
         _LOG.info(
             "event=run_ended job=%s task=%d.%d.%d run=%d target=%s kind=%s",
             *key,
@@ -307,6 +311,7 @@
         session = self.lead.sessions.get(life.target_id)
         target = self.lead.draft.target(life)
         runs = len(target.runs) if target else 0
+        self.lead.metrics.count(LOST, why)
         _LOG.warning(
             "event=target_lost target=%s born=%d why=%s runs=%d", *life, why, runs
         )
--- a/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
@@ -5,6 +5,7 @@
 
 from foxspring_jobs._commands import RunEnd, RunKey, RunStart
 from foxspring_jobs._lead_state import LeadState, PendingEnd
+from foxspring_jobs._metrics import ORDERS
 from foxspring_jobs._orders import Order, Reading, Result, StartOrder, StopOrder
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._state import EndKind, JobState
@@ -53,6 +54,7 @@
         if reading.clock_ms is not None:
             session.clock.note(reading.clock_ms, now_ms)
         result = reading.result
+        self.lead.metrics.count(ORDERS, type(order).__name__, result.value)
         if result is Result.OTHER_LIFE:
             self.lead.lose(session.life, "other_life")
         elif result is Result.FENCED:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_site.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_site.py
@@ -10,6 +10,7 @@
 from foxspring_jobs._commands import Command, RegisterTarget, RunKey
 from foxspring_jobs._lead_state import LeaderSettings
 from foxspring_jobs._leader import Leader
+from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import Answer, TargetReport
 from foxspring_jobs._orders import HoldRequest, Order, Reading, Result, StartOrder
 from foxspring_jobs._session import TargetSession
@@ -155,7 +156,12 @@
         draft, _ = decode_state(encode_state(self.committed, 0))
         self.ports = LeaderPorts(self)
         self.leader = Leader(
-            LeaderSettings(), self.term * 1_000_000, draft, self.ports, self.clock
+            LeaderSettings(),
+            self.term * 1_000_000,
+            draft,
+            self.ports,
+            self.clock,
+            Metrics(),
         )
         self.leader.begin()
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -6,6 +6,7 @@
 from foxspring_link import PausedClock
 
 from foxspring_jobs._caller import CallerSettings, ControlCaller
+from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import (
     Answer,
     Call,
@@ -46,7 +47,9 @@
 
     def caller(self, **members: list[Member]) -> ControlCaller:
         self.members = members
-        caller = ControlCaller("e", ("a", "b"), self.send, self.clock, SETTINGS)
+        caller = ControlCaller(
+            "e", ("a", "b"), self.send, self.clock, Metrics(), SETTINGS
+        )
         caller.answered_ms = self.clock.monotonic_ms()
         self.asked = caller
         return caller
