Free a task that stays over its target of every fill; explain a job from logs

A task over its target in every look for 1.2 s now loses all fills beside it, and nothing fills in where the newest look shows one over. foxspring explain and foxspring logs check read the logs; the list of events is made from the sources.

--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_main.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_main.py
@@ -15,6 +15,7 @@
     _call_command,
     _configuration_commands,
     _job_commands,
+    _log_commands,
     _site_commands,
 )
 from foxspring_daemon._cli._client import Client
@@ -97,6 +98,8 @@
     _site_commands.audit,
     _site_commands.status,
     _call_command.call,
+    _log_commands.explain,
+    _log_commands.logs,
     check,
     print_settings_page,
 ):
--- /dev/null
+++ b/packages/foxspring-daemon/foxspring_daemon/tests/test_explain.py
@@ -0,0 +1,91 @@
+"""From a job's id to its cause, from log lines alone."""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from click.testing import CliRunner
+
+from foxspring_daemon._cli._log_lines import known_events, parse_line, problem_of
+from foxspring_daemon._cli._main import cli
+
+JOB = "5c0e7a21d94b36f8"
+ROOT = pathlib.Path(__file__).resolve().parents[4]
+
+
+def line(second: int, event: str, daemon: str = "core-1") -> str:
+    time = f"2026-01-05T07:10:{second:02d}.000Z"
+    return f"time={time} level=info daemon={daemon} module=m event={event}\n"
+
+
+ACCEPTED = line(1, f"job_submitted job={JOB} queue=q committed=True active=3")
+STARTED = line(
+    2,
+    f"start_answered job={JOB} task=0.0.1 run=1 target=t1 result=ok token=7",
+)
+FAILED = line(3, f"run_ended job={JOB} task=0.0.1 run=1 target=t1 kind=failed")
+OTHER = line(2, "job_submitted job=0000000000000000 queue=q committed=True active=3")
+LOST = line(4, "target_lost target=t1 born=5 why=lease_lapsed runs=2")
+MALFORMED = line(1, f'job_malformed path=/q/{JOB} reason="no steps"', "entry-1")
+
+
+class ExplainTest(unittest.TestCase):
+    def run_command(self, *words: str, **logs: str) -> tuple[int, str]:
+        with tempfile.TemporaryDirectory() as folder:
+            paths = []
+            for name, text in logs.items():
+                path = pathlib.Path(folder, name)
+                path.write_text(text)
+                paths.append(str(path))
+            result = CliRunner().invoke(cli, [*words, *paths])
+            return result.exit_code, result.output
+
+    def test_causes(self) -> None:
+        cases = (
+            (ACCEPTED + STARTED + FAILED, "1 runs failed on one target"),
+            (ACCEPTED + STARTED + LOST, "lost 1 targets it ran on (lease_lapsed)"),
+            (MALFORMED, "could not be read"),
+            (OTHER, "no line names it"),
+            (ACCEPTED + STARTED, "nothing unusual"),
+        )
+        for text, cause in cases:
+            with self.subTest(cause=cause):
+                code, output = self.run_command("explain", JOB, log=text)
+                self.assertEqual(code, 0)
+                self.assertIn(cause, output)
+
+    def test_lines_of_several_logs_come_in_order_and_others_stay_out(self) -> None:
+        _, output = self.run_command(
+            "explain", JOB, one=FAILED + OTHER, two=STARTED + ACCEPTED
+        )
+        names = [row.split()[2] for row in output.splitlines()[:-1]]
+        self.assertEqual(names, ["job_submitted", "start_answered", "run_ended"])
+
+    def test_check_names_lines_that_break_the_list(self) -> None:
+        code, output = self.run_command("logs", "check", log=ACCEPTED)
+        self.assertEqual((code, "0 break" in output), (0, True))
+        wrong = line(1, "nonsense a=1") + line(2, "job_submitted color=red")
+        code, output = self.run_command("logs", "check", log=wrong)
+        self.assertEqual(code, 1)
+        self.assertIn("nonsense", output)
+        self.assertIn("color", output)
+
+
+class ListTest(unittest.TestCase):
+    def test_every_event_of_the_sources_is_in_the_list(self) -> None:
+        command = [sys.executable, str(ROOT / "tools/list_events.py"), "--check"]
+        result = subprocess.run(command, capture_output=True, text=True, check=False)
+        self.assertEqual(result.returncode, 0, result.stdout + result.stderr)
+
+    def test_quoted_values_are_read_whole(self) -> None:
+        event = parse_line(MALFORMED)
+        self.assertIsNotNone(event)
+        if event is not None:
+            self.assertEqual(event.fields["reason"], "no steps")
+            self.assertEqual(problem_of(event, known_events()), "")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -130,26 +130,14 @@
         """Accept a job; answered once it is committed."""
 
         def done(committed: bool) -> None:
-            self._log_call("job_submitted", job_id, committed, queue.name)
-            for number, step in enumerate(spec.steps):
-                _LOG.info(
-                    "event=step_declared job=%s step=%d count=%d cores_milli=%d "
-                    "memory_mb=%d estimated_ms=%d after=%s lasting=%s fills=%s "
-                    "target_ms=%d image=%s per_target=%d away=%d",
-                    job_id,
-                    number,
-                    step.task_count,
-                    step.resources.cores_milli,
-                    step.resources.memory_mb,
-                    step.estimated_ms,
-                    ",".join(map(str, step.after)) or "-",
-                    step.lasting,
-                    step.fills,
-                    step.latency_target_ms,
-                    step.image or "-",
-                    step.max_per_target,
-                    step.max_away,
-                )
+            _LOG.info(
+                "event=job_submitted job=%s queue=%s committed=%s active=%d",
+                job_id,
+                queue.name,
+                committed,
+                len(self.lead.draft.active),
+            )
+            _log_steps(job_id, spec)
             answer(_answer(committed))
             self.lead.plan_due = True
             self.decide()
@@ -163,7 +151,12 @@
             return
 
         def done(committed: bool) -> None:
-            self._log_call("job_cancelled", job_id, committed, "")
+            _LOG.info(
+                "event=job_cancelled job=%s committed=%s active=%d",
+                job_id,
+                committed,
+                len(self.lead.draft.active),
+            )
             answer(_answer(committed))
             self.decide()
 
@@ -188,16 +181,6 @@
 
         self._propose(command, done)
 
-    def _log_call(self, event: str, job_id: str, committed: bool, queue: str) -> None:
-        _LOG.info(
-            "event=%s job=%s queue=%s committed=%s active=%d",
-            event,
-            job_id,
-            queue or "-",
-            committed,
-            len(self.lead.draft.active),
-        )
-
     def report(self, report: TargetReport, answer: Callable[[Answer], None]) -> None:
         """Take a target's heartbeat; acknowledged once what is new is committed."""
         fresh = report.registered
@@ -384,5 +367,24 @@
         return (*starts, *planner.plan_copies(overdue))
 
 
+def _log_steps(job_id: str, spec: JobSpec) -> None:
+    for number, step in enumerate(spec.steps):
+        _LOG.info(
+            "event=step_declared job=%s step=%d tasks=%d cores_milli=%d memory_mb=%d "
+            "estimated_ms=%d lasting=%s fills=%s target_ms=%d image=%s per_target=%d",
+            job_id,
+            number,
+            step.task_count,
+            step.resources.cores_milli,
+            step.resources.memory_mb,
+            step.estimated_ms,
+            step.lasting,
+            step.fills,
+            step.latency_target_ms,
+            step.image or "-",
+            step.max_per_target,
+        )
+
+
 def _answer(committed: bool) -> Answer:
     return Answer(Outcome.OK if committed else Outcome.UNKNOWN)
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -38,7 +38,8 @@
     """A target as the planner sees it; starts of the same plan count.
 
     ``own`` is the highest own pressure of each serving image, ``paced`` the
-    thousandths of cores that paced fills of each image do without.
+    thousandths of cores that paced fills of each image do without. Nothing is
+    filled in while the newest look shows a task ``pressed``, over its target.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.probation = probation
         self.limit = limit
         self.started = 0
+        self.pressed = False
         self.serving = dict(target.serving)
         self.fills = dict(target.fills)
         self.fill_cores = sum(self.fills.values())
@@ -100,6 +102,8 @@
             return False
         if step.lasting and not self._keeps_reserve(reserved):
             return False
+        if step.fills and self.pressed:
+            return False
         bound = step.max_per_target
         return not bound or self.held_of(step_place(task)) < bound
 
--- a/packages/foxspring-jobs/foxspring_jobs/_pressure.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_pressure.py
@@ -15,6 +15,7 @@
 PERCENT = 100
 PRESSED_SHARE = 0.85
 GOAL_SHARE = 0.75
+CLEAR_AFTER_MS = 1_200
 PACE_STEP_PERCENT = 10
 LEAST_RAISE_PERCENT = 20
 LEAST_PACE_PERCENT = 30
@@ -22,12 +23,16 @@
 
 
 class ServingRow(NamedTuple):
-    """A task with a latency target, at work; ``own`` is its own pressure."""
+    """A task with a latency target, at work; ``own`` is its own pressure.
+
+    ``over_ms`` is for how long every look has shown it over its target.
+    """
 
     image: str
     target_ms: int
     tail_ms: int
     own: float
+    over_ms: int = 0
 
 
 class FillRow(NamedTuple):
@@ -66,12 +71,20 @@
     """Return what to change on one target, from its newest measurements."""
     if not serving or not fills:
         return []
+    if any(row.over_ms >= CLEAR_AFTER_MS for row in serving):
+        return _clear(fills)
     pressed = [row for row in serving if row.tail_ms > row.target_ms * PRESSED_SHARE]
     if pressed:
         return _press_down(pressed, fills, table, has_place)
     return _let_go(serving, fills, table)
 
 
+def _clear(fills: Sequence[FillRow]) -> list[Relief]:
+    """Take every fill away: what the table blames did not help."""
+    active = [fill for fill in fills if fill.pace > 0]
+    return [Move(fill.run) if fill.movable else Pace(fill.run, 0) for fill in active]
+
+
 def _goal(row: ServingRow, table: Interference) -> float:
     return table.pressure(row.image, row.target_ms * GOAL_SHARE, row.target_ms)
 
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -18,7 +18,15 @@
 class Progress:
     """How one run has come along; times are the leader's."""
 
-    __slots__ = ("figure", "moved_ms", "own", "percent", "started_ms")
+    __slots__ = (
+        "figure",
+        "moved_ms",
+        "over",
+        "over_since_ms",
+        "own",
+        "percent",
+        "started_ms",
+    )
 
     def __init__(self, started_ms: int) -> None:
         self.started_ms = started_ms
@@ -26,6 +34,8 @@
         self.moved_ms = started_ms
         self.figure = 0
         self.own = 0.0
+        self.over = False
+        self.over_since_ms = started_ms
 
 
 class TargetSession:
@@ -57,6 +67,7 @@
         self.paces: dict[RunKey, int] = {}
         self.own: dict[str, float] = {}
         self.relieved_ms = 0
+        self.pressed = False
         self.seen_ms = since_ms
 
     @property
@@ -115,8 +126,9 @@
             )
         return rows
 
-    def measure(self, target: TargetState, table: Interference) -> None:
+    def measure(self, target: TargetState, table: Interference, now_ms: int) -> None:
         """Learn from the newest figures how fills press on serving tasks."""
+        self.pressed = False
         used: dict[str, int] = {}
         for run, step in target.runs.items():
             progress = self.progress.get(run)
@@ -132,6 +144,11 @@
             progress.own = table.observe(
                 step.image, progress.figure, step.latency_target_ms, used
             )
+            over = progress.figure > step.latency_target_ms
+            if over and not progress.over:
+                progress.over_since_ms = now_ms
+            progress.over = over
+            self.pressed = self.pressed or over
             self.own[step.image] = max(self.own.get(step.image, 0.0), progress.own)
 
     def paced_cores(self, target: TargetState) -> dict[str, int]:
@@ -145,7 +162,9 @@
                 saved[step.image] = saved.get(step.image, 0) + cores
         return saved
 
-    def rows(self, target: TargetState) -> tuple[list[ServingRow], list[FillRow]]:
+    def rows(
+        self, target: TargetState, now_ms: int
+    ) -> tuple[list[ServingRow], list[FillRow]]:
         """Return the newest look's serving tasks at work, and its fills."""
         serving: list[ServingRow] = []
         fills: list[FillRow] = []
@@ -161,6 +180,7 @@
                         step.latency_target_ms,
                         progress.figure,
                         progress.own,
+                        now_ms - progress.over_since_ms if progress.over else 0,
                     )
                 )
             elif step.fills:
--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -210,10 +210,10 @@
 
     def _relieve(self, session: TargetSession, target: TargetState) -> None:
         now_ms = self.lead.clock.monotonic_ms()
-        session.measure(target, self.lead.table)
+        session.measure(target, self.lead.table, now_ms)
         if now_ms < session.relieved_ms + RELIEF_PAUSE_MS:
             return
-        serving, fills = session.rows(target)
+        serving, fills = session.rows(target, now_ms)
         reliefs = relieve(serving, fills, self.lead.table, self._has_place)
         if reliefs:
             session.relieved_ms = now_ms
@@ -344,5 +344,7 @@
             limit = 1 if session.health.rounds else 0
             probation = session.health.on_probation()
             paced = session.paced_cores(target)
-            rooms.append(Room(target, probation, limit, session.own, paced))
+            room = Room(target, probation, limit, session.own, paced)
+            room.pressed = session.pressed
+            rooms.append(room)
         return rooms
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
@@ -87,6 +87,12 @@
         rough = fill(0, "rough", movable=True)
         self.assertEqual(self.relieve(300, rough, place=True), [Move(rough.run)])
 
+    def test_task_that_stays_over_its_target_is_freed_of_every_fill(self) -> None:
+        row = ServingRow("web", TARGET_MS, 60, 0.4, over_ms=1_500)
+        calm, other = fill(0, "calm", movable=True), fill(1, "calm")
+        reliefs = relieve([row], [calm, other], self.table, never)
+        self.assertEqual(reliefs, [Move(calm.run), Pace(other.run, 0)])
+
     def test_low_tail_changes_nothing(self) -> None:
         self.assertEqual(self.relieve(25, fill(0, "rough")), [])
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -147,6 +147,15 @@
         submit(state, spec(filling(2, HEAVY, 2_000)))
         self.assertEqual(plan(state, learnt()), [])
 
+    def test_nothing_fills_in_beside_a_task_that_is_over_its_target(self) -> None:
+        state = self.serving_site()
+        submit(state, spec(filling(6, LIGHT)))
+        rooms = [Room(target) for target in state.targets.values()]
+        rooms[0].pressed = True
+        planner = Planner(state, rooms, learnt())
+        starts = planner.plan(waiting_steps(state, 0))
+        self.assertEqual({s.life.target_id for s in starts}, {"t2"})
+
     def test_serving_tasks_are_packed_by_image(self) -> None:
         state = self.serving_site()
         submit(state, spec(serving("web")))
