--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -104,6 +104,13 @@
         self.progress.pop(run, None)
         self.paces.pop(run, None)
 
+    def pace(self, run: RunKey, percent: int, now_ms: int) -> None:
+        """Note a fill's new pace; its progress counts from now."""
+        self.paces[run] = percent
+        progress = self.progress.get(run)
+        if progress is not None:
+            progress.moved_ms = now_ms
+
     def progress_of(self, target: TargetState) -> list[RunProgress]:
         """Return how the runs that a look or an answer has shown come along."""
         rows = []
--- a/packages/foxspring-jobs/foxspring_jobs/_stalls.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_stalls.py
@@ -5,6 +5,7 @@
 elsewhere; a task that allows copies gets one when its run is overdue or silent.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from foxspring_jobs._commands import RunKey
@@ -12,7 +13,6 @@
 
 STALL_MS = 1_500
 AT_WORK_PERCENT = 100
-STARVED_PACE_PERCENT = 10
 COPY_FACTOR = 2
 COPY_MARGIN_MS = 300
 
@@ -39,13 +39,19 @@
     """Tell whether a run has stood still from look to look."""
     if progress.percent < 0 or progress.percent >= AT_WORK_PERCENT:
         return False
-    if progress.step.fills:
-        starved = progress.pace <= STARVED_PACE_PERCENT or progress.cores_used > 0
-        if starved:
-            return False
+    # A fill also stands still while it is paced or others leave it nothing.
+    paced = progress.pace < AT_WORK_PERCENT
+    if progress.step.fills and (paced or progress.cores_used > 0):
+        return False
     return progress.seen_ms - progress.moved_ms >= STALL_MS
 
 
+def blames_target(stalled: Sequence[RunProgress]) -> bool:
+    """Tell whether stalled runs point to their target rather than to one job."""
+    jobs = {progress.run.task.job_id for progress in stalled}
+    return len(jobs) > 1 or any(not progress.step.fills for progress in stalled)
+
+
 def wants_copy(progress: RunProgress, now_ms: int) -> bool:
     """Tell whether a task that allows copies should get one now."""
     step = progress.step
--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -25,7 +25,7 @@
     relieve,
 )
 from foxspring_jobs._session import TargetSession
-from foxspring_jobs._stalls import is_stalled, wants_copy
+from foxspring_jobs._stalls import blames_target, is_stalled, wants_copy
 from foxspring_jobs._state import EndKind, TargetState
 from foxspring_jobs._target_orders import TargetOrders
 
@@ -190,7 +190,8 @@
     def _replace_stalled(self, session: TargetSession, target: TargetState) -> None:
         now_ms = self.lead.clock.monotonic_ms()
         stalled = [row for row in session.progress_of(target) if is_stalled(row)]
-        if stalled and now_ms >= session.health.distrusted_until_ms:
+        trusted = now_ms >= session.health.distrusted_until_ms
+        if trusted and blames_target(stalled):
             session.health.distrust(now_ms)
         for row in stalled:
             _LOG.warning(
@@ -222,7 +223,7 @@
             if isinstance(relief, Move):
                 self.orders.send_stop(session, relief.run)
             else:
-                session.paces[relief.run] = relief.percent
+                session.pace(relief.run, relief.percent, now_ms)
                 self.orders.order(session, PaceOrder(relief.run, relief.percent))
 
     def _has_place(self, fill: FillRow) -> bool:
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_stalls.py
@@ -0,0 +1,57 @@
+import unittest
+from typing import Any
+
+from foxspring_jobs._stalls import (
+    STALL_MS,
+    RunProgress,
+    blames_target,
+    is_stalled,
+    wants_copy,
+)
+from foxspring_jobs.tests.builders import OTHER_JOB, run_key, step
+
+
+def progress(still_ms: int, job_id: str = "j", **more: Any) -> RunProgress:
+    """Return a run that was seen at ``still_ms`` and moved at 0."""
+    kind = step(
+        fills=more.pop("fills", False),
+        may_copy=more.pop("may_copy", False),
+        estimated_ms=400,
+    )
+    fields = {"percent": 40, "pace": 100, "cores_used": 0, "silent": False} | more
+    return RunProgress(run_key(job_id=job_id), kind, 0, 0, still_ms, **fields)
+
+
+class StallTest(unittest.TestCase):
+    def test_which_runs_are_stalled(self) -> None:
+        cases: tuple[tuple[RunProgress, bool], ...] = (
+            (progress(STALL_MS), True),
+            (progress(STALL_MS - 1), False),
+            (progress(STALL_MS, percent=100), False),
+            (progress(STALL_MS, percent=-1), False),
+            (progress(STALL_MS, fills=True), True),
+            (progress(STALL_MS, fills=True, pace=20), False),
+            (progress(STALL_MS, fills=True, cores_used=50), False),
+        )
+        for row, stalled in cases:
+            with self.subTest(row=row):
+                self.assertEqual(is_stalled(row), stalled)
+
+    def test_one_fill_does_not_blame_its_target(self) -> None:
+        fill = progress(STALL_MS, fills=True)
+        other = progress(STALL_MS, OTHER_JOB, fills=True)
+        self.assertFalse(blames_target([]))
+        self.assertFalse(blames_target([fill, fill]))
+        self.assertTrue(blames_target([fill, other]))
+        self.assertTrue(blames_target([progress(STALL_MS)]))
+
+    def test_copies_only_where_they_are_allowed_and_overdue(self) -> None:
+        allowed = progress(0, may_copy=True)
+        self.assertFalse(wants_copy(allowed, 1_000))
+        self.assertTrue(wants_copy(allowed, 1_100))
+        self.assertTrue(wants_copy(allowed._replace(silent=True), 0))
+        self.assertFalse(wants_copy(progress(0), 9_000))
+
+
+if __name__ == "__main__":
+    unittest.main()
