--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -20,7 +20,7 @@
 LATE_FACTOR = 3
 PERCENT = 100
 RISK_SHARE = 0.85
-OWN_MARGIN = 0.02
+OWN_MARGIN = 0.10
 HALF_PERCENT = 50
 SHORT_WORK_PERCENT = 7
 SERVING_USE_PERCENT = 35
--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -33,6 +33,7 @@
 
 LOOK_WAIT_MS = 1_000
 LONG_LOOK_WAIT_MS = 2_000
+RISKY_LOOK_WAIT_MS = 400
 RETRY_LOOK_MS = 250
 SURVEY_MS = 100
 RELIEF_PAUSE_MS = 600
@@ -206,8 +207,15 @@
             self.orders.send_stop(session, row.run)
 
     def _wait_ms(self, target: TargetState) -> int:
-        watched = target.serving and target.fills
-        return LOOK_WAIT_MS if watched else LONG_LOOK_WAIT_MS
+        if not target.serving or not target.fills:
+            return LONG_LOOK_WAIT_MS
+        table = self.lead.table
+        risky = any(
+            table.effect(serving, fill) > 0
+            for serving, _ in target.serving
+            for fill in target.fills
+        )
+        return RISKY_LOOK_WAIT_MS if risky else LOOK_WAIT_MS
 
     def _relieve(self, session: TargetSession, target: TargetState) -> None:
         now_ms = self.lead.clock.monotonic_ms()
