Trust targets again in time; do not keep a lasting task from two places

Probation ends after 2.5 s without a failure, one start is allowed each 0.4 s, and the reserve is not kept where two such tasks would fit.

--- a/packages/foxspring-jobs/foxspring_jobs/_health.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_health.py
@@ -5,26 +5,27 @@
 """
 
 FAILURES_TO_DISTRUST = 2
-DISTRUST_MS = 3_000
-LONGEST_DISTRUST_MS = 12_000
+DISTRUST_MS = 2_000
+LONGEST_DISTRUST_MS = 5_000
 MAX_DOUBLINGS = 2
+PROBE_GAP_MS = 400
+TRUST_AGAIN_MS = 2_500
 
 
 class TargetHealth:
-    """The failures of one target since its last success."""
+    """The failures of one target since its last success; times are the leader's."""
 
     def __init__(self) -> None:
         self.failed_jobs: set[str] = set()
         self.distrusted_until_ms = 0
+        self.probed_ms = 0
         self.rounds = 0
-        self.stalled = False
 
     def note_done(self) -> None:
         """Trust the target again: a run was done here."""
         self.failed_jobs.clear()
         self.rounds = 0
         self.distrusted_until_ms = 0
-        self.stalled = False
 
     def note_failed(self, job_id: str, now_ms: int) -> None:
         """Count a run that failed here; failures of several jobs blame the target."""
@@ -32,6 +33,10 @@
         if len(self.failed_jobs) >= FAILURES_TO_DISTRUST:
             self.distrust(now_ms)
 
+    def note_start(self, now_ms: int) -> None:
+        """Count a run that is given to the target."""
+        self.probed_ms = now_ms
+
     def distrust(self, now_ms: int) -> None:
         """Give the target no new work for a while, longer each time."""
         pause_ms = DISTRUST_MS << min(self.rounds, MAX_DOUBLINGS)
@@ -42,8 +47,14 @@
         """Tell whether the target has failed and not succeeded since."""
         return bool(self.failed_jobs) or self.rounds > 0
 
-    def may_start(self, now_ms: int, running: int) -> bool:
-        """Tell whether a run may be started; on probation one at a time."""
+    def may_start(self, now_ms: int) -> bool:
+        """Tell whether a run may be started; on probation one now and then.
+
+        A target that does not fail again for a while is trusted, since tasks
+        that last end too seldom to show a success.
+        """
         if now_ms < self.distrusted_until_ms:
             return False
-        return self.rounds == 0 or running == 0
+        if self.rounds and now_ms >= self.distrusted_until_ms + TRUST_AGAIN_MS:
+            self.note_done()
+        return self.rounds == 0 or now_ms >= self.probed_ms + PROBE_GAP_MS
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -298,6 +298,8 @@
         if not any(settled) and not starts:
             return
         self.lead.draft.apply(Advance(starts=starts), self.lead.clock.wall_ms())
+        for start in starts:
+            self.looks.note_start(start)
         self._commit(settled._replace(starts=starts), ends)
 
     def _commit(self, advance: Advance, ends: list[PendingEnd]) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -100,14 +100,25 @@
             return False
         if step.required_label and step.required_label not in registered.labels:
             return False
-        if step.lasting and not self._keeps_reserve(reserved):
-            return False
         if step.fills and self.pressed:
             return False
         bound = step.max_per_target
         return not bound or self.held_of(step_place(task)) < bound
 
-    def _keeps_reserve(self, reserved: Resources) -> bool:
+    def places(self, task: TaskKey, step: StepSpec, reserved: Resources) -> int:
+        """Return how many tasks of a step would fit here by size and bound."""
+        sizes = [
+            have // need
+            for have, need in zip(self.free, reserved, strict=True)
+            if need > 0
+        ]
+        fitting = max(0, min(sizes, default=0))
+        bound = step.max_per_target
+        if bound:
+            fitting = min(fitting, max(0, bound - self.held_of(step_place(task))))
+        return fitting
+
+    def keeps_reserve(self, reserved: Resources) -> bool:
         """Tell whether short work would still find room beside a lasting task."""
         capacity = self.target.registered.capacity.cores_milli
         left = self.free.cores_milli - reserved.cores_milli
@@ -402,6 +413,8 @@
         rooms: list[Room],
         patient: bool,
     ) -> Room | None:
+        if step.lasting:
+            rooms = self._rooms_for_lasting(task, step, job, rooms)
         best = None
         best_score: Score = ()
         failed_before = bool(self._attempts(job, task))
@@ -417,6 +430,22 @@
         # The second and third of a fill's score: too risky, too crowded.
         return None if best_score[1] or best_score[2] else best
 
+    def _rooms_for_lasting(
+        self, task: TaskKey, step: StepSpec, job: JobState, rooms: list[Room]
+    ) -> list[Room]:
+        """Return the targets that keep room for short work, if that suffices.
+
+        A task that lasts does not stay idle while two of it would fit.
+        """
+        reserved = step.reserved()
+        service = job.queue.service
+        fitting = [r for r in rooms if r.accepts(task, step, reserved, service)]
+        sparing = [room for room in fitting if room.keeps_reserve(reserved)]
+        if sparing:
+            return sparing
+        places = sum(room.places(task, step, reserved) for room in fitting)
+        return fitting if places > 1 else []
+
     def _attempts(self, job: JobState, task: TaskKey) -> int:
         return job.occurrences[task.occurrence][task.step].tasks[task.ordinal].attempts
 
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -75,11 +75,11 @@
         """Return which life of the target this is about."""
         return self.place.life
 
-    def may_start(self, now_ms: int, running: int) -> bool:
+    def may_start(self, now_ms: int) -> bool:
         """Tell whether new work may be given to the target now."""
         usable = self.taken_over and not (self.draining or self.fenced)
         heard = self.silent < SILENT_LOOKS
-        return usable and heard and self.health.may_start(now_ms, running)
+        return usable and heard and self.health.may_start(now_ms)
 
     def note_started(self, run: RunKey, now_ms: int) -> None:
         """Begin to follow a run whose start was acknowledged."""
--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -3,7 +3,13 @@
 import logging
 from collections.abc import Iterable
 
-from foxspring_jobs._commands import RegisterTarget, RunEnd, RunKey, TargetLife
+from foxspring_jobs._commands import (
+    RegisterTarget,
+    RunEnd,
+    RunKey,
+    RunStart,
+    TargetLife,
+)
 from foxspring_jobs._lead_state import LeadState, PendingEnd
 from foxspring_jobs._metrics import ENDS, LOOKS, LOST, RELIEFS
 from foxspring_jobs._operations import Answer
@@ -330,6 +336,12 @@
         if target is not None and life not in self.lead.gone:
             self.lead.gone.append(life)
 
+    def note_start(self, start: RunStart) -> None:
+        """Count a start that is about to be committed."""
+        session = self.lead.sessions.get(start.life.target_id)
+        if session is not None:
+            session.health.note_start(self.lead.clock.monotonic_ms())
+
     def overdue_runs(self) -> list[RunKey]:
         """Return the runs of tasks that should get a copy."""
         now_ms = self.lead.clock.monotonic_ms()
@@ -348,7 +360,7 @@
         rooms = []
         for session in self.lead.sessions.values():
             target = self.lead.draft.target(session.life)
-            if target is None or not session.may_start(now_ms, len(target.runs)):
+            if target is None or not session.may_start(now_ms):
                 continue
             limit = 1 if session.health.rounds else 0
             probation = session.health.on_probation()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -156,6 +156,16 @@
         starts = planner.plan(waiting_steps(state, 0))
         self.assertEqual({s.life.target_id for s in starts}, {"t2"})
 
+    def test_lasting_task_leaves_the_last_place_to_short_work(self) -> None:
+        state = state_with(registered("t1", cores=1_000))
+        submit(state, spec(serving()))
+        self.assertEqual(plan(state), [])
+
+    def test_lasting_task_does_not_stay_idle_where_two_would_fit(self) -> None:
+        state = state_with(registered("t1", cores=1_000), registered("t2", cores=1_000))
+        submit(state, spec(serving()))
+        self.assertEqual(len(plan(state)), 1)
+
     def test_serving_tasks_are_packed_by_image(self) -> None:
         state = self.serving_site()
         submit(state, spec(serving("web")))
