--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -75,6 +75,7 @@
         state.commit_index,
         now_ms,
         member_id in state.voters(),
+        to_member=member_id,
     )
 
 
@@ -85,6 +86,8 @@
     if message.term < state.term:
         _reply(state, sender, message, False, 0)
         return
+    if is_for_another(state, message.to_member):
+        return
     if refuses_as_emptied(state, message.to_voter):
         return
     accept_leader(state, message.term, message.leader_id, now_ms)
@@ -110,6 +113,11 @@
     state.draw_election_due(now_ms)
 
 
+def is_for_another(state: RaftState, to_member: str) -> bool:
+    """Tell whether a message means the member that had this address before."""
+    return to_member not in ("", state.member_id)
+
+
 def refuses_as_emptied(state: RaftState, to_voter: bool) -> bool:
     """Tell whether this member lost its disk and must not come back as itself.
 
--- a/packages/foxspring-control/foxspring_control/raft/_messages.py
+++ b/packages/foxspring-control/foxspring_control/raft/_messages.py
@@ -30,7 +30,8 @@
 class AppendEntries(NamedTuple):
     """The leader's entries after ``prev_index``; without entries a heartbeat.
 
-    ``to_voter`` tells the receiver whether the leader counts it for a quorum.
+    ``to_voter`` tells the receiver whether the leader counts it for a quorum,
+    ``to_member`` which member it means: another one may have its address now.
     """
 
     term: int
@@ -41,6 +42,7 @@
     sent_ms: int
     to_voter: bool
     entries: tuple[LogEntry, ...] = ()
+    to_member: str = ""
 
 
 class AppendReply(NamedTuple):
@@ -97,6 +99,7 @@
     sent_ms: int
     to_voter: bool
     data: bytes
+    to_member: str = ""
 
 
 class SnapshotReply(NamedTuple):
--- a/packages/foxspring-control/foxspring_control/raft/_snapshots.py
+++ b/packages/foxspring-control/foxspring_control/raft/_snapshots.py
@@ -63,6 +63,7 @@
         now_ms,
         member_id in state.voters(),
         b"",
+        member_id,
     )
 
 
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -4,6 +4,7 @@
     accept_leader,
     commit_if_quorum,
     flush,
+    is_for_another,
     note_silence,
     on_append_entries,
     on_append_reply,
@@ -144,6 +145,8 @@
 def _on_chunk(state: RaftState, sender: str, chunk: SnapshotChunk, now_ms: int) -> None:
     if chunk.term < state.term:
         return
+    if is_for_another(state, chunk.to_member):
+        return
     if refuses_as_emptied(state, chunk.to_voter):
         return
     accept_leader(state, chunk.term, chunk.leader_id, now_ms)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_address_reuse.py
@@ -0,0 +1,51 @@
+"""A process at an address that another member had takes none of its messages."""
+
+import pathlib
+import unittest
+
+from foxspring_control.raft._events import Received
+from foxspring_control.raft._messages import AppendEntries, Membership, SnapshotChunk
+from foxspring_control.raft._settings import RaftSettings
+from foxspring_control.raft._state import RaftState, StoredState
+from foxspring_control.raft._step import step
+from foxspring_control.raft._terms import TermTable
+
+NEW_ID = "b#2"
+
+
+def joining() -> RaftState:
+    """Return the state of a process with an empty disk that waits to join."""
+    settings = RaftSettings(NEW_ID, "b:1", pathlib.Path("unused"), ())
+    return RaftState(settings, StoredState(0, "", 0, TermTable()), 0)
+
+
+def heartbeat(to_member: str, to_voter: bool) -> AppendEntries:
+    return AppendEntries(3, "a", 0, 0, 0, 5, to_voter, to_member=to_member)
+
+
+def chunk(to_member: str) -> SnapshotChunk:
+    members = Membership()
+    return SnapshotChunk(3, "a", 9, 2, 9, members, 0, 8, 5, True, b"1234", to_member)
+
+
+class AddressReuseTest(unittest.TestCase):
+    def test_messages_to_the_earlier_member_change_nothing(self) -> None:
+        for message in (heartbeat("b", True), chunk("b")):
+            with self.subTest(kind=type(message).__name__):
+                state = joining()
+                _, effects = step(state, Received("a:1", message), 10)
+                self.assertEqual((state.refused, state.term, effects), ("", 0, []))
+
+    def test_messages_to_the_new_learner_are_taken(self) -> None:
+        state = joining()
+        step(state, Received("a:1", heartbeat(NEW_ID, False)), 10)
+        self.assertEqual((state.refused, state.leader_id), ("", "a"))
+
+    def test_emptied_disk_under_its_own_id_is_still_refused(self) -> None:
+        state = joining()
+        step(state, Received("a:1", heartbeat(NEW_ID, True)), 10)
+        self.assertNotEqual(state.refused, "")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -1,8 +1,6 @@
 """A target that keeps the contract on runs, leases, tokens and ends."""
 
-from typing import NamedTuple
-
-from foxspring_link import PausedClock
+from typing import NamedTuple, Protocol
 
 from foxspring_jobs._commands import RegisterTarget, RunKey
 from foxspring_jobs._orders import (
@@ -22,6 +20,14 @@
 LASTING_MS = 20_000
 
 
+class Clock(Protocol):
+    """The steady clock that a target's own is laid beside."""
+
+    @property
+    def now_ms(self) -> int:
+        """Return the reading in milliseconds."""
+
+
 class FakeRun(NamedTuple):
     """A run at work until ``ends_ms`` of the target's clock."""
 
@@ -33,7 +39,7 @@
     """One life of a target; its clock begins at ``clock_start``."""
 
     def __init__(
-        self, registered: RegisterTarget, clock: PausedClock, clock_start: int = 5_000
+        self, registered: RegisterTarget, clock: Clock, clock_start: int = 5_000
     ) -> None:
         self.registered = registered
         self.clock = clock
