--- a/packages/foxspring-jobs/foxspring_jobs/_entry.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_entry.py
@@ -38,6 +38,10 @@
         self.link.start()
         self.caller.start()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask other seeds from now on for the leader."""
+        self.caller.seeds = seeds
+
     def stop(self) -> None:
         """Close the links; requests must have ended before."""
         self.caller.close()
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -140,6 +140,7 @@
         self.leader_hint = ""
         self._leaderless_since_ms = clock.monotonic_ms()
         self._unheard_since: dict[str, int] = {}
+        self._group_size = len(settings.seeds)
         self._closing = threading.Event()
         self._keeper = threading.Thread(target=self._keep, name="group", daemon=True)
 
@@ -157,6 +158,11 @@
             ",".join(self.settings.seeds),
         )
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask other seeds from now on for the group and its leader."""
+        self.settings = self.settings._replace(seeds=seeds)
+        self.caller.seeds = seeds
+
     def hand_over(self) -> None:
         """Pass the leadership on, if this member has it."""
         if self.log.status().role != "leader":
@@ -214,7 +220,7 @@
 
     def _keep_once(self) -> None:
         if self.leadership.is_leader:
-            change = surplus_member(self._views(), len(self.settings.seeds))
+            change = surplus_member(self._views(), self._group_size)
             if change is not None:
                 self._change(change)
             return
