Let fills work again that an earlier leader had paced

Paces are the leader's memory only: fills that the earlier leader had paced to 0 stood still for good. The first look of a leadership now lets them work; what presses is paced anew. The test fails without it.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -31,7 +31,12 @@
     relieve,
 )
 from foxspring_jobs._session import TargetSession
-from foxspring_jobs._stalls import blames_target, is_stalled, wants_copy
+from foxspring_jobs._stalls import (
+    AT_WORK_PERCENT,
+    blames_target,
+    is_stalled,
+    wants_copy,
+)
 from foxspring_jobs._state import EndKind, TargetState
 from foxspring_jobs._target_orders import TargetOrders
 
@@ -191,9 +196,18 @@
             self.lead.plan_due = True
             self.orders.resend_unlisted(session, listed)
             self.orders.stop_useless(list(target.runs))
+            self._unpace(session, target, listed)
         if not news:
             self.look(session, self._wait_ms(target))
 
+    def _unpace(
+        self, session: TargetSession, target: TargetState, listed: set[RunKey]
+    ) -> None:
+        """Let fills work that an earlier leader may have paced."""
+        for run, step in target.runs.items():
+            if step.fills and run in listed and target.serving:
+                self.orders.order(session, PaceOrder(run, AT_WORK_PERCENT))
+
     def _replace_stalled(self, session: TargetSession, target: TargetState) -> None:
         now_ms = self.lead.clock.monotonic_ms()
         stalled = [row for row in session.progress_of(target) if is_stalled(row)]
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -82,6 +82,20 @@
                 self.assertEqual(site.broken, [])
                 self.assertIs(site.phase(), JobPhase.COMPLETED)
 
+    def test_fills_that_an_earlier_leader_paced_work_again(self) -> None:
+        site = self.site("t1")
+        target = site.targets["t1.example:80"]
+        target.work_ms = 60_000
+        serving = step(1, lasting=True, image="web", latency_target_ms=50)
+        site.submit(spec(serving), OTHER_JOB)
+        site.submit(spec(step(1, fills=True, image="f")))
+        site.run(300)
+        fill = run_key()
+        target.paces[fill] = 0
+        site.change_leader(pause_ms=200)
+        site.run(300)
+        self.assertEqual(target.paces[fill], 100)
+
     def test_order_held_back_over_a_change_does_not_run_twice(self) -> None:
         for delay_ms in (100, 700, 2_000, 5_000):
             with self.subTest(delay_ms=delay_ms):
