--- a/packages/foxspring-jobs/foxspring_jobs/__init__.py
+++ b/packages/foxspring-jobs/foxspring_jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs of several steps: replicated state, placement and orders to targets."""
 
+from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._caller import CallerSettings, ControlCaller
 from foxspring_jobs._commands import (
     RegisterTarget,
@@ -55,6 +56,7 @@
 from foxspring_jobs._state import EndKind
 
 __all__ = [
+    "AdviceCall",
     "Answer",
     "CallerSettings",
     "CancelCall",
--- a/packages/foxspring-jobs/foxspring_jobs/_lead_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_lead_state.py
@@ -5,6 +5,7 @@
 
 from foxspring_model import Clock
 
+from foxspring_jobs._advice import AdviceBook, AdviceCall
 from foxspring_jobs._commands import Command, RegisterTarget, RunEnd, TargetLife
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._metrics import Metrics
@@ -38,6 +39,9 @@
     def release(self, session: TargetSession) -> None:
         """Drop the connections to a target and what waits for it."""
 
+    def advise(self, call: AdviceCall) -> None:
+        """Ask the placement service; its answer comes back as ``on_advice``."""
+
     def lease_valid(self) -> bool:
         """Tell whether no other member can lead now."""
 
@@ -82,6 +86,7 @@
         self.turns: dict[str, int] = {}
         self.plan_due = True
         self.table = Interference()
+        self.advice = AdviceBook()
         self.decide: Callable[[], None] = lambda: None
         self.register: Callable[[RegisterTarget, Respond], None] = lambda _t, _r: None
         self.lose: Callable[[TargetLife, str], None] = lambda _life, _why: None
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -10,6 +10,7 @@
 
 from foxspring_model import Clock
 
+from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._commands import (
     Advance,
     CancelJob,
@@ -35,7 +36,14 @@
 )
 from foxspring_jobs._operations import Answer, Outcome, TargetReport
 from foxspring_jobs._orders import Order, Reading
-from foxspring_jobs._placement import Planner, began_ms, waiting_steps
+from foxspring_jobs._placement import (
+    Allowed,
+    Planner,
+    StepPlace,
+    Waiting,
+    began_ms,
+    waiting_steps,
+)
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import JobSpec, Queue
 from foxspring_jobs._state import State
@@ -364,10 +372,55 @@
         overdue = self.looks.overdue_runs()
         if not waiting and not overdue:
             return ()
-        planner = Planner(self.lead.draft, self.looks.rooms(), self.lead.table)
+        allowed = self._allowed(waiting)
+        rooms = self.looks.rooms()
+        planner = Planner(self.lead.draft, rooms, self.lead.table, allowed)
         starts = planner.plan(waiting)
+        self._ask_advice(waiting, planner)
         return (*starts, *planner.plan_copies(overdue))
 
+    # Advice.
+
+    def _allowed(self, waiting: list[Waiting]) -> Allowed:
+        now_ms = self.lead.clock.monotonic_ms()
+        allowed: dict[StepPlace, frozenset[str]] = {}
+        for step in waiting:
+            if self.lead.draft.active[step.job_id].queue.needs_advice():
+                tickets = self.lead.advice.valid(step.place(), now_ms)
+                allowed[step.place()] = frozenset(tickets)
+        return allowed
+
+    def _ask_advice(self, waiting: list[Waiting], planner: Planner) -> None:
+        asking = []
+        for step in waiting:
+            job = self.lead.draft.active[step.job_id]
+            if job.queue.needs_advice():
+                asking.append((step.place(), planner.candidates(job, step)))
+        call = self.lead.advice.next_call(asking, self.lead.clock.monotonic_ms())
+        if call is not None:
+            self.lead.ports.advise(call)
+
+    def on_advice(
+        self, call: AdviceCall, allowed: tuple[tuple[str, str], ...] | None
+    ) -> None:
+        """Take the placement service's answer."""
+        if self.lead.deposed:
+            return
+        job = self.lead.draft.jobs.get(call.job_id)
+        _LOG.info(
+            "event=advice_taken job=%s step=%d.%d asked=%d allowed=%s",
+            *call.place(),
+            len(call.targets),
+            "-" if allowed is None else len(allowed),
+        )
+        if job is None:
+            self.lead.advice.asking = None
+            return
+        now_ms = self.lead.clock.monotonic_ms()
+        self.lead.advice.take(call, job.queue, allowed, now_ms)
+        self.lead.plan_due = True
+        self.decide()
+
 
 def _log_steps(job_id: str, spec: JobSpec) -> None:
     for number, step in enumerate(spec.steps):
--- a/packages/foxspring-jobs/foxspring_jobs/_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_orders.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
+from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._commands import RunKey, TargetLife
 
 
@@ -124,6 +125,9 @@
     ) -> Reading:
         """Give an order under a token, and renew the lease with it."""
 
+    def advise(self, call: AdviceCall) -> tuple[tuple[str, str], ...] | None:
+        """Ask which targets a step may use: ids and tickets, none if unanswered."""
+
     def forget(self, place: TargetPlace) -> None:
         """Close the connections to a target that is gone."""
 
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -12,7 +12,7 @@
 
 from foxspring_model import Resources
 
-from foxspring_jobs._commands import RunKey, RunStart, TaskKey
+from foxspring_jobs._commands import RunKey, RunStart, TargetLife, TaskKey
 from foxspring_jobs._interference import CORE, FIRST_QUIET, Interference
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import JobState, State, TargetState
@@ -229,6 +229,10 @@
     occurrence: int
     step: int
 
+    def place(self) -> StepPlace:
+        """Return which step of which occurrence waits."""
+        return self.job_id, self.occurrence, self.step
+
 
 def chain_ms(job: JobState, occurrence: int) -> int:
     """Return the estimated longest chain of steps that are not done."""
@@ -344,6 +348,19 @@
                 starts.append(RunStart(RunKey(run.task, number), room.target.life))
         return starts
 
+    def candidates(self, job: JobState, waiting: Waiting) -> list[TargetLife]:
+        """Return the targets with room for a step's task, best first."""
+        step = job.spec.steps[waiting.step]
+        task = TaskKey(*waiting.place(), 0)
+        reserved = step.reserved()
+        service = job.queue.service
+        scored = [
+            (self._score(room, step, False), room.target.life)
+            for room in self.rooms
+            if room.accepts(task, step, reserved, service)
+        ]
+        return [life for _, life in sorted(scored)]
+
     def has_place(self, task: TaskKey, step: StepSpec, job: JobState) -> bool:
         """Tell whether a task would find a good target, and count it there."""
         room = self._choose(task, step, job, self.rooms, patient=True)
@@ -354,8 +371,7 @@
     def _usable_rooms(self, job: JobState, waiting: Waiting) -> list[Room]:
         if not job.queue.needs_advice():
             return self.rooms
-        place = (waiting.job_id, waiting.occurrence, waiting.step)
-        names = self.allowed.get(place, frozenset())
+        names = self.allowed.get(waiting.place(), frozenset())
         return [room for room in self.rooms if room.target.life.target_id in names]
 
     def _plan_tasks(
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -13,6 +13,7 @@
 from foxspring_control.raft import LeadershipChange, ReplicatedLog
 from foxspring_model import Clock
 
+from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._call_handler import CallHandler
 from foxspring_jobs._commands import Command, encode_command
 from foxspring_jobs._lead_state import LeaderSettings
@@ -104,6 +105,7 @@
         self.generation = 0
         self.channels: dict[TargetSession, _Channel] = {}
         self.lane = _Lane.start()
+        self.advice_lane = _Lane.start()
         self._timers: list[tuple[int, int, Action]] = []
         self._numbers = itertools.count()
         self._closing = threading.Event()
@@ -117,6 +119,7 @@
         """Stop leading and end every lane."""
         self._closing.set()
         self.post(self._end_leader)
+        self.advice_lane.stop(block=False)
         self.lane.stop()
 
     def post(self, action: Action) -> None:
@@ -256,6 +259,17 @@
 
         tell(channel.orders, run)
 
+    def advise(self, call: AdviceCall) -> None:
+        """Ask the placement service on a lane of its own."""
+        leader = self.leader
+
+        def run() -> None:
+            allowed = self.api.advise(call)
+            if leader is not None:
+                self.post(lambda: leader.on_advice(call, allowed))
+
+        tell(self.advice_lane, run)
+
     def release(self, session: TargetSession) -> None:
         """Drop the connections to a target and what waits for it."""
         channel = self.channels.pop(session, None)
--- a/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
@@ -31,7 +31,9 @@
         if job.has_ended() or task.done:
             self.send_stop(session, run)
             return
-        self.order(session, StartOrder(run, job.spec.payload, task.checkpoint))
+        ticket = self.lead.advice.ticket(run.task[:3], session.life)
+        order = StartOrder(run, job.spec.payload, task.checkpoint, ticket)
+        self.order(session, order)
 
     def send_stop(self, session: TargetSession, run: RunKey) -> None:
         """Order a run to stop, once."""
@@ -111,6 +113,8 @@
         if result is Result.OK:
             session.note_started(run, now_ms)
             return
+        if result is Result.NO_TICKET:
+            self.lead.advice.drop(run.task[:3])
         if result is Result.OLD:
             session.unsettled[run] = now_ms
         elif run in session.doubtful:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_site.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_site.py
@@ -7,6 +7,7 @@
 
 from foxspring_link import PausedClock
 
+from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._commands import Command, RegisterTarget, RunKey
 from foxspring_jobs._lead_state import LeaderSettings
 from foxspring_jobs._leader import Leader
@@ -15,7 +16,7 @@
 from foxspring_jobs._orders import HoldRequest, Order, Reading, Result, StartOrder
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._snapshot import decode_state, encode_state
-from foxspring_jobs._specs import JobSpec
+from foxspring_jobs._specs import JobSpec, Queue
 from foxspring_jobs._state import EndKind, JobPhase, State
 from foxspring_jobs.tests.builders import JOB, QUEUE, state_with
 from foxspring_jobs.tests.fake_target import FakeTarget
@@ -23,6 +24,7 @@
 COMMIT_MS = 20
 CALL_MS = 1
 STEP_MS = 5
+ADVICE_MS = 40
 TICK_MS = 50
 HEARTBEAT_MS = 1_000
 NO_ANSWER_MS = 600
@@ -109,6 +111,19 @@
         if self.leads:
             action(self.site.leader)
 
+    def advise(self, call: AdviceCall) -> None:
+        """Allow the targets that the site allows, after a while."""
+        self.site.asked.append(call)
+        allowed = tuple(
+            (life.target_id, f"ticket-{life.target_id}")
+            for life in call.targets
+            if life.target_id in self.site.allowed
+        )
+        self.site.later(
+            ADVICE_MS,
+            lambda: self._tell(lambda leader: leader.on_advice(call, allowed)),
+        )
+
     def release(self, session: TargetSession) -> None:
         """Nothing is kept for a session."""
 
@@ -135,6 +150,8 @@
         self._events: list[tuple[int, int, Callable[[], Any]]] = []
         self._numbers = itertools.count()
         self.term = 0
+        self.allowed: set[str] = set()
+        self.asked: list[AdviceCall] = []
         for target in registered:
             self.add(target)
         self.lead()
@@ -172,9 +189,9 @@
         self.run(pause_ms, leading=False)
         self.lead()
 
-    def submit(self, job: JobSpec, job_id: str = JOB) -> None:
+    def submit(self, job: JobSpec, job_id: str = JOB, queue: Queue = QUEUE) -> None:
         """Hand in a job."""
-        self.leader.submit(job_id, QUEUE, job, self.answers.append)
+        self.leader.submit(job_id, queue, job, self.answers.append)
 
     def cancel(self, job_id: str = JOB) -> None:
         """Cancel a job."""
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -57,6 +57,7 @@
         self.hears = True
         self.answers = True
         self.hangs = False
+        self.tickets: set[str] = set()
         self.figures: dict[RunKey, int] = {}
         self.paces: dict[RunKey, int] = {}
 
@@ -107,6 +108,7 @@
             return Reading(Result.FENCED, self.now())
         self.token = token
         if isinstance(order, StartOrder):
+            self.tickets.add(order.ticket)
             return self._start(order.run, lease_until)
         if isinstance(order, StopOrder):
             self._stop(order.run)
