--- a/packages/foxspring-jobs/foxspring_jobs/_pressure.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_pressure.py
@@ -13,8 +13,8 @@
 from foxspring_jobs._interference import CORE, Interference
 
 PERCENT = 100
-PRESSED_SHARE = 0.85
-GOAL_SHARE = 0.75
+PRESSED_SHARE = 0.95
+GOAL_SHARE = 0.85
 CLEAR_AFTER_MS = 1_200
 PACE_STEP_PERCENT = 10
 LEAST_RAISE_PERCENT = 20
