Split placement into rooms, waiting and plans; name the path of refused calls

Calls that an entry refuses at once had no line; foxspring explain now tells them from calls given up.

--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_explanation.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_explanation.py
@@ -63,6 +63,10 @@
         return ""
     if _count(events, "job_malformed"):
         return "the body could not be read: see reason"
+    if _count(events, "call_refused"):
+        return "refused at once: its entry had lost control (see silent_ms)"
+    if _count(events, "call_given_up", may_have_run="True"):
+        return "no leader answered in time; it may have been accepted"
     return "never accepted: no leader committed it"
 
 
--- a/packages/foxspring-daemon/foxspring_daemon/tests/test_explain.py
+++ b/packages/foxspring-daemon/foxspring_daemon/tests/test_explain.py
@@ -28,6 +28,10 @@
 FAILED = line(3, f"run_ended job={JOB} task=0.0.1 run=1 target=t1 kind=failed")
 OTHER = line(2, "job_submitted job=0000000000000000 queue=q committed=True active=3")
 LOST = line(4, "target_lost target=t1 born=5 why=lease_lapsed runs=2")
+REFUSED = line(1, f"call_refused kind=SubmitCall path=/q/{JOB} silent_ms=2500")
+GIVEN_UP = line(
+    1, f"call_given_up kind=SubmitCall path=/q/{JOB} attempts=7 may_have_run=True"
+)
 MALFORMED = line(1, f'job_malformed path=/q/{JOB} reason="no steps"', "entry-1")
 
 
@@ -47,6 +51,8 @@
             (ACCEPTED + STARTED + FAILED, "1 runs failed on one target"),
             (ACCEPTED + STARTED + LOST, "lost 1 targets it ran on (lease_lapsed)"),
             (MALFORMED, "could not be read"),
+            (REFUSED, "had lost control"),
+            (GIVEN_UP, "no leader answered in time"),
             (OTHER, "no line names it"),
             (ACCEPTED + STARTED, "nothing unusual"),
         )
--- a/packages/foxspring-jobs/foxspring_jobs/_advice.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_advice.py
@@ -8,10 +8,9 @@
 from typing import NamedTuple
 
 from foxspring_jobs._commands import TargetLife
+from foxspring_jobs._rooms import StepPlace
 from foxspring_jobs._specs import Queue
 
-StepPlace = tuple[str, int, int]
-
 MOST_TARGETS_A_CALL = 30
 RETRY_MS = 300
 VALIDITY_MARGIN_PERCENT = 80
--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -111,6 +111,12 @@
         began_ms = self.clock.monotonic_ms()
         if self._control_is_lost():
             answer = Answer(Outcome.UNAVAILABLE, "no control leader")
+            _LOG.warning(
+                "event=call_refused kind=%s path=%s silent_ms=%d",
+                type(operation).__name__,
+                _path_of(operation),
+                began_ms - self.answered_ms,
+            )
         else:
             answer = self._find_answer(operation, timeout_ms)
         kind = type(operation).__name__
@@ -193,8 +199,9 @@
     def _given_up(self, operation: Any, doubtful: bool, attempts: int) -> Answer:
         if not isinstance(operation, PingLeader):
             _LOG.warning(
-                "event=call_given_up kind=%s attempts=%d may_have_run=%s",
+                "event=call_given_up kind=%s path=%s attempts=%d may_have_run=%s",
                 type(operation).__name__,
+                _path_of(operation),
                 attempts,
                 doubtful,
             )
@@ -213,6 +220,11 @@
                 )
 
 
+def _path_of(operation: Any) -> str:
+    """Return which job or queue a call is about, for the logs."""
+    return getattr(operation, "path", "") or "-"
+
+
 def _truthful(operation: Any, answer: Answer, doubtful: bool) -> Answer:
     """Return the answer, unless it denies what an earlier attempt may have done."""
     denies = answer.outcome in (Outcome.UNAVAILABLE, Outcome.NO_QUEUE)
--- a/packages/foxspring-jobs/foxspring_jobs/_entry.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_entry.py
@@ -1,6 +1,5 @@
 """An entry of the job interface: its link and its way to the leader."""
 
-import logging
 from typing import Any
 
 from foxspring_link import Link
@@ -11,8 +10,6 @@
 from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import NotLeading, Reply
 
-_LOG = logging.getLogger(__name__)
-
 
 class JobEntry:
     """Passes callers' requests to the leader; holds no state of its own."""
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -36,19 +36,19 @@
 )
 from foxspring_jobs._operations import Answer, Outcome, TargetReport
 from foxspring_jobs._orders import Order, Reading
-from foxspring_jobs._placement import (
-    Allowed,
-    Planner,
-    StepPlace,
-    Waiting,
-    began_ms,
-    waiting_steps,
-)
+from foxspring_jobs._placement import Allowed, Planner
+from foxspring_jobs._rooms import StepPlace
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import JobSpec, Queue
 from foxspring_jobs._state import State
 from foxspring_jobs._target_looks import TargetLooks
 from foxspring_jobs._target_orders import TargetOrders
+from foxspring_jobs._waiting import (
+    Waiting,
+    due_occurrences,
+    expired_jobs,
+    waiting_steps,
+)
 
 _LOG = logging.getLogger(__name__)
 
@@ -258,8 +258,10 @@
             self._log_load()
         if now_ms >= self.swept_ms + SWEEP_MS:
             self.swept_ms = now_ms
-            self.opened = self._due_occurrences()
-            self.forgotten = self._expired_jobs()
+            wall_ms = self.lead.clock.wall_ms()
+            keep_ms = self.lead.settings.keep_ended_ms * FORGET_FACTOR_PERCENT // 100
+            self.opened = due_occurrences(self.lead.draft, wall_ms)
+            self.forgotten = expired_jobs(self.lead.draft, wall_ms - keep_ms)
         if now_ms >= self.planned_ms + REPLAN_MS:
             self.lead.plan_due = True
         self.decide()
@@ -341,28 +343,6 @@
             waited_ms = self.lead.clock.wall_ms() - job.submitted_ms
             self.metrics.observe_ms(FIRST_START_SECONDS, max(0, waited_ms))
 
-    def _due_occurrences(self) -> tuple[tuple[str, int], ...]:
-        wall_ms = self.lead.clock.wall_ms()
-        due = []
-        for job in self.lead.draft.active.values():
-            if not job.spec.is_timed():
-                continue
-            for number in range(job.spec.repetitions):
-                if number not in job.occurrences and wall_ms >= began_ms(job, number):
-                    due.append((job.job_id, number))
-        return tuple(due)
-
-    def _expired_jobs(self) -> tuple[str, ...]:
-        keep_ms = self.lead.settings.keep_ended_ms * FORGET_FACTOR_PERCENT // 100
-        limit = self.lead.clock.wall_ms() - keep_ms
-        return tuple(
-            job.job_id
-            for job in self.lead.draft.jobs.values()
-            if job.has_ended()
-            and job.ended_ms < limit
-            and not any(self.lead.draft.runs_of(job))
-        )
-
     def _plan(self) -> tuple[RunStart, ...]:
         if not self.lead.plan_due:
             return ()
--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -21,7 +21,7 @@
     StopOrder,
     TargetView,
 )
-from foxspring_jobs._placement import Planner, Room
+from foxspring_jobs._placement import Planner
 from foxspring_jobs._pressure import (
     FillRow,
     Move,
@@ -30,6 +30,7 @@
     ServingRow,
     relieve,
 )
+from foxspring_jobs._rooms import Room
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._stalls import (
     AT_WORK_PERCENT,
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -0,0 +1,104 @@
+"""What waits: steps in the order to serve them, times that are due, old jobs.
+
+Load pattern: more comes than fits. What can still meet its aim goes first, by
+slack, within its priority; what can only be late, or not even that, waits for it.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from foxspring_jobs._rooms import StepPlace
+from foxspring_jobs._state import JobState, State
+
+LATE_FACTOR = 3
+
+
+class Waiting(NamedTuple):
+    """A step with tasks to start; sorts as it should be served."""
+
+    priority: int
+    lateness: int
+    slack_ms: int
+    job_id: str
+    occurrence: int
+    step: int
+
+    def place(self) -> StepPlace:
+        """Return which step of which occurrence waits."""
+        return self.job_id, self.occurrence, self.step
+
+
+def chain_ms(job: JobState, occurrence: int) -> int:
+    """Return the estimated longest chain of steps that are not done."""
+    steps = job.occurrences[occurrence]
+    lengths: list[int] = []
+    for spec, step in zip(job.spec.steps, steps, strict=True):
+        before = max((lengths[n] for n in spec.after), default=0)
+        lengths.append(before + (spec.estimated_ms if step.undone else 0))
+    return max(lengths)
+
+
+def aim_ms(job: JobState) -> int:
+    """Return how long after its beginning a job should be completed."""
+    stretched = int(job.queue.stretch_factor * job.spec.longest_chain_ms())
+    return stretched + job.queue.latency_target_ms
+
+
+def began_ms(job: JobState, occurrence: int) -> int:
+    """Return the wall time that an occurrence's aim is counted from."""
+    if job.spec.is_timed():
+        return job.spec.first_due_ms + occurrence * job.spec.interval_ms
+    return job.submitted_ms
+
+
+def waiting_steps(state: State, wall_ms: int) -> list[Waiting]:
+    """Return the steps that may start tasks, in the order to serve them."""
+    found: list[Waiting] = []
+    for job in state.active.values():
+        for occurrence, steps in job.occurrences.items():
+            if any(step.idle for step in steps):
+                found += _waiting_of(job, occurrence, wall_ms)
+    return sorted(found)
+
+
+def _waiting_of(job: JobState, occurrence: int, wall_ms: int) -> Iterator[Waiting]:
+    aim = aim_ms(job)
+    age_ms = wall_ms - began_ms(job, occurrence)
+    rest_ms = chain_ms(job, occurrence)
+    slack_ms = aim - age_ms - rest_ms
+    late_slack_ms = LATE_FACTOR * aim - age_ms - rest_ms
+    lateness = 0 if slack_ms >= 0 else (1 if late_slack_ms >= 0 else 2)
+    if job.spec.lasts():
+        # Short work goes first: it gives its room back soon.
+        lateness = 1
+    for number, step in enumerate(job.occurrences[occurrence]):
+        if step.idle and job.step_is_ready(occurrence, number):
+            yield Waiting(
+                job.queue.priority,
+                lateness,
+                slack_ms,
+                job.job_id,
+                occurrence,
+                number,
+            )
+
+
+def due_occurrences(state: State, wall_ms: int) -> tuple[tuple[str, int], ...]:
+    """Return the occurrences of timed jobs that have fallen due unopened."""
+    due = []
+    for job in state.active.values():
+        if not job.spec.is_timed():
+            continue
+        for number in range(job.spec.repetitions):
+            if number not in job.occurrences and wall_ms >= began_ms(job, number):
+                due.append((job.job_id, number))
+    return tuple(due)
+
+
+def expired_jobs(state: State, limit_ms: int) -> tuple[str, ...]:
+    """Return the jobs that ended before ``limit_ms`` and have nothing running."""
+    return tuple(
+        job.job_id
+        for job in state.jobs.values()
+        if job.has_ended() and job.ended_ms < limit_ms and not any(state.runs_of(job))
+    )
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -4,9 +4,11 @@
 
 from foxspring_jobs._commands import RunStart
 from foxspring_jobs._interference import Interference
-from foxspring_jobs._placement import Planner, Room, waiting_steps
+from foxspring_jobs._placement import Planner
+from foxspring_jobs._rooms import Room
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import State
+from foxspring_jobs._waiting import waiting_steps
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
