Refuse heartbeats of services that no configuration names

A stray heartbeat with an unknown service and the address of a real target retired that target at once, so its runs could have begun elsewhere while they went on. Found by reading; the test fails without the change (the target is gone, the stranger stays).

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -193,6 +193,10 @@
         """Take a target's heartbeat; acknowledged once what is new is committed."""
         fresh = report.registered
         life = fresh.life
+        problem = self._unusable(fresh)
+        if problem is not None:
+            answer(problem)
+            return
         known = self.lead.draft.targets.get(life.target_id)
         if known is not None and known.life.born_ms > life.born_ms:
             answer(Answer(Outcome.OK, "older life"))
@@ -214,6 +218,24 @@
         else:
             self._register(fresh, answer)
 
+    def _unusable(self, fresh: RegisterTarget) -> Answer | None:
+        """Return the answer to a target that no configuration speaks of.
+
+        It must not even push out another one at its address.
+        """
+        table = self.lead.draft.table
+        if table.version == 0:
+            return Answer(Outcome.UNAVAILABLE, "no configuration yet")
+        if any(pool.name == fresh.service for pool in table.pools):
+            return None
+        _LOG.warning(
+            "event=target_refused target=%s service=%s reason=%r",
+            fresh.life.target_id,
+            fresh.service,
+            "unknown service",
+        )
+        return Answer(Outcome.INVALID, f"unknown service {fresh.service}")
+
     def _register(
         self, fresh: RegisterTarget, answer: Callable[[Answer], None]
     ) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -1,6 +1,6 @@
 import unittest
 
-from foxspring_jobs._operations import Outcome
+from foxspring_jobs._operations import Outcome, TargetReport
 from foxspring_jobs._state import JobPhase
 from foxspring_jobs.tests.builders import (
     JOB,
@@ -168,6 +168,20 @@
         self.assertIs(site.phase(), JobPhase.COMPLETED)
         self.assertNotIn("t1", site.leader.lead.draft.targets)
 
+    def test_stranger_with_a_targets_address_changes_nothing(self) -> None:
+        site = self.site()
+        site.submit(spec(step(4)))
+        site.run(100)
+        stranger = registered("x", born_ms=99, address="t1.example:80")
+        stranger = stranger._replace(service="other")
+        report = TargetReport(stranger, 1, 5)
+        site.leader.report(report, site.answers.append)
+        self.assertEqual(site.answers[-1].outcome, Outcome.INVALID)
+        site.run(1_500)
+        self.assertIn("t1", site.leader.lead.draft.targets)
+        self.assertNotIn("x", site.leader.lead.draft.targets)
+        self.assertIs(site.phase(), JobPhase.COMPLETED)
+
     def test_target_that_fails_everything_does_not_fail_the_jobs(self) -> None:
         site = self.site("t1", "t2", "t3")
         site.targets["t1.example:80"].fails = True
