--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -126,6 +126,7 @@
             if self._closed:
                 return
             self._closed = True
+        self._storage.space.give_up()
         self._inbox.put(None)
         if self._thread.is_alive() and threading.current_thread() != self._thread:
             self._thread.join()
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -156,7 +156,7 @@
 
     def _install(self, effect: InstallSnapshot) -> None:
         state = self.state
-        self.snapshots.take(wait=True)
+        self.snapshots.take(self.clock.monotonic_ms(), wait=True)
         path = self.storage.accept_incoming(effect.snapshot)
         if effect.reset:
             self.storage.reset_log(state.term, state.voted_for, effect.snapshot)
@@ -297,15 +297,18 @@
         held = state.snapshot.snapshot_index if state.snapshot else 0
         index = self.applied_index
         due = index - held >= state.settings.snapshot_every_entries
-        if not due or self.snapshots.is_writing():
+        if not due or not self.snapshots.may_begin(self.clock.monotonic_ms()):
             return
         term = state.log.term_at(index) or 0
         path = self.storage.snapshot_path(index)
         self.snapshots.begin(path, index, term, state.membership_at(index))
 
     def _take_snapshot(self, now_ms: int) -> None:
-        snapshot = self.snapshots.take()
+        was_writing = self.snapshots.is_writing()
+        snapshot = self.snapshots.take(now_ms)
         if snapshot is None:
+            if was_writing and not self.snapshots.is_writing():
+                self._act_on_deferred()
             return
         self.storage.record_snapshot(snapshot)
         step(self.state, snapshot, now_ms)
--- a/packages/foxspring-control/foxspring_control/raft/_segments.py
+++ b/packages/foxspring-control/foxspring_control/raft/_segments.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from foxspring_control._replication import LogEntry
+from foxspring_control.raft._disk_space import DiskSpace
 from foxspring_control.raft._frames import (
     HEADER_BYTES,
     DamagedLogError,
@@ -26,6 +27,7 @@
 SEGMENT_SUFFIX = ".seg"
 
 Sync = Callable[[int], None]
+Write = Callable[[int, memoryview], int]
 
 
 def sync_folder(folder: Path) -> None:
@@ -85,15 +87,22 @@
 class SegmentLog:
     """Appends frames, reads entries back and deletes whole old segments.
 
-    Not safe for use from several threads. Every method may raise ``OSError``;
-    after one nothing more may be answered for.
+    Not safe for use from several threads. Writing waits while the disk is full.
+    Every method may raise ``OSError``; after one nothing more may be answered for.
     """
 
     def __init__(
-        self, folder: Path, segment_bytes: int, sync: Sync = os.fdatasync
+        self,
+        folder: Path,
+        segment_bytes: int,
+        sync: Sync = os.fdatasync,
+        space: DiskSpace | None = None,
+        write: Write = os.write,
     ) -> None:
         self.folder = folder
         self.segment_bytes = segment_bytes
+        self.space = space or DiskSpace()
+        self._write_some = write
         self.sync_count = 0
         self.torn_bytes = 0
         self._sync = sync
@@ -119,7 +128,8 @@
             is_last = number == numbers[-1]
             sequence = self._load_segment(number, is_last, sequence, on_frame)
         self._oldest = numbers[0] if numbers else 1
-        self._open(numbers[-1] if numbers else 1)
+        newest = numbers[-1] if numbers else 1
+        self.space.wait_for(lambda: self._open(newest), "segment")
 
     def _check_numbers(self, numbers: list[int]) -> None:
         for before, after in zip(numbers, numbers[1:], strict=False):
@@ -181,16 +191,25 @@
     def write(self, frame: Frame) -> None:
         """Append a frame; it counts only after :meth:`sync`."""
         if self._sizes[self._segment] >= self.segment_bytes:
-            os.close(self._descriptor)
-            self._open(self._segment + 1)
+            self.close()
+            following = self._segment + 1
+            self.space.wait_for(lambda: self._open(following), "segment")
         data = encode_frame(frame)
         self._note_place(frame, self._segment, self._sizes[self._segment])
-        view = memoryview(data)
-        while view:
-            written = os.write(self._descriptor, view)
-            view = view[written:]
+        self.space.wait_for(lambda: self._append(data), "frame")
         self._sizes[self._segment] += len(data)
 
+    def _append(self, data: bytes) -> None:
+        """Write a whole frame at the segment's end, or nothing that stays."""
+        end = self._sizes[self._segment]
+        view = memoryview(data)
+        try:
+            while view:
+                view = view[self._write_some(self._descriptor, view) :]
+        except OSError:
+            os.ftruncate(self._descriptor, end)
+            raise
+
     def sync(self) -> None:
         """Make everything written so far last."""
         self._sync(self._descriptor)
@@ -275,7 +294,12 @@
     def _open(self, number: int) -> None:
         path = self._path(number)
         flags = os.O_CREAT | os.O_RDWR | os.O_APPEND
-        self._descriptor = os.open(path, flags, 0o600)
+        descriptor = os.open(path, flags, 0o600)
+        try:
+            sync_folder(self.folder)
+        except OSError:
+            os.close(descriptor)
+            raise
+        self._descriptor = descriptor
         self._segment = number
-        self._sizes[number] = os.fstat(self._descriptor).st_size
-        sync_folder(self.folder)
+        self._sizes[number] = os.fstat(descriptor).st_size
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -8,10 +8,16 @@
 import msgspec
 
 from foxspring_control._replication import LogEntry
+from foxspring_control.raft._disk_space import DiskSpace
 from foxspring_control.raft._events import SnapshotStored
 from foxspring_control.raft._frames import DamagedLogError, Frame
 from foxspring_control.raft._messages import Membership, SnapshotChunk
-from foxspring_control.raft._segments import SegmentLog, Sync, sync_folder
+from foxspring_control.raft._segments import (
+    SegmentLog,
+    Sync,
+    Write,
+    sync_folder,
+)
 from foxspring_control.raft._state import (
     MEMBERS_KIND,
     StoredState,
@@ -125,8 +131,8 @@
 class Storage:
     """One member's log, hard state and latest snapshot in its data folder.
 
-    Use it from one thread. A raised ``OSError`` means that nothing more may
-    be answered for: the process must end.
+    Use it from one thread. Writing waits while the disk is full. A raised
+    ``OSError`` means that nothing more may be answered for: the process must end.
     """
 
     def __init__(
@@ -136,10 +142,12 @@
         segment_bytes: int,
         tail_bytes: int,
         sync: Sync = os.fdatasync,
+        write: Write = os.write,
     ) -> None:
         self.folder = folder
         self.member_id = member_id
-        self.log = SegmentLog(folder, segment_bytes, sync)
+        self.space = DiskSpace()
+        self.log = SegmentLog(folder, segment_bytes, sync, self.space, write)
         self.tail = LogTail(tail_bytes)
         self._sync = sync
         self._sequence = 0
@@ -242,6 +250,9 @@
 
     def store_chunk(self, chunk: SnapshotChunk) -> None:
         """Write a received chunk at its offset."""
+        self.space.wait_for(lambda: self._write_chunk(chunk), "chunk")
+
+    def _write_chunk(self, chunk: SnapshotChunk) -> None:
         mode = "wb" if chunk.offset == 0 else "r+b"
         with (self.folder / _INCOMING).open(mode) as file:
             file.seek(chunk.offset)
@@ -282,6 +293,9 @@
         return snapshot
 
     def _write_whole(self, path: Path, data: bytes) -> None:
+        self.space.wait_for(lambda: self._replace_file(path, data), path.name)
+
+    def _replace_file(self, path: Path, data: bytes) -> None:
         temporary = path.with_suffix(".tmp")
         with temporary.open("wb") as file:
             file.write(data)
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_disk_space.py
@@ -0,0 +1,111 @@
+"""A disk that is full for a while: writes wait, and nothing is torn or lost."""
+
+import errno
+import os
+import shutil
+import tempfile
+import unittest
+from collections.abc import Callable
+from concurrent.futures import Future
+from pathlib import Path
+
+from foxspring_control._replication import LogEntry
+from foxspring_control.raft._compaction import RETRY_SNAPSHOT_MS, SnapshotWriter
+from foxspring_control.raft._disk_space import DiskSpace
+from foxspring_control.raft._messages import Membership
+from foxspring_control.raft._storage import Storage
+from foxspring_control.raft.tests.builders import CountingMachine
+
+SEGMENT_BYTES = 500
+TAIL_BYTES = 300
+SOME_BYTES = 7
+
+
+def full() -> OSError:
+    return OSError(errno.ENOSPC, "No space left on device")
+
+
+class FullDisk:
+    """Takes a few bytes of each write, then none for some tries."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.tries = 0
+
+    def write(self, descriptor: int, data: memoryview) -> int:
+        if self.failures == 0:
+            return os.write(descriptor, data)
+        self.tries += 1
+        if self.tries % 2:
+            return os.write(descriptor, data[:SOME_BYTES])
+        self.failures -= 1
+        raise full()
+
+
+class FullLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+
+    def open(self, disk: FullDisk) -> Storage:
+        storage = Storage(
+            self.folder, "m1", SEGMENT_BYTES, TAIL_BYTES, write=disk.write
+        )
+        storage.space.retry_s = 0.001
+        self.addCleanup(storage.close)
+        storage.open()
+        return storage
+
+    def test_a_frame_waits_for_space_and_leaves_no_torn_part(self) -> None:
+        disk = FullDisk(failures=0)
+        storage = self.open(disk)
+        entries = [LogEntry(n, 1, "Test", b"body", 0) for n in (1, 2, 3)]
+        storage.save(1, "m1", 0, entries[:1])
+        disk.failures = 3
+        storage.save(1, "m1", 1, entries[1:2])
+        storage.save(1, "m1", 2, entries[2:])
+        self.assertEqual(0, disk.failures)
+        storage.close()
+        again = self.open(FullDisk(failures=0))
+        self.assertEqual(entries, again.log.read(1, 9, 1 << 20))
+        self.assertEqual(0, again.log.torn_bytes)
+
+    def test_a_stop_ends_the_wait(self) -> None:
+        disk = FullDisk(failures=0)
+        storage = self.open(disk)
+        disk.failures = 1_000_000
+        storage.space.give_up()
+        with self.assertRaises(OSError):
+            storage.save(1, "m1", 0, [LogEntry(1, 1, "Test", b"body", 0)])
+
+    def test_other_errors_are_not_waited_for(self) -> None:
+        def fail() -> None:
+            raise OSError(errno.EIO, "Input/output error")
+
+        with self.assertRaises(OSError):
+            DiskSpace().wait_for(fail, "frame")
+
+
+class FullSnapshotTest(unittest.TestCase):
+    def test_a_snapshot_without_space_is_dropped_and_tried_later(self) -> None:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        path = folder / "state-5.snapshot"
+        path.write_bytes(b"part")
+
+        def run_aside(_work: Callable[[], int]) -> "Future[int]":
+            failed: Future[int] = Future()
+            failed.set_exception(full())
+            return failed
+
+        writer = SnapshotWriter(CountingMachine(), run_aside)
+        writer.begin(path, 5, 1, Membership())
+        self.assertIsNone(writer.take(now_ms=100))
+        self.assertFalse(path.exists())
+        self.assertFalse(writer.is_writing())
+        self.assertFalse(writer.may_begin(now_ms=100 + RETRY_SNAPSHOT_MS - 1))
+        self.assertTrue(writer.may_begin(now_ms=100 + RETRY_SNAPSHOT_MS))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -63,7 +63,7 @@
         self.send = send
         self.clock = clock
         self.settings = settings or CallerSettings()
-        self.answered_ms = -self.settings.ready_ms
+        self.answered_ms = clock.monotonic_ms()
         self._first_id = clock.wall_ms() << 20
         self._numbers = itertools.count(self._first_id)
         self._turns = itertools.count()
@@ -84,7 +84,7 @@
     def is_ready(self) -> bool:
         """Tell whether a leader has answered lately."""
         age_ms = self.clock.monotonic_ms() - self.answered_ms
-        return age_ms < self.settings.ready_ms
+        return self._had_leader and age_ms < self.settings.ready_ms
 
     def _control_is_lost(self) -> bool:
         """Tell whether an answer in time is no longer to be expected."""
