--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -57,6 +57,9 @@
 LOAD_LINE_MS = 1_000
 REPLAN_MS = 200
 FORGET_FACTOR_PERCENT = 150
+# After a plan the next one waits for so many times as long as it took, so that
+# answers to targets are never starved of processor time.
+PLAN_REST_FACTOR = 2
 
 
 class Leader:
@@ -82,6 +85,7 @@
         self.sequences: dict[TargetLife, int] = {}
         self.started_ms = clock.monotonic_ms()
         self.planned_ms = self.started_ms
+        self.plan_after_ms = self.started_ms
         self.swept_ms = self.started_ms
         self.told_ms = self.started_ms
         self.opened: tuple[tuple[str, int], ...] = ()
@@ -366,10 +370,17 @@
             self.metrics.observe_ms(FIRST_START_SECONDS, max(0, waited_ms))
 
     def _plan(self) -> tuple[RunStart, ...]:
-        if not self.lead.plan_due:
+        now_ms = self.lead.clock.monotonic_ms()
+        if not self.lead.plan_due or now_ms < self.plan_after_ms:
             return ()
         self.lead.plan_due = False
-        self.planned_ms = self.lead.clock.monotonic_ms()
+        self.planned_ms = now_ms
+        starts = self._plan_starts()
+        took_ms = self.lead.clock.monotonic_ms() - now_ms
+        self.plan_after_ms = now_ms + took_ms * (1 + PLAN_REST_FACTOR)
+        return starts
+
+    def _plan_starts(self) -> tuple[RunStart, ...]:
         waiting = waiting_steps(self.lead.draft, self.lead.clock.wall_ms())
         overdue = self.looks.overdue_runs()
         if not waiting and not overdue:
