--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/foxspring-$(p)) $(CURDIR)/platform)
 RUN := $(VENV)/bin/python
 
-.PHONY: demo test check format bench soak settings-page
+.PHONY: demo test check format bench soak platform-soak settings-page
 
 $(VENV)/.installed: requirements.lock $(foreach p,$(PACKAGES),packages/foxspring-$(p)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -35,5 +35,8 @@
 soak: $(VENV)/.installed
 	$(RUN) -m foxspring_testing.soak --seconds $(or $(SECONDS),600) --seed $(or $(SEED),1)
 
+platform-soak: $(VENV)/.installed
+	$(RUN) -m foxspring_platform.tests.soak --seconds $(or $(SECONDS),60) --seed $(or $(SEED),1)
+
 settings-page: $(VENV)/.installed
 	$(RUN) -c "from foxspring_config import settings_page; print(settings_page(), end='')" > docs/SETTINGS.md
--- a/packages/foxspring-jobs/foxspring_jobs/_entry.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_entry.py
@@ -12,13 +12,21 @@
 
 
 class JobEntry:
-    """Passes callers' requests to the leader; holds no state of its own."""
+    """Passes callers' requests to the leader; holds no state of its own.
+
+    ``listen_address`` is given where it differs from the announced link address.
+    """
 
     def __init__(
-        self, link_address: str, seeds: tuple[str, ...], secret: bytes, clock: Clock
+        self,
+        link_address: str,
+        seeds: tuple[str, ...],
+        secret: bytes,
+        clock: Clock,
+        listen_address: str = "",
     ) -> None:
         self.link = Link(
-            link_address,
+            listen_address or link_address,
             job_codec(secret),
             self._receive,
             clock,
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -48,7 +48,8 @@
     """Settings of a control member; addresses are link addresses.
 
     ``founding`` is true only at the first start of the whole system; ``seeds``
-    are then the first group.
+    are then the first group. ``listen_address`` is given where it differs from the
+    announced ``link_address``.
     """
 
     link_address: str
@@ -59,6 +60,7 @@
     leader: LeaderSettings
     election_timeout_ms: int = 600
     heartbeat_ms: int = 150
+    listen_address: str = ""
 
 
 def job_codec(secret: bytes) -> Codec:
@@ -109,7 +111,7 @@
         self.machine = JobMachine()
         self.metrics = Metrics()
         self.link = Link(
-            settings.link_address,
+            settings.listen_address or settings.link_address,
             job_codec(secret),
             self._receive,
             clock,
--- a/packages/foxspring-testing/foxspring_testing/_fault_network.py
+++ b/packages/foxspring-testing/foxspring_testing/_fault_network.py
@@ -85,9 +85,12 @@
         )
         self._thread.start()
 
-    def add_proxy(self, destination: str, address: str) -> str:
-        """Listen for ``destination`` and pass on to ``address``; return where."""
-        return self._call(self._listen(destination, address))
+    def add_proxy(self, destination: str, address: str, listen: str = "") -> str:
+        """Listen for ``destination`` and pass on to ``address``; return where.
+
+        ``listen`` is the address to listen at, a free one if it is left out.
+        """
+        return self._call(self._listen(destination, address, listen or f"{HOST}:0"))
 
     def set_fault(self, source: str, destination: str, fault: Fault) -> None:
         """Lay a fault between two processes; ``ANYONE`` stands for all."""
@@ -155,7 +158,7 @@
         future = asyncio.run_coroutine_threadsafe(work, self._loop)
         return future.result(_CALL_LIMIT_S)
 
-    async def _listen(self, destination: str, address: str) -> str:
+    async def _listen(self, destination: str, address: str, listen: str) -> str:
         async def accept(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
@@ -163,9 +166,10 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._carry(destination, address, reader, writer)
 
-        server = await asyncio.start_server(accept, HOST, 0)
+        host, _, port = listen.rpartition(":")
+        server = await asyncio.start_server(accept, host, int(port))
         self._servers.append(server)
-        return f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        return f"{host}:{server.sockets[0].getsockname()[1]}"
 
     async def _close(self) -> None:
         for server in self._servers:
--- a/packages/foxspring-testing/foxspring_testing/_process.py
+++ b/packages/foxspring-testing/foxspring_testing/_process.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 
 _STOP_LIMIT_S = 30.0
@@ -25,13 +26,21 @@
 class ManagedProcess:
     """A Python module run as a process; its output goes to ``log``.
 
-    End every started process with :meth:`kill` or :meth:`stop`.
+    ``variables`` are added to its environment. End every started process with
+    :meth:`kill` or :meth:`stop`.
     """
 
-    def __init__(self, name: str, arguments: tuple[str, ...], log: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: tuple[str, ...],
+        log: Path,
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.arguments = arguments
         self.log = log
+        self.variables = dict(variables or {})
         self.paused = False
         self._child: subprocess.Popen[bytes] | None = None
 
@@ -52,7 +61,7 @@
         """Start the process; one that runs already is left alone."""
         if self.alive():
             return
-        environment = os.environ | {"PYTHONPATH": package_path()}
+        environment = os.environ | {"PYTHONPATH": package_path()} | self.variables
         with self.log.open("ab") as output:
             self._child = subprocess.Popen(
                 [sys.executable, "-m", *self.arguments],
