Bound the lease that an order to an earlier life of a target may bring

When its answers were lost the leader took the lease for lapsed after 4.3 s, and tasks whose ends were listed there ran again (done_once). Ruled out: drift of the clock, renewals by looks (a silent target gets none), a fault of the stand-in (its lease had not lapsed in the ledger's trace). A young life that follows another, or was taken over from an earlier leader, now counts as holding the longest lease until its first look; start orders to a silent target wait for a look. The test in virtual time fails without it.

--- a/packages/foxspring-jobs/foxspring_jobs/_lead_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_lead_state.py
@@ -18,10 +18,15 @@
 
 
 class LeaderSettings(NamedTuple):
-    """Times in milliseconds; ``keep_ended_ms`` is how long ended jobs show."""
+    """Times in milliseconds.
+
+    ``keep_ended_ms`` is how long ended jobs show. ``longest_lease_ms`` is what a
+    target keeps of a lease at most, whatever it is given.
+    """
 
     lease_ms: int = 4_000
     keep_ended_ms: int = 120_000
+    longest_lease_ms: int = 10_000
 
 
 class Ports(Protocol):
@@ -84,6 +89,7 @@
         self.gone: list[TargetLife] = []
         self.sessions: dict[str, TargetSession] = {}
         self.turns: dict[str, int] = {}
+        self.last_lives: dict[str, TargetLife] = {}
         self.plan_due = True
         self.table = Interference()
         self.advice = AdviceBook()
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -106,7 +106,7 @@
     def begin(self) -> None:
         """Take over every known target."""
         for target in self.lead.draft.targets.values():
-            self.looks.open_session(target.registered)
+            self.looks.open_session(target.registered, taking_over=True)
         _LOG.info(
             "event=leader_began token=%d targets=%d jobs=%d queue_version=%d",
             self.lead.token,
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -42,12 +42,17 @@
     """One leader's dealings with one life of a target."""
 
     def __init__(
-        self, registered: RegisterTarget, since_ms: int, lease_ms: int, token: int
+        self,
+        registered: RegisterTarget,
+        since_ms: int,
+        lease_ms: int,
+        token: int,
+        earlier_ms: int = 0,
     ) -> None:
         self.token = token
         self.adopting: RegisterTarget | None = None
         self.place = TargetPlace(registered.life, registered.address)
-        self.clock = TargetClock(since_ms, lease_ms)
+        self.clock = TargetClock(since_ms, lease_ms, earlier_ms)
         self.health = TargetHealth()
         self.draining = registered.draining
         self.left = False
--- a/packages/foxspring-jobs/foxspring_jobs/_target_clock.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_clock.py
@@ -11,20 +11,23 @@
 class TargetClock:
     """Bounds on one target's clock; times without a name are the leader's own.
 
-    ``since_ms`` is when this leader took over: an earlier leader may have given
-    a lease of ``lease_ms`` at any moment before it.
+    ``since_ms`` is when this leader took over: a lease of ``earlier_ms`` may have
+    been given at any moment before it. That is ``lease_ms`` where an earlier leader
+    gave it, and the longest that the target keeps where an order to an earlier life
+    may have brought a deadline of that life's clock.
     """
 
-    def __init__(self, since_ms: int, lease_ms: int) -> None:
+    def __init__(self, since_ms: int, lease_ms: int, earlier_ms: int = 0) -> None:
         self.since_ms = since_ms
         self.lease_ms = lease_ms
+        self.earlier_ms = max(lease_ms, earlier_ms)
         self.sample: tuple[int, int] | None = None
         self.longest_lease = 0
 
     def note(self, reading: int, received_ms: int) -> None:
         """Take a reading that the target made before ``received_ms``."""
         if self.sample is None:
-            self.longest_lease = max(self.longest_lease, reading + self.lease_ms)
+            self.longest_lease = max(self.longest_lease, reading + self.earlier_ms)
         elif reading <= self.reading_at(received_ms):
             return
         self.sample = (reading, received_ms)
@@ -50,6 +53,6 @@
     def lapsed(self, now_ms: int) -> bool:
         """Tell whether every lease ever given has surely ended."""
         if self.sample is None:
-            wait_ms = self.lease_ms * 100 // SLOWEST_PERCENT + LAPSE_MARGIN_MS
+            wait_ms = self.earlier_ms * 100 // SLOWEST_PERCENT + LAPSE_MARGIN_MS
             return now_ms >= self.since_ms + wait_ms
         return self.reading_at(now_ms) >= self.longest_lease + LAPSE_MARGIN_MS
--- a/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_looks.py
@@ -50,6 +50,9 @@
 SURVEY_MS = 100
 RELIEF_PAUSE_MS = 600
 COPIES_GAP_MS = 100
+# Orders may arrive 12 s late and bring a lease of 10 s; the rest is for wall clocks
+# that differ.
+YOUNG_MS = 30_000
 
 
 def ignore(_answer: Answer) -> None:
@@ -66,8 +69,10 @@
         self.surveyed_ms = 0
         self.copies_due_ms = 0
 
-    def open_session(self, registered: RegisterTarget) -> None:
-        """Begin to look at a registered target."""
+    def open_session(
+        self, registered: RegisterTarget, taking_over: bool = False
+    ) -> None:
+        """Begin to look at a target, which an earlier leader may have ordered."""
         if self.lead.deposed or self.lead.draft.target(registered.life) is None:
             return
         held = self.lead.sessions.get(registered.life.target_id)
@@ -77,9 +82,24 @@
                 self.orders.evacuate(held)
                 return
             self.close_session(held)
-        self._begin_session(registered)
+        self._begin_session(registered, taking_over)
+
+    def _earlier_lease_ms(self, life: TargetLife, taking_over: bool) -> int:
+        """Return the lease that a target may hold before its first look.
 
-    def _begin_session(self, registered: RegisterTarget) -> TargetSession:
+        An order that was meant for an earlier life, whose clock read more, makes a
+        young one keep its lease for as long as it keeps any.
+        """
+        settings = self.lead.settings
+        earlier = self.lead.last_lives.get(life.target_id, life)
+        age_ms = self.lead.clock.wall_ms() - life.born_ms
+        if age_ms < YOUNG_MS and (taking_over or earlier != life):
+            return settings.longest_lease_ms
+        return settings.lease_ms
+
+    def _begin_session(
+        self, registered: RegisterTarget, taking_over: bool = False
+    ) -> TargetSession:
         target_id = registered.life.target_id
         turn = self.lead.turns.get(target_id, -1) + 1
         self.lead.turns[target_id] = turn
@@ -88,7 +108,9 @@
             self.lead.clock.monotonic_ms(),
             self.lead.settings.lease_ms,
             self.lead.token + turn,
+            self._earlier_lease_ms(registered.life, taking_over),
         )
+        self.lead.last_lives[target_id] = registered.life
         self.lead.sessions[target_id] = session
         self.look(session, wait_ms=0)
         return session
--- a/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
@@ -84,10 +84,14 @@
 
         def again() -> None:
             target = self.lead.draft.target(session.life)
-            if target is None or order.run not in target.runs:
+            if session.closed or target is None or order.run not in target.runs:
                 return
             if isinstance(order, StartOrder) and order.run in session.stopping:
                 return
+            if isinstance(order, StartOrder) and session.silent:
+                # A silent target may be born again; its looks tell first.
+                self.lead.ports.later(RETRY_ORDER_MS, again)
+                return
             self.order(session, order)
 
         declined = result is Result.UNHEALTHY and isinstance(order, StartOrder)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -18,6 +18,7 @@
 from foxspring_jobs._state import EndKind
 
 LASTING_MS = 20_000
+LONGEST_LEASE_MS = 10_000
 
 
 class Clock(Protocol):
@@ -86,7 +87,7 @@
             return Reading(Result.FENCED, self.now())
         self.token = request.token
         if request.lease_until is not None:
-            self.lease_until = max(self.lease_until, request.lease_until)
+            self._extend(request.lease_until)
         kept = [row for row in self.finished if row.number > request.cursor]
         self.finished = kept
         rows = tuple(
@@ -116,8 +117,13 @@
             self.paces[order.run] = order.percent
         return Reading(Result.OK, self.now())
 
+    def _extend(self, lease_until: int) -> None:
+        """Take a lease, cut at the longest that is kept; it never shortens."""
+        longest = self.now() + LONGEST_LEASE_MS
+        self.lease_until = max(self.lease_until, min(lease_until, longest))
+
     def _start(self, run: RunKey, lease_until: int) -> Reading:
-        self.lease_until = max(self.lease_until, lease_until)
+        self._extend(lease_until)
         if run in self.running:
             return Reading(Result.OK, self.now())
         if run.number <= self.highest.get(run.task, 0):
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -159,6 +159,28 @@
                 self.assertEqual(site.broken, [])
                 self.assertIs(site.phase(), JobPhase.COMPLETED)
 
+    def test_lease_that_an_order_to_an_earlier_life_brought(self) -> None:
+        for change_leader in (False, True):
+            with self.subTest(change_leader=change_leader):
+                site = FakeSite(registered("t1"), registered("t2", cores=500))
+                site.run(15_000)
+                site.ports.held_back_ms = 300
+                site.submit(spec(step(4)), OTHER_JOB)
+                site.run(60)
+                reborn = registered("t1", born_ms=site.clock.wall_ms())
+                again = site.add(reborn, clock_start=10)
+                site.ports.held_back_ms = 0
+                again.work_ms = 9_000
+                site.run(2_500)
+                self.assertTrue(again.running)
+                if change_leader:
+                    site.change_leader()
+                    site.run(100)
+                site.add(registered("t3"))
+                again.hears = False
+                site.run(12_000)
+                self.assertEqual(site.broken, [])
+
     def test_address_taken_by_another_target(self) -> None:
         site = self.site()
         site.submit(spec(step(4)))
