--- a/packages/foxspring-daemon/foxspring_daemon/_log_output.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_log_output.py
@@ -11,6 +11,8 @@
 QUEUE_LINES = 4_000
 EVENT_LINES_A_SECOND = 300
 CLOSE_WAIT_S = 0.5
+# Lines of this long leave in one write.
+GATHER_S = 0.02
 _EVENT = re.compile(r"event=(\w+)")
 
 MonotonicSeconds = Callable[[], float]
@@ -54,6 +56,12 @@
         return ended
 
 
+def _event_of(record: logging.LogRecord) -> str:
+    """Return the event that a record names, without formatting it if possible."""
+    found = _EVENT.search(str(record.msg)) or _EVENT.search(record.getMessage())
+    return found.group(1) if found else "message"
+
+
 class BoundedHandler(logging.Handler):
     """Writes lines on a thread of its own; drops and counts when it is behind.
 
@@ -81,17 +89,17 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a record's line, or count it as left out; never waits."""
-        line = self.format(record)
-        found = _EVENT.search(line)
-        event = found.group(1) if found else "message"
+        event = _event_of(record)
         with self._wake:
             ended = self.budget.admit(event, self.now_s())
             if ended is None and record.levelno < logging.ERROR:
                 return
+            idle = not self._lines
             for name, count in (ended or {}).items():
                 self._queue(f"event=lines_left_out of={name} count={count}")
-            self._queue(line)
-            self._wake.notify()
+            self._queue(self.format(record))
+            if idle:
+                self._wake.notify()
 
     def _queue(self, line: str) -> None:
         if len(self._lines) >= self.queue_lines:
@@ -107,6 +115,8 @@
             with self._wake:
                 while not self._lines and not self._closing:
                     self._wake.wait()
+                if not self._closing:
+                    self._wake.wait(GATHER_S)
                 lines, self._lines = self._lines, []
                 if not lines:
                     return
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -88,6 +88,7 @@
         self.registry = Registry()
         self._lock = threading.Lock()
         self._values: dict[Metric, Counter | Gauge] = {}
+        self._counted: dict[tuple[Metric, tuple[str, ...]], int] = {}
         self._durations: dict[Metric, Histogram] = {}
         for metric in METRICS:
             self._add(metric)
@@ -103,10 +104,16 @@
         self._values[metric] = kind(name, metric.meaning, registry=self.registry)
 
     def count(self, metric: Metric, *labels: str, amount: int = 1) -> None:
-        """Add to a counter; labels in the order of its list."""
-        named = dict(zip(metric.labels, labels, strict=True))
+        """Add to a counter; labels in the order of its list.
+
+        Raises:
+            ValueError: there are more or fewer labels than its list has.
+        """
+        if len(labels) != len(metric.labels):
+            raise ValueError(f"{metric.name} has the labels {metric.labels}")
         with self._lock:
-            self._values[metric].add(named, amount)
+            key = (metric, labels)
+            self._counted[key] = self._counted.get(key, 0) + amount
 
     def observe_ms(self, metric: Metric, duration_ms: int, *labels: str) -> None:
         """Add a duration to a histogram."""
@@ -122,6 +129,9 @@
     def exposition(self) -> bytes:
         """Return all metrics as text in the exposition format."""
         with self._lock:
+            for (metric, labels), total in self._counted.items():
+                named = dict(zip(metric.labels, labels, strict=True))
+                self._values[metric].set(named, total)
             for invariant, checked in sorted(CHECKS.checked.items()):
                 name = {"invariant": invariant.value}
                 violated = CHECKS.violated.get(invariant, 0)
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -78,9 +78,14 @@
 
     def recount(self) -> None:
         """Count the tasks anew after one has changed."""
-        self.undone = sum(not task.done for task in self.tasks)
-        self.idle = sum(not task.done and not task.runs for task in self.tasks)
-        self.running = sum(len(task.runs) for task in self.tasks)
+        undone = idle = running = 0
+        for task in self.tasks:
+            runs = len(task.runs)
+            running += runs
+            if not task.done:
+                undone += 1
+                idle += not runs
+        self.undone, self.idle, self.running = undone, idle, running
 
 
 def aim_ms(queue: Queue, spec: JobSpec) -> int:
