Try one task at a time where several have failed and none was done

Jobs that can never be done come with up to 80 tasks a step on the grown sites; each task used all its attempts (12 tasks, 2 attempts: 24 starts). Now a second wave is one task: 13 starts. The test fails without it.

--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -12,10 +12,11 @@
 from foxspring_jobs._ranking import Ranking, Score
 from foxspring_jobs._rooms import PERCENT, Effects, Room, StepPlace, step_place
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs._state import JobState, State
+from foxspring_jobs._state import JobState, State, StepState, TaskState
 from foxspring_jobs._waiting import Waiting
 
 HALF_PERCENT = 50
+SUSPECT_FAILURES = 2
 Allowed = Mapping[StepPlace, frozenset[str]]
 
 
@@ -111,9 +112,7 @@
             return []
         running = any(s.running for s in steps)
         ranking = self._rank(waiting.place(), step, job, rooms)
-        for index, task in enumerate(steps[waiting.step].tasks):
-            if task.done or task.runs:
-                continue
+        for index, task in startable_tasks(steps[waiting.step], step):
             # While half of all is free, a job gets one task whatever it costs.
             patient = self.busy or running or bool(starts)
             room = self._pick(ranking, waiting.place(), step, patient)
@@ -229,6 +228,27 @@
         return len(more), spoilt, -room.used_percent()
 
 
+def startable_tasks(state: StepState, step: StepSpec) -> list[tuple[int, TaskState]]:
+    """Return the tasks of a step to start now, with their numbers.
+
+    Load pattern: jobs come that can never be done, some of them wide. Where some
+    tasks have failed and none was done, one is tried at a time, the one nearest to
+    its last attempt first, until one is done or the job has failed.
+    """
+    idle = [
+        (index, task)
+        for index, task in enumerate(state.tasks)
+        if not task.done and not task.runs
+    ]
+    failed = sum(task.attempts > 0 for task in state.tasks)
+    done = state.undone < len(state.tasks)
+    if step.lasting or done or failed < SUSPECT_FAILURES or not idle:
+        return idle
+    if state.running:
+        return []
+    return [max(idle, key=lambda numbered: numbered[1].attempts)]
+
+
 def _is_busy(rooms: list[Room]) -> bool:
     capacity = sum(r.target.registered.capacity.cores_milli for r in rooms)
     free = sum(max(0, room.free.cores_milli) for room in rooms)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -214,6 +214,16 @@
         phases = [job.phase for job in site.committed.jobs.values()]
         self.assertEqual(set(phases), {JobPhase.COMPLETED})
 
+    def test_wide_job_that_can_never_be_done_costs_one_wave(self) -> None:
+        site = self.site("t1", "t2", "t3")
+        for target in site.targets.values():
+            target.fails = True
+        site.submit(spec(step(12)))
+        site.run(4_000)
+        self.assertIs(site.phase(), JobPhase.FAILED)
+        starts = sum(len(target.started) for target in site.targets.values())
+        self.assertLessEqual(starts, 12 + 1)
+
     def test_tasks_that_stand_still_go_on_elsewhere(self) -> None:
         site = self.site()
         site.targets["t1.example:80"].hangs = True
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -4,10 +4,10 @@
 
 from foxspring_jobs._commands import RunStart
 from foxspring_jobs._interference import Interference
-from foxspring_jobs._placement import Planner
+from foxspring_jobs._placement import Planner, startable_tasks
 from foxspring_jobs._rooms import Room
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs._state import State
+from foxspring_jobs._state import State, StepState, TaskState
 from foxspring_jobs._waiting import waiting_steps
 from foxspring_jobs.tests.builders import (
     JOB,
@@ -177,5 +177,34 @@
         self.assertEqual(plan(state, learnt())[0].life.target_id, "t2")
 
 
+class SuspectJobTest(unittest.TestCase):
+    """Tasks that fail and fail again are tried one at a time."""
+
+    def startable(
+        self, attempts: list[int], done: int = -1, running: int = -1
+    ) -> list[int]:
+        state = StepState([TaskState() for _ in attempts])
+        for task, count in zip(state.tasks, attempts, strict=True):
+            task.attempts = count
+        if done >= 0:
+            state.tasks[done].done = True
+        if running >= 0:
+            state.tasks[running].runs[1] = registered().life
+        state.recount()
+        return [index for index, _ in startable_tasks(state, step(len(attempts)))]
+
+    def test_cases(self) -> None:
+        cases: tuple[tuple[list[int], int, int, list[int]], ...] = (
+            ([0, 0, 0, 0], -1, -1, [0, 1, 2, 3]),
+            ([0, 1, 0, 0], -1, -1, [0, 1, 2, 3]),
+            ([0, 1, 2, 0], -1, -1, [2]),
+            ([1, 1, 0, 0], -1, 3, []),
+            ([1, 1, 0, 0], 3, -1, [0, 1, 2]),
+        )
+        for attempts, done, running, expected in cases:
+            with self.subTest(attempts=attempts, done=done, running=running):
+                self.assertEqual(self.startable(attempts, done, running), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
