--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_lead_log.py
@@ -0,0 +1,53 @@
+"""The log lines on a leader's load and on the jobs it accepts."""
+
+import logging
+from collections.abc import Sequence
+
+from foxspring_jobs._lead_state import LeadState
+from foxspring_jobs._rooms import Room
+from foxspring_jobs._specs import JobSpec
+
+_LOG = logging.getLogger(__name__)
+
+
+def log_load(lead: LeadState, rooms: Sequence[Room]) -> None:
+    """Log how much runs and waits, and what ``rooms`` have left."""
+    steps = [
+        (spec, step)
+        for job in lead.draft.active.values()
+        for steps in job.occurrences.values()
+        for spec, step in zip(job.spec.steps, steps, strict=True)
+    ]
+    _LOG.info(
+        "event=load jobs=%d idle=%d running=%d idle_fills=%d running_fills=%d "
+        "paced=%d targets=%d free_cores=%d spare_cores=%d",
+        len(lead.draft.active),
+        sum(step.idle for _, step in steps),
+        sum(step.running for _, step in steps),
+        sum(step.idle for spec, step in steps if spec.fills),
+        sum(step.running for spec, step in steps if spec.fills),
+        sum(len(session.paces) for session in lead.sessions.values()),
+        len(rooms),
+        sum(room.free.cores_milli for room in rooms) // 1_000,
+        sum(room.spare_cores() for room in rooms) // 1_000,
+    )
+
+
+def log_steps(job_id: str, spec: JobSpec) -> None:
+    """Log what each step of a job declares."""
+    for number, step in enumerate(spec.steps):
+        _LOG.info(
+            "event=step_declared job=%s step=%d tasks=%d cores_milli=%d memory_mb=%d "
+            "estimated_ms=%d lasting=%s fills=%s target_ms=%d image=%s per_target=%d",
+            job_id,
+            number,
+            step.task_count,
+            step.resources.cores_milli,
+            step.resources.memory_mb,
+            step.estimated_ms,
+            step.lasting,
+            step.fills,
+            step.latency_target_ms,
+            step.image or "-",
+            step.max_per_target,
+        )
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -15,17 +15,17 @@
     Advance,
     CancelJob,
     Command,
-    RegisterTarget,
     ReplaceTable,
     RunStart,
     SubmitJob,
-    TargetLife,
 )
+from foxspring_jobs._lead_log import log_load, log_steps
 from foxspring_jobs._lead_state import (
     LeaderSettings,
     LeadState,
     PendingEnd,
     Ports,
+    Respond,
 )
 from foxspring_jobs._metrics import (
     COMMIT_SECONDS,
@@ -34,7 +34,12 @@
     STARTS,
     Metrics,
 )
-from foxspring_jobs._operations import Answer, Outcome, TargetReport
+from foxspring_jobs._operations import (
+    Answer,
+    Outcome,
+    TargetReport,
+    committed_answer,
+)
 from foxspring_jobs._orders import Order, Reading
 from foxspring_jobs._placement import Allowed, Planner
 from foxspring_jobs._rooms import StepPlace
@@ -43,6 +48,7 @@
 from foxspring_jobs._state import State
 from foxspring_jobs._target_looks import TargetLooks
 from foxspring_jobs._target_orders import TargetOrders
+from foxspring_jobs._target_reports import TargetReports
 from foxspring_jobs._waiting import (
     Waiting,
     due_occurrences,
@@ -79,10 +85,9 @@
         self.orders = TargetOrders(self.lead)
         self.looks = TargetLooks(self.lead, self.orders)
         self.lead.decide = self.decide
-        self.lead.register = self._register
         self.lead.lose = self.looks.lose
+        self.reports = TargetReports(self.lead, self.looks, self.orders, self._propose)
         self.in_flight = 0
-        self.sequences: dict[TargetLife, int] = {}
         self.started_ms = clock.monotonic_ms()
         self.planned_ms = self.started_ms
         self.plan_after_ms = self.started_ms
@@ -103,6 +108,14 @@
         """Take the answer to an order."""
         self.orders.on_order(session, order, reading)
 
+    def report(self, report: TargetReport, answer: Respond) -> None:
+        """Take a target's heartbeat."""
+        self.reports.report(report, answer)
+
+    def leaving(self, target_id: str, born_ms: int, answer: Respond) -> None:
+        """Note that a target ends now."""
+        self.reports.leaving(target_id, born_ms, answer)
+
     def begin(self) -> None:
         """Take over every known target."""
         for target in self.lead.draft.targets.values():
@@ -136,9 +149,7 @@
         self.lead.ports.propose(command, settled)
         return applied.changed
 
-    def submit(
-        self, job_id: str, queue: Queue, spec: JobSpec, answer: Callable[[Answer], None]
-    ) -> None:
+    def submit(self, job_id: str, queue: Queue, spec: JobSpec, answer: Respond) -> None:
         """Accept a job; answered once it is committed."""
 
         def done(committed: bool) -> None:
@@ -149,14 +160,14 @@
                 committed,
                 len(self.lead.draft.active),
             )
-            _log_steps(job_id, spec)
-            answer(_answer(committed))
+            log_steps(job_id, spec)
+            answer(committed_answer(committed))
             self.lead.plan_due = True
             self.decide()
 
         self._propose(SubmitJob(job_id, queue, spec), done)
 
-    def cancel(self, job_id: str, answer: Callable[[Answer], None]) -> None:
+    def cancel(self, job_id: str, answer: Respond) -> None:
         """Cancel a job; a job that has ended already is answered as gone."""
         if job_id not in self.lead.draft.jobs:
             answer(Answer(Outcome.GONE, "no such job"))
@@ -169,14 +180,12 @@
                 committed,
                 len(self.lead.draft.active),
             )
-            answer(_answer(committed))
+            answer(committed_answer(committed))
             self.decide()
 
         self._propose(CancelJob(job_id), done)
 
-    def replace_table(
-        self, command: ReplaceTable, answer: Callable[[Answer], None]
-    ) -> None:
+    def replace_table(self, command: ReplaceTable, answer: Respond) -> None:
         """Put a configuration in force unless a newer one is."""
         version = command.table.version
         held = self.lead.draft.table.version
@@ -188,91 +197,11 @@
                 held,
                 committed,
             )
-            answer(_answer(committed))
+            answer(committed_answer(committed))
             self.decide()
 
         self._propose(command, done)
 
-    def report(self, report: TargetReport, answer: Callable[[Answer], None]) -> None:
-        """Take a target's heartbeat; acknowledged once what is new is committed."""
-        fresh = report.registered
-        life = fresh.life
-        problem = self._unusable(fresh)
-        if problem is not None:
-            answer(problem)
-            return
-        known = self.lead.draft.targets.get(life.target_id)
-        if known is not None and known.life.born_ms > life.born_ms:
-            answer(Answer(Outcome.OK, "older life"))
-            return
-        if report.sequence < self.sequences.get(life, 0):
-            answer(Answer(Outcome.OK, "older report"))
-            return
-        self.sequences[life] = report.sequence
-        same_life = known is not None and known.life == life
-        if same_life and known is not None and known.registered.draining:
-            fresh = fresh._replace(draining=True)
-        if same_life and known is not None and known.registered == fresh:
-            answer(Answer(Outcome.OK))
-            return
-        self.looks.retire_address(fresh)
-        if known is not None and not same_life:
-            self.looks.adopt(fresh)
-            answer(Answer(Outcome.OK, "adopting"))
-        else:
-            self._register(fresh, answer)
-
-    def _unusable(self, fresh: RegisterTarget) -> Answer | None:
-        """Return the answer to a target that no configuration speaks of.
-
-        It must not even push out another one at its address.
-        """
-        table = self.lead.draft.table
-        if table.version == 0:
-            return Answer(Outcome.UNAVAILABLE, "no configuration yet")
-        if any(pool.name == fresh.service for pool in table.pools):
-            return None
-        _LOG.warning(
-            "event=target_refused target=%s service=%s reason=%r",
-            fresh.life.target_id,
-            fresh.service,
-            "unknown service",
-        )
-        return Answer(Outcome.INVALID, f"unknown service {fresh.service}")
-
-    def _register(
-        self, fresh: RegisterTarget, answer: Callable[[Answer], None]
-    ) -> None:
-        def done(committed: bool) -> None:
-            _LOG.info(
-                "event=target_registered target=%s born=%d draining=%s committed=%s",
-                fresh.life.target_id,
-                fresh.life.born_ms,
-                fresh.draining,
-                committed,
-            )
-            if committed:
-                self.looks.open_session(fresh)
-            answer(_answer(committed))
-            self.decide()
-
-        self._propose(RegisterTarget(*fresh), done)
-        session = self.lead.sessions.get(fresh.life.target_id)
-        if session is not None and session.life == fresh.life:
-            session.draining = session.draining or fresh.draining
-            self.orders.evacuate(session)
-
-    def leaving(
-        self, target_id: str, born_ms: int, answer: Callable[[Answer], None]
-    ) -> None:
-        """Note that a target ends now; it gets nothing more."""
-        session = self.lead.sessions.get(target_id)
-        if session is not None and born_ms in (0, session.life.born_ms):
-            session.draining = True
-            session.left = True
-            _LOG.info("event=target_left target=%s", target_id)
-        answer(Answer(Outcome.OK))
-
     def tick(self) -> None:
         """Do what time alone makes due."""
         now_ms = self.lead.clock.monotonic_ms()
@@ -281,7 +210,7 @@
                 self.looks.lose(session.life, "lease_lapsed")
         if now_ms >= self.told_ms + LOAD_LINE_MS:
             self.told_ms = now_ms
-            self._log_load()
+            log_load(self.lead, self.looks.rooms())
         if now_ms >= self.swept_ms + SWEEP_MS:
             self.swept_ms = now_ms
             wall_ms = self.lead.clock.wall_ms()
@@ -292,28 +221,6 @@
             self.lead.plan_due = True
         self.decide()
 
-    def _log_load(self) -> None:
-        steps = [
-            (spec, step)
-            for job in self.lead.draft.active.values()
-            for steps in job.occurrences.values()
-            for spec, step in zip(job.spec.steps, steps, strict=True)
-        ]
-        rooms = self.looks.rooms()
-        _LOG.info(
-            "event=load jobs=%d idle=%d running=%d idle_fills=%d running_fills=%d "
-            "paced=%d targets=%d free_cores=%d spare_cores=%d",
-            len(self.lead.draft.active),
-            sum(step.idle for _, step in steps),
-            sum(step.running for _, step in steps),
-            sum(step.idle for spec, step in steps if spec.fills),
-            sum(step.running for spec, step in steps if spec.fills),
-            sum(len(session.paces) for session in self.lead.sessions.values()),
-            len(rooms),
-            sum(room.free.cores_milli for room in rooms) // 1_000,
-            sum(room.spare_cores() for room in rooms) // 1_000,
-        )
-
     def decide(self) -> None:
         """Propose what is due: ends, lost targets, times and starts."""
         if self.lead.deposed or self.in_flight >= MAX_IN_FLIGHT:
@@ -433,26 +340,3 @@
         self.lead.advice.take(call, job.queue, allowed, now_ms)
         self.lead.plan_due = True
         self.decide()
-
-
-def _log_steps(job_id: str, spec: JobSpec) -> None:
-    for number, step in enumerate(spec.steps):
-        _LOG.info(
-            "event=step_declared job=%s step=%d tasks=%d cores_milli=%d memory_mb=%d "
-            "estimated_ms=%d lasting=%s fills=%s target_ms=%d image=%s per_target=%d",
-            job_id,
-            number,
-            step.task_count,
-            step.resources.cores_milli,
-            step.resources.memory_mb,
-            step.estimated_ms,
-            step.lasting,
-            step.fills,
-            step.latency_target_ms,
-            step.image or "-",
-            step.max_per_target,
-        )
-
-
-def _answer(committed: bool) -> Answer:
-    return Answer(Outcome.OK if committed else Outcome.UNKNOWN)
--- a/packages/foxspring-jobs/foxspring_jobs/_operations.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_operations.py
@@ -93,6 +93,11 @@
     document: bytes = b""
 
 
+def committed_answer(committed: bool) -> Answer:
+    """Return the answer to a change: done, or of unknown fate."""
+    return Answer(Outcome.OK if committed else Outcome.UNKNOWN)
+
+
 class Call(NamedTuple):
     """A call on its way to the leader; ``reply_to`` is a link address."""
 
