Serve what has least work left first, of what can still be in time

Cause: in a rush the oldest job was served first, and all were late together. Late ones still go by slack.

--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -1,7 +1,9 @@
 """What waits: steps in the order to serve them, times that are due, old jobs.
 
-Load pattern: more comes than fits. What can still meet its aim goes first, by
-slack, within its priority; what can only be late, or not even that, waits for it.
+Load pattern: more comes than fits. Within its priority what can still meet its aim
+goes first, and of that what has least work left, so that most jobs are in time; by
+least slack all would wait for the oldest and be late together. What can only be late,
+or not even that, waits for it, by slack.
 """
 
 from collections.abc import Iterator
@@ -11,14 +13,20 @@
 from foxspring_jobs._state import JobState, State
 
 LATE_FACTOR = 3
+CORE_SECOND = 1_000_000
 
 
 class Waiting(NamedTuple):
-    """A step with tasks to start; sorts as it should be served."""
+    """A step with tasks to start; sorts as it should be served.
+
+    ``lateness`` is 0 for what can be in time, 1 for late, 2 for later than counts.
+    ``turn`` is the work left in core-seconds for the first, else the slack in
+    milliseconds.
+    """
 
     priority: int
     lateness: int
-    slack_ms: int
+    turn: int
     job_id: str
     occurrence: int
     step: int
@@ -38,6 +46,16 @@
     return max(lengths)
 
 
+def work_left(job: JobState, occurrence: int) -> int:
+    """Return the estimated core-seconds of an occurrence's tasks that are not done."""
+    steps = zip(job.spec.steps, job.occurrences[occurrence], strict=True)
+    work = sum(
+        state.undone * spec.estimated_ms * spec.resources.cores_milli
+        for spec, state in steps
+    )
+    return work // CORE_SECOND
+
+
 def began_ms(job: JobState, occurrence: int) -> int:
     """Return the wall time that an occurrence's aim is counted from."""
     if job.spec.is_timed():
@@ -65,12 +83,13 @@
     if job.spec.lasts():
         # Short work goes first: it gives its room back soon.
         lateness = 1
+    turn = slack_ms if lateness else work_left(job, occurrence)
     for number, step in enumerate(job.occurrences[occurrence]):
         if step.idle and job.step_is_ready(occurrence, number):
             yield Waiting(
                 job.queue.priority,
                 lateness,
-                slack_ms,
+                turn,
                 job.job_id,
                 occurrence,
                 number,
