Keep as many control members voting as the fault tolerance needs

Cause: a voter unheard for 5 s was removed once more vote than there are seeds, which are three at most: of five members two that were dark for 7 s were both removed, and three were left where five bear two losses.

--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -49,7 +49,8 @@
 
     ``founding`` is true only at the first start of the whole system; ``seeds``
     are then the first group. ``listen_address`` is given where it differs from the
-    announced ``link_address``.
+    announced ``link_address``. A lost member is removed only while more than
+    ``group_size``, or than there are seeds, vote.
     """
 
     link_address: str
@@ -61,6 +62,7 @@
     election_timeout_ms: int = 600
     heartbeat_ms: int = 150
     listen_address: str = ""
+    group_size: int = 0
 
 
 def job_codec(secret: bytes) -> Codec:
@@ -142,7 +144,7 @@
         self.leader_hint = ""
         self._leaderless_since_ms = clock.monotonic_ms()
         self._unheard_since: dict[str, int] = {}
-        self._group_size = len(settings.seeds)
+        self._group_size = max(len(settings.seeds), settings.group_size)
         self._closing = threading.Event()
         self._keeper = threading.Thread(target=self._keep, name="group", daemon=True)
 
