--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -20,6 +20,7 @@
     RunStart,
     SubmitJob,
 )
+from foxspring_jobs._interrupted_log import InterruptedLog
 from foxspring_jobs._leader_context import (
     LeaderContext,
     LeaderSettings,
@@ -32,6 +33,7 @@
     COMMIT_SECONDS,
     COMMITS,
     FIRST_START_SECONDS,
+    PLAN_SECONDS,
     STARTS,
     Metrics,
 )
@@ -63,6 +65,7 @@
 LOAD_LOG_INTERVAL_MS = 1_000
 REPLAN_INTERVAL_MS = 200
 RETENTION_PERCENT = 150
+SLOW_PLAN_MS = 100
 # The next plan waits this many times as long as the last one took, so that
 # planning does not starve the handling of target replies of CPU time.
 PLAN_PAUSE_FACTOR = 2
@@ -89,6 +92,7 @@
         self.reports = TargetReports(
             self.context, self.poller, self.orders, self._propose
         )
+        self.interrupted_log = InterruptedLog(self.context)
         self.in_flight = 0
         self.started_ms = clock.monotonic_ms()
         self.planned_ms = self.started_ms
@@ -296,6 +300,9 @@
         starts = self._plan_starts()
         took_ms = self.context.clock.monotonic_ms() - now_ms
         self.plan_after_ms = now_ms + took_ms * (1 + PLAN_PAUSE_FACTOR)
+        self.metrics.observe_ms(PLAN_SECONDS, took_ms)
+        if took_ms >= SLOW_PLAN_MS:
+            _LOG.info("event=slow_plan took_ms=%d starts=%d", took_ms, len(starts))
         return starts
 
     def _plan_starts(self) -> tuple[RunStart, ...]:
@@ -308,7 +315,9 @@
         planner = Planner(
             self.context.draft, candidates, self.context.interference, allowed
         )
+        interrupted = self.interrupted_log.before_plan(waiting, planner)
         starts = planner.plan(waiting)
+        self.interrupted_log.after_plan(interrupted, planner)
         self._request_advice(waiting, planner)
         return (*starts, *planner.plan_speculative_runs(overdue))
 
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -43,6 +43,9 @@
     (),
     "From accepting a job to its first committed start.",
 )
+PLAN_SECONDS = Metric(
+    "job_plan_seconds", "seconds", (), "Deciding which waiting tasks start."
+)
 ENDS = Metric("job_ends_total", "events", ("kind",), "Runs that ended, by how.")
 ORDERS = Metric(
     "job_orders_total", "events", ("order", "result"), "Orders, by the answer."
@@ -70,6 +73,7 @@
     COMMIT_SECONDS,
     STARTS,
     FIRST_START_SECONDS,
+    PLAN_SECONDS,
     ENDS,
     ORDERS,
     POLLS,
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -101,6 +101,17 @@
         ]
         return [incarnation for _, incarnation in sorted(scored)]
 
+    def room_for(self, job: JobState, waiting: WaitingStep) -> int:
+        """Return how many tasks of a step fit on the candidates that accept one."""
+        step = job.spec.steps[waiting.step]
+        reserved = step.reserved()
+        service = job.queue.service
+        return sum(
+            candidate.fitting_tasks(waiting.step_key(), step, reserved)
+            for candidate in self._usable_candidates(job, waiting)
+            if candidate.accepts(waiting.step_key(), step, reserved, service)
+        )
+
     def try_place(self, task: TaskKey, step: StepSpec, job: JobState) -> bool:
         """Reserve a good target for a task and return whether there was one."""
         candidate = self._choose(task, step, job, self.candidates, can_wait=True)
