--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
@@ -58,15 +58,28 @@
         return self.leads
 
     def poll(self, session: TargetSession, request: PollRequest) -> None:
-        """Poll a target after the wait, or earlier if it has new ends."""
+        """Poll a target; it answers after the wait, or earlier if it has new ends."""
         deadline = self.cluster.clock.now_ms + request.wait_ms
-        self.cluster.call_later(CALL_MS, lambda: self._poll(session, request, deadline))
+        self.cluster.call_later(
+            CALL_MS, lambda: self._receive_poll(session, request, deadline)
+        )
+
+    def _receive_poll(
+        self, session: TargetSession, request: PollRequest, deadline: int
+    ) -> None:
+        target = self._reachable_target(session)
+        if target is not None and target.registered.incarnation == session.incarnation:
+            # The lease is renewed on arrival, not when the answer is due.
+            target_result = target.poll(request)
+            if target_result.kind is ResultKind.FENCED:
+                deadline = self.cluster.clock.now_ms
+        self._poll(session, request, deadline)
 
     def _poll(
         self, session: TargetSession, request: PollRequest, deadline: int
     ) -> None:
-        target = self.cluster.targets.get(session.endpoint.address)
-        if target is None or not target.alive or not target.receives:
+        target = self._reachable_target(session)
+        if target is None:
             self._no_answer(lambda leader: leader.on_poll_result(session, NO_RESULT))
             return
         if target.registered.incarnation.target_id != session.incarnation.target_id:
@@ -96,8 +109,8 @@
         self.cluster.call_later(delay, lambda: self._order(session, order, until))
 
     def _order(self, session: TargetSession, order: Order, until: int) -> None:
-        target = self.cluster.targets.get(session.endpoint.address)
-        if target is None or not target.alive or not target.receives:
+        target = self._reachable_target(session)
+        if target is None:
             self._no_answer(lambda leader: leader.on_order(session, order, NO_RESULT))
             return
         if target.registered.incarnation.target_id != session.incarnation.target_id:
@@ -109,6 +122,12 @@
         else:
             self._no_answer(lambda leader: leader.on_order(session, order, NO_RESULT))
 
+    def _reachable_target(self, session: TargetSession) -> FakeTarget | None:
+        target = self.cluster.targets.get(session.endpoint.address)
+        if target is None or not target.alive or not target.receives:
+            return None
+        return target
+
     def _answer(self, action: Callable[[Leader], None]) -> None:
         self.cluster.call_later(CALL_MS, lambda: self._deliver(action))
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -53,6 +53,7 @@
         self.highest_run: dict[object, int] = {}
         self.started: list[RunKey] = []
         self.work_ms = 500
+        self.work_ms_by_job: dict[str, int] = {}
         self.fails = False
         self.alive = True
         self.receives = True
@@ -100,10 +101,14 @@
 
     def _percent(self, run: RunKey) -> int:
         """Return the progress of a run; a long-running one is always at 100."""
-        if self.work_ms >= LONG_RUNNING_MS and not self.stalls:
+        work_ms = self._work_ms(run)
+        if work_ms >= LONG_RUNNING_MS and not self.stalls:
             return 100
         left = max(0, self.running[run].ends_ms - self.now())
-        return 0 if self.stalls else max(1, 99 - left * 99 // self.work_ms)
+        return 0 if self.stalls else max(1, 99 - left * 99 // work_ms)
+
+    def _work_ms(self, run: RunKey) -> int:
+        return self.work_ms_by_job.get(run.task.job_id, self.work_ms)
 
     def order(self, order: Order, token: int, lease_until: int) -> TargetResult:
         """Carry out an order."""
@@ -133,7 +138,7 @@
         if lease_until <= self.now():
             return TargetResult(ResultKind.LATE, self.now())
         kind = EndKind.FAILED if self.fails else EndKind.DONE
-        self.running[run] = FakeRun(self.now() + self.work_ms, kind)
+        self.running[run] = FakeRun(self.now() + self._work_ms(run), kind)
         self.started.append(run)
         return TargetResult(ResultKind.OK, self.now())
 
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
@@ -0,0 +1,80 @@
+"""Interrupted long-running tasks under a steady load of short jobs."""
+
+import unittest
+
+from foxspring_model import Resources
+
+from foxspring_jobs._specs import StepSpec
+from foxspring_jobs.tests.builders import OTHER_JOB, registered, spec, step
+from foxspring_jobs.tests.fake_cluster import FakeCluster
+
+SERVICE_JOB = OTHER_JOB
+LONG_MS = 60_000
+SHORT_MS = 500
+SUBMIT_INTERVAL_MS = 200
+# A lease expires within 4.5 s; after that one short task's time is enough.
+RESTART_BOUND_MS = 6_000
+TASK_SIZE = Resources(cores_milli=3_000, memory_mb=100)
+
+
+def service_step(count: int) -> StepSpec:
+    return step(count, long_running=True, resources=TASK_SIZE)
+
+
+class FullCluster:
+    """A cluster with a service on two targets and short jobs that fill a third.
+
+    Each short task takes as much room as a task of the service. The short jobs arrive
+    faster than they are done, so that some of them can always be in time.
+    """
+
+    def __init__(self) -> None:
+        self.cluster = FakeCluster(*(registered(name) for name in ("t1", "t2", "t3")))
+        self.submitted = 0
+        for target in self.cluster.targets.values():
+            target.work_ms = SHORT_MS
+            target.work_ms_by_job[SERVICE_JOB] = LONG_MS
+        self.cluster.run(1_500)
+        self.cluster.submit(spec(service_step(2)), SERVICE_JOB)
+        self.cluster.run(500)
+        self.run_with_short_jobs(2_000)
+
+    def run_with_short_jobs(self, duration_ms: int) -> None:
+        for _ in range(0, duration_ms, SUBMIT_INTERVAL_MS):
+            self.submitted += 1
+            short = step(1, estimated_ms=SHORT_MS, resources=TASK_SIZE)
+            self.cluster.submit(spec(short), f"{self.submitted:016x}")
+            self.cluster.run(SUBMIT_INTERVAL_MS)
+
+    def service_runs(self) -> int:
+        """Return how many tasks of the service run on live targets."""
+        return sum(
+            run.task.job_id == SERVICE_JOB
+            for target in self.cluster.targets.values()
+            for run in target.running
+            if target.alive
+        )
+
+    def lose_service_target(self) -> None:
+        lost = next(
+            target
+            for target in self.cluster.targets.values()
+            if any(run.task.job_id == SERVICE_JOB for run in target.running)
+        )
+        lost.alive = False
+
+
+class RestartTest(unittest.TestCase):
+    def test_interrupted_long_running_task_does_not_starve_behind_short_jobs(
+        self,
+    ) -> None:
+        full = FullCluster()
+        self.assertEqual(full.service_runs(), 2)
+        full.lose_service_target()
+        full.run_with_short_jobs(RESTART_BOUND_MS)
+        self.assertEqual(full.service_runs(), 2)
+        self.assertEqual(full.cluster.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
