Give up the runs of a target that is lost right after its restart

A target that restarted under its id is polled before its earlier incarnation's runs count as ended. If it was lost in between, only its own, unregistered incarnation was given up: the earlier one stayed registered without a session, its runs counted for ever, and their tasks never started again. Losing an incarnation now gives up the registered one that it follows. The test failed before (job still active after 15 s).

--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -387,9 +387,13 @@
             self.poll(session, POLL_WAIT_MS)
 
     def declare_lost(self, incarnation: TargetIncarnation, reason: str) -> None:
-        """Give up an incarnation of a target and every run on it."""
+        """Give up an incarnation of a target and every run on it.
+
+        If it is not registered yet, the earlier incarnation that it follows is given
+        up, whose runs it was to take over.
+        """
         session = self.context.sessions.get(incarnation.target_id)
-        target = self.context.draft.target(incarnation)
+        target = self._registered_up_to(incarnation)
         runs = len(target.runs) if target else 0
         self.context.metrics.count(LOST, reason)
         _LOG.warning(
@@ -401,8 +405,16 @@
         if session is not None and session.incarnation == incarnation:
             self.close_session(session)
             del self.context.sessions[incarnation.target_id]
-        if target is not None and incarnation not in self.context.lost_targets:
-            self.context.lost_targets.append(incarnation)
+        if target is not None and target.incarnation not in self.context.lost_targets:
+            self.context.lost_targets.append(target.incarnation)
+
+    def _registered_up_to(self, incarnation: TargetIncarnation) -> TargetState | None:
+        """Return the target's registered incarnation, unless it is a later one."""
+        target = self.context.draft.targets.get(incarnation.target_id)
+        if target is None:
+            return None
+        later = target.incarnation.incarnation_ms > incarnation.incarnation_ms
+        return None if later else target
 
     def note_start(self, start: RunStart) -> None:
         """Record a start that is about to be committed."""
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -181,6 +181,20 @@
                 cluster.run(12_000)
                 self.assertEqual(cluster.violations, [])
 
+    def test_runs_of_a_target_lost_right_after_its_restart_are_given_up(self) -> None:
+        cluster = self.cluster()
+        cluster.submit(spec(step(1)))
+        cluster.run(100)
+        lost = next(t for t in cluster.targets.values() if t.running)
+        target_id = lost.registered.incarnation.target_id
+        restarted = cluster.add(registered(target_id, incarnation_ms=2), clock_start=10)
+        restarted.receives = False
+        report = TargetReport(restarted.registered, 1, restarted.now())
+        cluster.leader.report(report, cluster.answers.append)
+        cluster.run(15_000)
+        self.assertIs(cluster.phase(), JobPhase.COMPLETED)
+        self.assertNotIn(target_id, cluster.leader.context.draft.targets)
+
     def test_address_reused_by_another_target(self) -> None:
         cluster = self.cluster()
         cluster.submit(spec(step(4)))
