Start interrupted long-running tasks before new work

Cause: a long-running job always counts as late, so each plan gave the room to short jobs of the same priority that could be in time; under a steady load there is always one, and nothing bounded the wait.

Interrupted tasks now form a class of their own that goes first, whatever its priority: they continue work that was admitted, and running work keeps its capacity as well when work of a higher priority waits. The listed test fails without the change and passes with it.

--- a/packages/foxspring-jobs/foxspring_jobs/_interrupted_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_interrupted_log.py
@@ -9,11 +9,11 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from foxspring_jobs._candidates import StepKey
 from foxspring_jobs._leader_context import LeaderContext
 from foxspring_jobs._placement import Planner
+from foxspring_jobs._restarts import Restarts
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs._state import State, TargetState
+from foxspring_jobs._state import TargetState
 from foxspring_jobs._waiting import WaitingStep
 
 _LOG = logging.getLogger(__name__)
@@ -40,10 +40,10 @@
 class InterruptedLog:
     """Logs interrupted steps of one leadership, at most once per interval."""
 
-    def __init__(self, context: LeaderContext) -> None:
+    def __init__(self, context: LeaderContext, restarts: Restarts) -> None:
         self.context = context
+        self.restarts = restarts
         self.logged_ms = context.clock.monotonic_ms()
-        self.since_ms: dict[StepKey, int] = {}
 
     def before_plan(
         self, waiting: Sequence[WaitingStep], planner: Planner
@@ -53,27 +53,17 @@
         if now_ms < self.logged_ms + LOG_INTERVAL_MS:
             return []
         self.logged_ms = now_ms
-        state = self.context.draft
-        interrupted = [
-            (ahead, step, idle)
-            for ahead, step in enumerate(waiting)
-            if (idle := interrupted_tasks(state, step))
-        ]
-        self.since_ms = {
-            step.step_key(): self.since_ms.get(step.step_key(), now_ms)
-            for _, step, _ in interrupted
-        }
-        return [
-            InterruptedStep(
-                step,
-                idle,
-                now_ms - self.since_ms[step.step_key()],
-                ahead,
-                planner.room_for(state.active[step.job_id], step),
-            )
-            for ahead, step, idle in interrupted
-            if now_ms >= self.since_ms[step.step_key()] + MIN_INTERRUPTION_MS
-        ][:MAX_LOGGED_STEPS]
+        found = []
+        for ahead, step in enumerate(waiting):
+            interrupted_ms = self.restarts.longest_ms(step.step_key(), now_ms)
+            if interrupted_ms < MIN_INTERRUPTION_MS:
+                continue
+            idle = len(self.restarts.since_ms[step.step_key()])
+            room = planner.room_for(self.context.draft.active[step.job_id], step)
+            found.append(InterruptedStep(step, idle, interrupted_ms, ahead, room))
+            if len(found) == MAX_LOGGED_STEPS:
+                break
+        return found
 
     def after_plan(self, steps: Sequence[InterruptedStep], planner: Planner) -> None:
         """Log each step with the room that the plan has left for it."""
@@ -98,14 +88,5 @@
             )
 
 
-def interrupted_tasks(state: State, waiting: WaitingStep) -> int:
-    """Return how many tasks of a long-running step had a run and have none now."""
-    job = state.active[waiting.job_id]
-    if not job.spec.steps[waiting.step].long_running:
-        return 0
-    tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
-    return sum(task.last_run > 0 and not task.runs for task in tasks)
-
-
 def _fits(target: TargetState, step: StepSpec) -> bool:
     return step.reserved().fits_in(target.free())
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -45,6 +45,7 @@
 )
 from foxspring_jobs._orders import Order, TargetResult
 from foxspring_jobs._placement import Allowed, Planner
+from foxspring_jobs._restarts import Restarts
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import JobSpec, Queue
 from foxspring_jobs._state import State
@@ -92,7 +93,8 @@
         self.reports = TargetReports(
             self.context, self.poller, self.orders, self._propose
         )
-        self.interrupted_log = InterruptedLog(self.context)
+        self.restarts = Restarts()
+        self.interrupted_log = InterruptedLog(self.context, self.restarts)
         self.in_flight = 0
         self.started_ms = clock.monotonic_ms()
         self.planned_ms = self.started_ms
@@ -312,8 +314,14 @@
             return ()
         allowed = self._allowed(waiting)
         candidates = self.poller.candidates()
+        now_ms = self.context.clock.monotonic_ms()
+        self.restarts.update(self.context.draft, waiting, now_ms)
         planner = Planner(
-            self.context.draft, candidates, self.context.interference, allowed
+            self.context.draft,
+            candidates,
+            self.context.interference,
+            allowed,
+            self.restarts.overdue(now_ms),
         )
         interrupted = self.interrupted_log.before_plan(waiting, planner)
         starts = planner.plan(waiting)
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -6,6 +6,7 @@
 they lengthen no serving task's tail latency.
 """
 
+import math
 from collections.abc import Iterable, Iterator, Mapping
 
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
@@ -14,10 +15,11 @@
 from foxspring_jobs._ranking import Ranking, Score
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import JobState, State, StepState, TaskState
-from foxspring_jobs._waiting import WaitingStep
+from foxspring_jobs._waiting import Precedence, WaitingStep
 
 BUSY_FREE_PERCENT = 50
 SUSPECT_FAILURES = 2
+ROOM_TO_USE_RESERVE = 2
 Allowed = Mapping[StepKey, frozenset[str]]
 
 
@@ -25,7 +27,8 @@
     """Plans starts once over the candidate targets.
 
     ``allowed`` maps each step of a queue that needs advice to the ids of the targets on
-    which it may start.
+    which it may start. ``overdue_restarts`` are the steps with tasks that have been
+    interrupted for too long.
     """
 
     def __init__(
@@ -34,11 +37,13 @@
         candidates: Iterable[Candidate],
         interference: Interference,
         allowed: Allowed | None = None,
+        overdue_restarts: frozenset[StepKey] = frozenset(),
     ) -> None:
         self.state = state
         self.candidates = list(candidates)
         self.effects = Effects(interference)
         self.allowed = allowed or {}
+        self.overdue_restarts = overdue_restarts
         self.busy = _is_busy(self.candidates)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
 
@@ -147,12 +152,17 @@
         ):
             return []
         running = any(s.running for s in steps)
+        room_to_use_reserve = self._room_to_use_reserve(waiting)
         ranking = self._rank(waiting.step_key(), step, job, candidates)
         for index, task in startable_tasks(steps[waiting.step], step):
+            if not waiting.includes(task, step):
+                continue
             # While half of the cores are free, a job without runs gets one task
             # at any cost.
             can_wait = self.busy or running or bool(starts)
-            candidate = self._pick(ranking, waiting.step_key(), step, can_wait)
+            candidate = self._pick(
+                ranking, waiting.step_key(), step, can_wait, room_to_use_reserve
+            )
             if candidate is None:
                 if step.best_effort and candidates is self.candidates:
                     self.blocked_best_effort[best_effort_kind] = cores
@@ -232,14 +242,29 @@
             candidates, accepts, score_long_running if step.long_running else score
         )
 
+    def _room_to_use_reserve(self, waiting: WaitingStep) -> float:
+        """Return how many tasks must fit for one to use the reserve for short tasks.
+
+        Restarts are considered before the short tasks that the reserve is for, so they
+        leave it alone until they are overdue.
+        """
+        if waiting.precedence is Precedence.START:
+            return ROOM_TO_USE_RESERVE
+        return 1 if waiting.step_key() in self.overdue_restarts else math.inf
+
     def _pick(
-        self, ranking: Ranking, step_key: StepKey, step: StepSpec, can_wait: bool
+        self,
+        ranking: Ranking,
+        step_key: StepKey,
+        step: StepSpec,
+        can_wait: bool,
+        room_to_use_reserve: float = ROOM_TO_USE_RESERVE,
     ) -> Candidate | None:
         """Return the target for one more task of a step, or None if it should wait.
 
         A long-running task leaves a reserve for short tasks, unless it would stay idle
-        although two tasks of its step would fit. A best-effort task with ``can_wait``
-        waits for a target that is neither too risky nor too crowded.
+        although ``room_to_use_reserve`` tasks of its step would fit. A best-effort task
+        with ``can_wait`` waits for a target that is neither too risky nor too crowded.
         """
         best = ranking.best()
         if best is None:
@@ -250,7 +275,7 @@
             fitting_tasks = sum(
                 r.fitting_tasks(step_key, step, reserved) for r in ranking.candidates()
             )
-            return candidate if fitting_tasks > 1 else None
+            return candidate if fitting_tasks >= room_to_use_reserve else None
         if step.best_effort and can_wait:
             _, too_risky, crowded, *_ = score
             return None if too_risky or crowded else candidate
--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -5,26 +5,46 @@
 others, so that most jobs are on time. Ordered by least slack, all would wait for the
 oldest one and be late together. Late occurrences, and after them hopelessly late ones,
 wait for these and are ordered by slack.
+
+Load pattern: targets are lost while short jobs fill all capacity. Interrupted
+long-running tasks start again before any task is started for the first time. They have
+no objective that they could still meet, so under a steady load of jobs that can be on
+time they would never run again.
 """
 
 from collections.abc import Iterator
+from enum import IntEnum
 from typing import NamedTuple
 
 from foxspring_jobs._candidates import StepKey
-from foxspring_jobs._state import JobState, State
+from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._state import JobState, State, StepState, TaskState
 
 LATE_FACTOR = 3
 MILLICORE_MS_PER_CORE_SECOND = 1_000_000
 
 
+class Precedence(IntEnum):
+    """What goes first, whatever its priority.
+
+    A restart continues admitted work, which keeps its capacity while it runs even if
+    work of a higher priority waits; it should not lose that by an interruption.
+    """
+
+    RESTART = 0
+    START = 1
+
+
 class WaitingStep(NamedTuple):
     """A step with tasks to start; instances sort in scheduling order.
 
-    ``lateness`` is 0 if the occurrence can be on time, 1 if it will be late and 2 if it
-    will be later than ``LATE_FACTOR`` times its objective. ``order_key`` is the
+    With ``Precedence.RESTART`` only its interrupted tasks are meant, otherwise only the
+    others. ``lateness`` is 0 if the occurrence can be on time, 1 if it will be late and
+    2 if it will be later than ``LATE_FACTOR`` times its objective. ``order_key`` is the
     remaining work in core-seconds for lateness 0, otherwise the slack in milliseconds.
     """
 
+    precedence: Precedence
     priority: int
     lateness: int
     order_key: int
@@ -36,6 +56,16 @@
         """Return the key of the step, within its occurrence."""
         return self.job_id, self.occurrence, self.step
 
+    def includes(self, task: TaskState, step: StepSpec) -> bool:
+        """Return whether a task of the step is meant."""
+        restart = self.precedence is Precedence.RESTART
+        return is_interrupted(task, step) == restart
+
+
+def is_interrupted(task: TaskState, step: StepSpec) -> bool:
+    """Return whether a long-running task was started before and has no run now."""
+    return step.long_running and task.last_run > 0 and not task.runs
+
 
 def remaining_critical_path_ms(job: JobState, occurrence: int) -> int:
     """Return the estimated duration of the longest chain of unfinished steps."""
@@ -88,8 +118,11 @@
         lateness = 1
     order_key = slack_ms if lateness else remaining_work(job, occurrence)
     for number, step in enumerate(job.occurrences[occurrence]):
-        if step.idle and job.step_is_ready(occurrence, number):
+        if not step.idle or not job.step_is_ready(occurrence, number):
+            continue
+        for precedence in _precedences(step, job.spec.steps[number]):
             yield WaitingStep(
+                precedence,
                 job.queue.priority,
                 lateness,
                 order_key,
@@ -99,6 +132,13 @@
             )
 
 
+def _precedences(step: StepState, spec: StepSpec) -> list[Precedence]:
+    """Return the precedences of the idle tasks of a step."""
+    interrupted = sum(is_interrupted(task, spec) for task in step.tasks)
+    found = [Precedence.RESTART] if interrupted else []
+    return [*found, Precedence.START] if step.idle > interrupted else found
+
+
 def due_occurrences(state: State, wall_ms: int) -> tuple[tuple[str, int], ...]:
     """Return the occurrences of timed jobs that are due but not opened yet."""
     due = []
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -2,8 +2,8 @@
 
 from foxspring_model import Resources
 
-from foxspring_jobs._candidates import Candidate
-from foxspring_jobs._commands import RunStart
+from foxspring_jobs._candidates import Candidate, StepKey
+from foxspring_jobs._commands import Advance, RunStart
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._placement import Planner, startable_tasks
 from foxspring_jobs._specs import StepSpec
@@ -28,10 +28,18 @@
 
 
 def plan(
-    state: State, interference: Interference | None = None, wall_ms: int = 0
+    state: State,
+    interference: Interference | None = None,
+    wall_ms: int = 0,
+    overdue_restarts: frozenset[StepKey] = frozenset(),
 ) -> list[RunStart]:
     candidates = [Candidate(target) for target in state.targets.values()]
-    planner = Planner(state, candidates, interference or Interference())
+    planner = Planner(
+        state,
+        candidates,
+        interference or Interference(),
+        overdue_restarts=overdue_restarts,
+    )
     return planner.plan(waiting_steps(state, wall_ms))
 
 
@@ -204,6 +212,39 @@
         )
 
 
+class RestartOrderTest(unittest.TestCase):
+    """Interrupted long-running tasks compete with new work for one target."""
+
+    def interrupted(self, cores: int = 1_000, count: int = 1) -> State:
+        """Return a state in which the first task of a service was interrupted."""
+        state = state_with(registered("t1", cores=cores), registered("t2", cores=cores))
+        submit(state, spec(step(count, long_running=True)), OTHER_JOB)
+        run = run_key(job_id=OTHER_JOB)
+        start(state, run, "t2")
+        lost = state.targets["t2"].incarnation
+        state.apply(Advance(lost_targets=(lost,)), 0)
+        return state
+
+    def test_restart_goes_before_work_of_a_higher_priority(self) -> None:
+        state = self.interrupted(cores=1_500)
+        state.jobs[OTHER_JOB].queue = QUEUE._replace(priority=2)
+        submit(state, spec(step(3, estimated_ms=100)), JOB)
+        self.assertEqual([s.run.task.job_id for s in plan(state)], [OTHER_JOB])
+
+    def test_restart_uses_the_reserve_for_short_tasks_once_overdue(self) -> None:
+        state = self.interrupted()
+        self.assertEqual(plan(state), [])
+        overdue = frozenset({(OTHER_JOB, 0, 0)})
+        starts = plan(state, overdue_restarts=overdue)
+        self.assertEqual([s.run.number for s in starts], [2])
+
+    def test_tasks_that_never_started_gain_nothing_from_an_interruption(self) -> None:
+        state = self.interrupted(cores=2_000, count=3)
+        submit(state, spec(step(1, estimated_ms=100)), JOB)
+        starts = [(s.run.task.job_id, s.run.task.ordinal) for s in plan(state)]
+        self.assertEqual(starts, [(OTHER_JOB, 0), (JOB, 0)])
+
+
 class SuspectJobTest(unittest.TestCase):
     """Tasks of a step with repeated failures are tried one at a time."""
 
