Let a lease survive one poll that is never answered

A lease of 4 s was renewed by polls that wait up to 2 s. If one of them was lost, that was noticed 2.7 s after it was sent, 4.7 s after the last renewal: every run on a healthy target lapsed. The wait now follows from the lease (1.2 s for 4 s), so that a lost poll, its retry and the next renewal fit.

The test loses one poll at 20 moments; each failed before (the run lapsed and was started again), all pass now. The cost in polls is not measured yet.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -47,6 +47,9 @@
 LONG_POLL_WAIT_MS = 2_000
 RISKY_POLL_WAIT_MS = 400
 POLL_RETRY_MS = 250
+# The time from the wait of a lost poll to the next renewal: its timeout, the pause
+# before the retry, the retry, and delays of a busy leader.
+LOST_POLL_MS = 1_600
 MOVE_PLANNER_MAX_AGE_MS = 100
 MITIGATION_INTERVAL_MS = 600
 SPECULATION_INTERVAL_MS = 100
@@ -55,6 +58,15 @@
 YOUNG_TARGET_MS = 30_000
 
 
+def longest_wait_ms(lease_ms: int) -> int:
+    """Return the longest wait with which a lease survives one lost poll.
+
+    A lease is renewed when a poll is sent. If the next poll is lost, that is noticed
+    only after two waits.
+    """
+    return max(0, lease_ms - LOST_POLL_MS) // 2
+
+
 def ignore_answer(_answer: Answer) -> None:
     """Ignore an answer that no caller waits for."""
 
@@ -65,6 +77,7 @@
     def __init__(self, context: LeaderContext, orders: TargetOrders) -> None:
         self.context = context
         self.orders = orders
+        self.longest_wait_ms = longest_wait_ms(context.settings.lease_ms)
         self.move_planner: Planner | None = None
         self.move_planner_built_ms = 0
         self.speculation_due_ms = 0
@@ -166,6 +179,7 @@
             and not session.failed_polls
         )
         lease_until = session.clock.grant_lease(now_ms) if renews else None
+        wait_ms = min(wait_ms, self.longest_wait_ms)
         self.context.ports.poll(
             session, PollRequest(session.token, session.cursor, lease_until, wait_ms)
         )
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
@@ -34,6 +34,7 @@
 TICK_MS = 50
 HEARTBEAT_MS = 1_000
 NO_ANSWER_MS = 600
+POLL_MARGIN_MS = 700
 
 
 class LeaderPorts:
@@ -43,6 +44,7 @@
         self.cluster = cluster
         self.leads = True
         self.order_delay_ms = 0
+        self.polls_to_lose = 0
 
     def propose(self, command: Command, done: Callable[[bool], None]) -> None:
         """Commit after a delay, unless the leadership is lost by then."""
@@ -59,6 +61,13 @@
 
     def poll(self, session: TargetSession, request: PollRequest) -> None:
         """Poll a target; it answers after the wait, or earlier if it has new ends."""
+        if self.polls_to_lose:
+            self.polls_to_lose -= 1
+            self._no_answer(
+                lambda leader: leader.on_poll_result(session, NO_RESULT),
+                request.wait_ms + POLL_MARGIN_MS,
+            )
+            return
         deadline = self.cluster.clock.now_ms + request.wait_ms
         self.cluster.call_later(
             CALL_MS, lambda: self._receive_poll(session, request, deadline)
@@ -131,8 +140,10 @@
     def _answer(self, action: Callable[[Leader], None]) -> None:
         self.cluster.call_later(CALL_MS, lambda: self._deliver(action))
 
-    def _no_answer(self, action: Callable[[Leader], None]) -> None:
-        self.cluster.call_later(NO_ANSWER_MS, lambda: self._deliver(action))
+    def _no_answer(
+        self, action: Callable[[Leader], None], timeout_ms: int = NO_ANSWER_MS
+    ) -> None:
+        self.cluster.call_later(timeout_ms, lambda: self._deliver(action))
 
     def _deliver(self, action: Callable[[Leader], None]) -> None:
         if self.leads:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
@@ -76,5 +76,21 @@
         self.assertEqual(full.cluster.violations, [])
 
 
+class UnansweredPollTest(unittest.TestCase):
+    def test_lease_does_not_lapse_after_one_unanswered_poll(self) -> None:
+        for lose_at_ms in range(0, 2_000, 100):
+            with self.subTest(lose_at_ms=lose_at_ms):
+                cluster = FakeCluster(registered())
+                target = cluster.targets["t1.example:80"]
+                target.work_ms = LONG_MS
+                cluster.run(1_500)
+                cluster.submit(spec(service_step(1)))
+                cluster.run(3_000 + lose_at_ms)
+                cluster.ports.polls_to_lose = 1
+                cluster.run(8_000)
+                self.assertEqual(target.finished, [])
+                self.assertEqual(len(target.started), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
