Time each interruption of a task anew

The tracker kept the time of an earlier interruption if nothing waited in between, since a plan without waiting steps ended before its update; the task then counted as overdue at once.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -309,13 +309,13 @@
 
     def _plan_starts(self) -> tuple[RunStart, ...]:
         waiting = waiting_steps(self.context.draft, self.context.clock.wall_ms())
+        now_ms = self.context.clock.monotonic_ms()
+        self.restarts.update(self.context.draft, waiting, now_ms)
         overdue = self.poller.overdue_runs()
         if not waiting and not overdue:
             return ()
         allowed = self._allowed(waiting)
         candidates = self.poller.candidates()
-        now_ms = self.context.clock.monotonic_ms()
-        self.restarts.update(self.context.draft, waiting, now_ms)
         planner = Planner(
             self.context.draft,
             candidates,
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
@@ -4,11 +4,27 @@
 
 from foxspring_model import Resources
 
+from foxspring_jobs._commands import RunKey
+from foxspring_jobs._restarts import OVERDUE_MS, Restarts
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs.tests.builders import OTHER_JOB, registered, spec, step
+from foxspring_jobs._state import EndKind, State
+from foxspring_jobs._waiting import waiting_steps
+from foxspring_jobs.tests.builders import (
+    JOB,
+    OTHER_JOB,
+    end,
+    registered,
+    run_key,
+    spec,
+    start,
+    state_with,
+    step,
+    submit,
+)
 from foxspring_jobs.tests.fake_cluster import FakeCluster
 
 SERVICE_JOB = OTHER_JOB
+STEP_KEY = (JOB, 0, 0)
 LONG_MS = 60_000
 SHORT_MS = 500
 SUBMIT_INTERVAL_MS = 200
@@ -76,6 +92,45 @@
         self.assertEqual(full.cluster.violations, [])
 
 
+class RestartsTest(unittest.TestCase):
+    """The times that a leader records for interrupted tasks."""
+
+    def state(self) -> State:
+        state = state_with(registered("t1"), registered("t2"))
+        submit(state, spec(step(2, long_running=True)))
+        for index in range(2):
+            start(state, run_key(index), f"t{index + 1}")
+        return state
+
+    def interrupt(self, state: State, run: RunKey) -> None:
+        end(state, run, EndKind.FAILED)
+
+    def update(self, restarts: Restarts, state: State, now_ms: int) -> None:
+        restarts.update(state, waiting_steps(state, 0), now_ms)
+
+    def test_step_is_overdue_by_its_longest_interrupted_task(self) -> None:
+        state, restarts = self.state(), Restarts()
+        self.interrupt(state, run_key(0))
+        self.update(restarts, state, 100)
+        self.interrupt(state, run_key(1))
+        self.update(restarts, state, 100 + OVERDUE_MS)
+        self.assertEqual(restarts.longest_ms(STEP_KEY, 100 + OVERDUE_MS), OVERDUE_MS)
+        self.assertEqual(restarts.overdue(100 + OVERDUE_MS), {STEP_KEY})
+        start(state, run_key(0, number=2))
+        self.update(restarts, state, 200 + OVERDUE_MS)
+        self.assertEqual(restarts.longest_ms(STEP_KEY, 200 + OVERDUE_MS), 100)
+
+    def test_second_interruption_is_timed_anew(self) -> None:
+        state, restarts = self.state(), Restarts()
+        self.interrupt(state, run_key(0))
+        self.update(restarts, state, 100)
+        start(state, run_key(0, number=2))
+        self.update(restarts, state, 200)
+        self.interrupt(state, run_key(0, number=2))
+        self.update(restarts, state, 9_000)
+        self.assertEqual(restarts.longest_ms(STEP_KEY, 9_000), 0)
+
+
 class UnansweredPollTest(unittest.TestCase):
     def test_lease_does_not_lapse_after_one_unanswered_poll(self) -> None:
         for lose_at_ms in range(0, 2_000, 100):
