Show that a recent interruption blocks an overdue one of the same kind

Planner.plan takes a kind of step that got no place as blocked. Since restarts leave the reserve alone until overdue, one step of a kind may be refused a place that another step of the kind may have. The test fails on: [] instead of the overdue restart.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -7,12 +7,13 @@
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._placement import Planner, startable_tasks
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs._state import JobPhase, State, StepState, TaskState
+from foxspring_jobs._state import EndKind, JobPhase, State, StepState, TaskState
 from foxspring_jobs._waiting import waiting_steps
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
     QUEUE,
+    end,
     registered,
     run_key,
     spec,
@@ -244,6 +245,19 @@
         starts = [(s.run.task.job_id, s.run.task.ordinal) for s in plan(state)]
         self.assertEqual(starts, [(OTHER_JOB, 0), (JOB, 0)])
 
+    def test_overdue_restart_is_not_blocked_by_a_recent_one_of_the_same_kind(
+        self,
+    ) -> None:
+        state = self.interrupted()
+        # This service sorts first, was interrupted just now and leaves the reserve.
+        submit(state, spec(step(1, long_running=True)), JOB)
+        recent = run_key(job_id=JOB)
+        start(state, recent, "t1")
+        end(state, recent, EndKind.FAILED)
+        overdue = frozenset({(OTHER_JOB, 0, 0)})
+        starts = plan(state, overdue_restarts=overdue)
+        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+
 
 class SuspectJobTest(unittest.TestCase):
     """Tasks of a step with repeated failures are tried one at a time."""
