Show that new long-running work takes the room of interrupted tasks

Where only the reserve for short tasks has room, a restart waits 3 s for it, while a long-running task that never ran may use it at once if two fit. So new work overtakes interrupted tasks for 3 s, against the module text of _waiting. The test fails on: the new job is started, the interrupted task is not.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -258,6 +258,14 @@
         starts = plan(state, overdue_restarts=overdue)
         self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
 
+    def test_new_long_running_task_does_not_take_the_room_of_an_interrupted_one(
+        self,
+    ) -> None:
+        state = self.interrupted()
+        state.apply(registered("t3", cores=1_000), 0)
+        submit(state, spec(step(1, long_running=True, image="new")), JOB)
+        self.assertNotIn(JOB, [s.run.task.job_id for s in plan(state)])
+
 
 class SuspectJobTest(unittest.TestCase):
     """Tasks of a step with repeated failures are tried one at a time."""
