Show that an interrupted task starves behind smaller short jobs

A restart goes first, but only into room that a target has at that moment. Short tasks that are smaller take each piece as it becomes free, and nothing lets a target run empty for a restart.

LOST as written needs room for two, so this alone may not break it.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
@@ -14,6 +14,7 @@
 SUBMIT_INTERVAL_MS = 200
 # A lease expires within 4.5 s; after that one short task's time is enough.
 RESTART_BOUND_MS = 6_000
+SMALL_JOBS_BOUND_MS = 20_000
 TASK_SIZE = Resources(cores_milli=3_000, memory_mb=100)
 
 
@@ -24,11 +25,13 @@
 class FullCluster:
     """A cluster with a service on two targets and short jobs that fill a third.
 
-    Each short task takes as much room as a task of the service. The short jobs arrive
-    faster than they are done, so that some of them can always be in time.
+    By default, each short task takes as much room as a task of the service. The short
+    jobs then arrive faster than they are done, so that some of them can always be in
+    time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, short_size: Resources = TASK_SIZE) -> None:
+        self.short_size = short_size
         self.cluster = FakeCluster(*(registered(name) for name in ("t1", "t2", "t3")))
         self.submitted = 0
         for target in self.cluster.targets.values():
@@ -42,7 +45,7 @@
     def run_with_short_jobs(self, duration_ms: int) -> None:
         for _ in range(0, duration_ms, SUBMIT_INTERVAL_MS):
             self.submitted += 1
-            short = step(1, estimated_ms=SHORT_MS, resources=TASK_SIZE)
+            short = step(1, estimated_ms=SHORT_MS, resources=self.short_size)
             self.cluster.submit(spec(short), f"{self.submitted:016x}")
             self.cluster.run(SUBMIT_INTERVAL_MS)
 
@@ -75,6 +78,13 @@
         self.assertEqual(full.service_runs(), 2)
         self.assertEqual(full.cluster.violations, [])
 
+    def test_interrupted_task_does_not_starve_behind_smaller_short_jobs(self) -> None:
+        full = FullCluster(Resources(cores_milli=1_200, memory_mb=100))
+        self.assertEqual(full.service_runs(), 2)
+        full.lose_service_target()
+        full.run_with_short_jobs(SMALL_JOBS_BOUND_MS)
+        self.assertEqual(full.service_runs(), 2)
+
 
 class UnansweredPollTest(unittest.TestCase):
     def test_lease_does_not_lapse_after_one_unanswered_poll(self) -> None:
