Show that a task that runs again still counts as an overdue restart

Restarts.update is called only in plans that have waiting work. With none left after the restart, its last entry stays, so the task's next interruption counts from the earlier one and is overdue at once: it takes the reserve for short tasks without the 3 s, and task_interrupted lines name a wrong time. The test fails on: the step is in overdue() 4.5 s and more after its task runs again.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
@@ -4,6 +4,7 @@
 
 from foxspring_model import Resources
 
+from foxspring_jobs._restarts import OVERDUE_MS
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs.tests.builders import OTHER_JOB, registered, spec, step
 from foxspring_jobs.tests.fake_cluster import FakeCluster
@@ -85,6 +86,20 @@
         full.run_with_short_jobs(SMALL_JOBS_BOUND_MS)
         self.assertEqual(full.service_runs(), 2)
 
+    def test_task_that_runs_again_is_no_longer_overdue(self) -> None:
+        cluster = FakeCluster(registered("t1"), registered("t2"))
+        for target in cluster.targets.values():
+            target.work_ms = LONG_MS
+        cluster.run(1_500)
+        cluster.submit(spec(service_step(1)))
+        cluster.run(500)
+        next(t for t in cluster.targets.values() if t.running).alive = False
+        cluster.run(RESTART_BOUND_MS + OVERDUE_MS)
+        running = [run.number for t in cluster.targets.values() for run in t.running]
+        self.assertIn(2, running)
+        now_ms = cluster.clock.monotonic_ms()
+        self.assertEqual(cluster.leader.restarts.overdue(now_ms), frozenset())
+
 
 class UnansweredPollTest(unittest.TestCase):
     def test_lease_does_not_lapse_after_one_unanswered_poll(self) -> None:
