Show that a step never asks beyond the first 30 targets for advice

next_call names the 30 best of the targets with room each time, also after an answer that allows none of them, and an answer does not change. With equal targets, a step whose only allowed target is the 31st stays pending: after 20 s each call named the same 30. The step waits without bound although there is room, long-running or not.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_advice.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_advice.py
@@ -67,6 +67,19 @@
         self.assertEqual(cluster.targets["t1.example:80"].started, [])
         self.assertGreater(len(cluster.advice_calls), 1)
 
+    def test_step_that_no_target_of_the_first_call_may_run_asks_about_others(
+        self,
+    ) -> None:
+        names = [f"t{number:02}" for number in range(MAX_TARGETS_PER_CALL + 1)]
+        cluster = FakeCluster(*(registered(name) for name in names))
+        cluster.allowed = {names[-1]}
+        cluster.run(1_500)
+        cluster.submit(spec(), queue=ADVISED)
+        cluster.run(20_000)
+        asked = {t.target_id for call in cluster.advice_calls for t in call.targets}
+        self.assertEqual(asked, set(names))
+        self.assertIs(cluster.phase(), JobPhase.COMPLETED)
+
 
 if __name__ == "__main__":
     unittest.main()
