Show that one lost stop keeps a restarted target from being adopted

An order in flight starts a run on the new incarnation; adoption stops it before the earlier incarnation is given up. If that stop is lost, nobody sends it again: resend() gives up since the incarnation is not registered, and send_stop sends once. Each poll renews the stray run's lease, so neither end is reached: the earlier incarnation's runs count as running (a phantom run), and the target gets no work as long as the stray run lasts.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -195,6 +195,28 @@
         self.assertIs(cluster.phase(), JobPhase.COMPLETED)
         self.assertNotIn(target_id, cluster.leader.context.draft.targets)
 
+    def test_restarted_target_is_adopted_although_a_stop_is_lost(self) -> None:
+        cluster = FakeCluster(registered("t1"), registered("t2", cores=500))
+        cluster.run(1_500)
+        cluster.ports.order_delay_ms = 300
+        cluster.submit(spec(step(1)))
+        cluster.run(60)
+        restarted = cluster.add(registered("t1", incarnation_ms=2), clock_start=10)
+        restarted.work_ms = 60_000
+        cluster.ports.order_delay_ms = 0
+        sessions = cluster.leader.context.sessions
+        for _ in range(400):
+            if not sessions["t1"].stopping:
+                cluster.run(5)
+        self.assertTrue(sessions["t1"].stopping)
+        restarted.receives = False
+        cluster.run(5)
+        restarted.receives = True
+        cluster.run(15_000)
+        target = cluster.leader.context.draft.targets["t1"]
+        self.assertEqual(target.incarnation, restarted.registered.incarnation)
+        self.assertEqual([run.number for run in restarted.running], [2])
+
     def test_address_reused_by_another_target(self) -> None:
         cluster = self.cluster()
         cluster.submit(spec(step(4)))
