Show that giving up a restarted target can run a task twice

An order in flight to the earlier one may arrive later (12 s by YOUNG_TARGET_MS), starts on the new incarnation, which has seen no token, and keeps a lease that its old clock reading allows.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -11,6 +11,7 @@
     step,
 )
 from foxspring_jobs.tests.fake_cluster import FakeCluster
+from foxspring_jobs.tests.fake_target import FakeTarget
 
 
 class LeaderCase(unittest.TestCase):
@@ -217,6 +218,32 @@
         self.assertEqual(target.incarnation, restarted.registered.incarnation)
         self.assertEqual([run.number for run in restarted.running], [2])
 
+    def test_late_order_to_a_restarted_target_given_up_does_not_run_twice(self) -> None:
+        cluster, restarted = self.restarted_with_an_order_in_flight(10_500)
+        report = TargetReport(restarted.registered, 1, restarted.now())
+        cluster.leader.report(report, cluster.answers.append)
+        cluster.run(10_300)
+        restarted.receives = True
+        cluster.run(15_000)
+        self.assertEqual(cluster.violations, [])
+
+    def restarted_with_an_order_in_flight(
+        self, delay_ms: int
+    ) -> tuple[FakeCluster, FakeTarget]:
+        """Return a target that restarted and is cut off, and another with room."""
+        cluster = FakeCluster(registered("t1"), registered("t2", cores=500))
+        cluster.run(15_000)
+        cluster.ports.order_delay_ms = delay_ms
+        cluster.submit(spec(step(1)))
+        cluster.run(60)
+        cluster.ports.order_delay_ms = 0
+        again = registered("t1", incarnation_ms=cluster.clock.wall_ms())
+        restarted = cluster.add(again, clock_start=10)
+        restarted.work_ms = 9_000
+        restarted.receives = False
+        cluster.add(registered("t3")).work_ms = 9_000
+        return cluster, restarted
+
     def test_address_reused_by_another_target(self) -> None:
         cluster = self.cluster()
         cluster.submit(spec(step(4)))
