Show that a late order to a target restarted unnoticed runs twice

If no heartbeat of the new incarnation came in, the earlier one is given up after its own lease (about 4.3 s). An order in flight that arrives after that starts on the new incarnation with the old clock's deadline.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -227,6 +227,15 @@
         cluster.run(15_000)
         self.assertEqual(cluster.violations, [])
 
+    def test_late_order_to_a_target_restarted_unnoticed_does_not_run_twice(
+        self,
+    ) -> None:
+        cluster, restarted = self.restarted_with_an_order_in_flight(4_500)
+        cluster.run(4_400)
+        restarted.receives = True
+        cluster.run(15_000)
+        self.assertEqual(cluster.violations, [])
+
     def restarted_with_an_order_in_flight(
         self, delay_ms: int
     ) -> tuple[FakeCluster, FakeTarget]:
