--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
@@ -30,6 +30,7 @@
 SUBMIT_INTERVAL_MS = 200
 # A lease expires within 4.5 s; after that one short task's time is enough.
 RESTART_BOUND_MS = 6_000
+SMALL_JOBS_BOUND_MS = 20_000
 TASK_SIZE = Resources(cores_milli=3_000, memory_mb=100)
 
 
@@ -40,11 +41,13 @@
 class FullCluster:
     """A cluster with a service on two targets and short jobs that fill a third.
 
-    Each short task takes as much room as a task of the service. The short jobs arrive
-    faster than they are done, so that some of them can always be in time.
+    By default, each short task takes as much room as a task of the service. The short
+    jobs then arrive faster than they are done, so that some of them can always be in
+    time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, short_size: Resources = TASK_SIZE) -> None:
+        self.short_size = short_size
         self.cluster = FakeCluster(*(registered(name) for name in ("t1", "t2", "t3")))
         self.submitted = 0
         for target in self.cluster.targets.values():
@@ -58,7 +61,7 @@
     def run_with_short_jobs(self, duration_ms: int) -> None:
         for _ in range(0, duration_ms, SUBMIT_INTERVAL_MS):
             self.submitted += 1
-            short = step(1, estimated_ms=SHORT_MS, resources=TASK_SIZE)
+            short = step(1, estimated_ms=SHORT_MS, resources=self.short_size)
             self.cluster.submit(spec(short), f"{self.submitted:016x}")
             self.cluster.run(SUBMIT_INTERVAL_MS)
 
@@ -91,6 +94,27 @@
         self.assertEqual(full.service_runs(), 2)
         self.assertEqual(full.cluster.violations, [])
 
+    def test_interrupted_task_does_not_starve_behind_smaller_short_jobs(self) -> None:
+        full = FullCluster(Resources(cores_milli=1_200, memory_mb=100))
+        self.assertEqual(full.service_runs(), 2)
+        full.lose_service_target()
+        full.run_with_short_jobs(SMALL_JOBS_BOUND_MS)
+        self.assertEqual(full.service_runs(), 2)
+
+    def test_task_that_runs_again_is_no_longer_overdue(self) -> None:
+        cluster = FakeCluster(registered("t1"), registered("t2"))
+        for target in cluster.targets.values():
+            target.work_ms = LONG_MS
+        cluster.run(1_500)
+        cluster.submit(spec(service_step(1)))
+        cluster.run(500)
+        next(t for t in cluster.targets.values() if t.running).alive = False
+        cluster.run(RESTART_BOUND_MS + OVERDUE_MS)
+        running = [run.number for t in cluster.targets.values() for run in t.running]
+        self.assertIn(2, running)
+        now_ms = cluster.clock.monotonic_ms()
+        self.assertEqual(cluster.leader.restarts.overdue(now_ms), frozenset())
+
 
 class RestartsTest(unittest.TestCase):
     """The times that a leader records for interrupted tasks."""
