Send the stop of a stray run again while a restarted target is adopted

One lost stop kept the earlier incarnation's runs counted for ever: the order was not sent again, since the target is not registered yet, and each poll renewed the stray run's lease.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -354,6 +354,9 @@
             self.poll(session, POLL_WAIT_MS)
             return
         for row in view.running:
+            # An unanswered order is not sent again before the target is registered,
+            # so each poll that still shows the run sends another stop.
+            session.stopping.discard(row.run)
             self.orders.send_stop(session, row.run)
         self.context.ports.call_later(
             POLL_RETRY_MS, lambda: self.poll(session, wait_ms=0)
