--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -48,11 +48,12 @@
         lease_ms: int,
         token: int,
         earlier_lease_ms: int = 0,
+        late_order_ms: int = 0,
     ) -> None:
         self.token = token
         self.adopting: RegisterTarget | None = None
         self.endpoint = TargetEndpoint(registered.incarnation, registered.address)
-        self.clock = TargetClock(since_ms, lease_ms, earlier_lease_ms)
+        self.clock = TargetClock(since_ms, lease_ms, earlier_lease_ms, late_order_ms)
         self.health = TargetHealth()
         self.draining = registered.draining
         self.leaving = False
--- a/packages/foxspring-jobs/foxspring_jobs/_target_clock.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_clock.py
@@ -15,12 +15,21 @@
     ``earlier_lease_ms`` may have been granted. That is ``lease_ms`` if an earlier
     leader granted it. It is the longest lease that the target accepts if an order meant
     for an earlier incarnation may have carried a deadline of that incarnation's clock.
+    Such an order may arrive up to ``late_order_ms`` after that, unless the first sample
+    shows that the target has seen a higher token.
     """
 
-    def __init__(self, since_ms: int, lease_ms: int, earlier_lease_ms: int = 0) -> None:
+    def __init__(
+        self,
+        since_ms: int,
+        lease_ms: int,
+        earlier_lease_ms: int = 0,
+        late_order_ms: int = 0,
+    ) -> None:
         self.since_ms = since_ms
         self.lease_ms = lease_ms
         self.earlier_lease_ms = max(lease_ms, earlier_lease_ms)
+        self.late_order_ms = late_order_ms
         self.sample: tuple[int, int] | None = None
         self.latest_lease_end = 0
 
@@ -55,8 +64,7 @@
     def all_leases_expired(self, now_ms: int) -> bool:
         """Return whether every lease ever granted has certainly expired."""
         if self.sample is None:
-            wait_ms = (
-                self.earlier_lease_ms * 100 // MIN_CLOCK_RATE_PERCENT + EXPIRY_MARGIN_MS
-            )
+            wait_ms = self.earlier_lease_ms * 100 // MIN_CLOCK_RATE_PERCENT
+            wait_ms += self.late_order_ms + EXPIRY_MARGIN_MS
             return now_ms >= self.since_ms + wait_ms
         return self.reading_at(now_ms) >= self.latest_lease_end + EXPIRY_MARGIN_MS
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -53,8 +53,9 @@
 MOVE_PLANNER_MAX_AGE_MS = 100
 MITIGATION_INTERVAL_MS = 600
 SPECULATION_INTERVAL_MS = 100
-# An order may arrive 12 s late and carry a lease of 10 s; the rest allows for
-# differences between wall clocks.
+LATE_ORDER_MS = 12_000
+# A late order may carry a lease of 10 s; the rest allows for differences between wall
+# clocks.
 YOUNG_TARGET_MS = 30_000
 
 
@@ -116,7 +117,10 @@
         return settings.lease_ms
 
     def _begin_session(
-        self, registered: RegisterTarget, taking_over: bool = False
+        self,
+        registered: RegisterTarget,
+        taking_over: bool = False,
+        late_order_ms: int = 0,
     ) -> TargetSession:
         target_id = registered.incarnation.target_id
         session_count = self.context.session_counts.get(target_id, -1) + 1
@@ -127,6 +131,7 @@
             self.context.settings.lease_ms,
             self.context.token + session_count,
             self._earlier_lease_ms(registered.incarnation, taking_over),
+            late_order_ms,
         )
         self.context.last_incarnations[target_id] = registered.incarnation
         self.context.sessions[target_id] = session
@@ -149,7 +154,7 @@
             return
         if current is not None:
             self.close_session(current)
-        session = self._begin_session(registration)
+        session = self._begin_session(registration, late_order_ms=LATE_ORDER_MS)
         session.adopting = registration
 
     def retire_address(self, registration: RegisterTarget) -> None:
