Ask for advice about further targets when the first ones may not be used

A step asked about the same 30 best targets for ever; if the placement service allows only others, it never started. Targets that an answer leaves out are now passed over until none is left to ask about.

--- a/packages/foxspring-jobs/foxspring_jobs/_advice.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_advice.py
@@ -39,10 +39,15 @@
 
 
 class AdviceTickets:
-    """The valid tickets and the one call to the placement service in flight."""
+    """The valid tickets and the one call to the placement service in flight.
+
+    ``excluded`` are the targets that a step may not use. They are asked about again
+    only once no other target is left.
+    """
 
     def __init__(self) -> None:
         self.tickets: dict[StepKey, dict[str, Ticket]] = {}
+        self.excluded: dict[StepKey, set[TargetIncarnation]] = {}
         self.pending_call: AdviceCall | None = None
         self.retry_ms: dict[StepKey, int] = {}
 
@@ -63,11 +68,20 @@
                 continue
             if self.valid_tickets(step_key, now_ms):
                 continue
-            chosen = tuple(targets[:MAX_TARGETS_PER_CALL])
+            chosen = self._targets_to_ask(step_key, targets)
             self.pending_call = AdviceCall(*step_key, chosen)
             return self.pending_call
         return None
 
+    def _targets_to_ask(
+        self, step_key: StepKey, targets: Sequence[TargetIncarnation]
+    ) -> tuple[TargetIncarnation, ...]:
+        excluded = self.excluded.get(step_key, set())
+        remaining = [target for target in targets if target not in excluded]
+        if not remaining:
+            self.excluded.pop(step_key, None)
+        return tuple((remaining or targets)[:MAX_TARGETS_PER_CALL])
+
     def record_answer(
         self,
         call: AdviceCall,
@@ -90,6 +104,9 @@
             for target_id, text in allowed
             if target_id in targets_by_id
         }
+        usable = {ticket.incarnation for ticket in self.tickets[step_key].values()}
+        excluded = self.excluded.setdefault(step_key, set())
+        excluded.update(set(call.targets) - usable)
 
     def valid_tickets(self, step_key: StepKey, now_ms: int) -> dict[str, Ticket]:
         """Return the tickets of a step that have not expired, by target id."""
