Never poll without a wait, however short the lease is

With a lease of 1.6 s and less the wait that lets a lease survive a lost poll would be 0, and each answer would be followed by the next poll at once.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -46,6 +46,7 @@
 POLL_WAIT_MS = 1_000
 LONG_POLL_WAIT_MS = 2_000
 RISKY_POLL_WAIT_MS = 400
+MIN_POLL_WAIT_MS = 100
 POLL_RETRY_MS = 250
 # The time from the wait of a lost poll to the next renewal: its timeout, the pause
 # before the retry, the retry, and delays of a busy leader.
@@ -63,9 +64,9 @@
     """Return the longest wait with which a lease survives one lost poll.
 
     A lease is renewed when a poll is sent. If the next poll is lost, that is noticed
-    only after two waits.
+    only after two waits. A short lease does not survive that.
     """
-    return max(0, lease_ms - LOST_POLL_MS) // 2
+    return max(MIN_POLL_WAIT_MS, (lease_ms - LOST_POLL_MS) // 2)
 
 
 def ignore_answer(_answer: Answer) -> None:
