Do not send a long-running task back to a target that fails it at once

A run that fails before a poll has shown it at work now counts like the failure of a short task. The test failed before (no run on a sound target after 10 s).

--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -101,6 +101,11 @@
                 progress.percent = row.percent
                 progress.progressed_ms = now_ms
 
+    def was_at_work(self, run: RunKey) -> bool:
+        """Return whether the newest poll that showed a run had it at full progress."""
+        progress = self.progress.get(run)
+        return progress is not None and progress.percent == FULL_PERCENT
+
     def remove_run(self, run: RunKey) -> None:
         """Discard the data about a run whose end is committed."""
         self.sent.discard(run)
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -390,7 +390,7 @@
         elif end.kind == EndKind.FAILED:
             job = self.context.draft.jobs.get(key.job_id)
             long_running = job is not None and job.spec.steps[key.step].long_running
-            if not long_running:
+            if not long_running or not session.was_at_work(end.run):
                 session.health.note_failed(key.job_id, now_ms)
         self.context.metrics.count(ENDS, end.kind)
         _LOG.info(
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -253,6 +253,19 @@
         cluster.add(registered("t3")).work_ms = 9_000
         return cluster, restarted
 
+    def test_target_that_fails_long_running_tasks_does_not_keep_them(self) -> None:
+        cluster = self.cluster("t1", "t2", "t3")
+        for target in cluster.targets.values():
+            target.work_ms = 60_000
+        failing = cluster.targets["t1.example:80"]
+        failing.fails = True
+        failing.work_ms = 50
+        cluster.submit(spec(step(1, long_running=True)))
+        cluster.run(10_000)
+        sound = [t for t in cluster.targets.values() if t is not failing]
+        self.assertEqual(sum(len(t.running) for t in sound), 1)
+        self.assertLessEqual(len(failing.started), 2)
+
     def test_address_reused_by_another_target(self) -> None:
         cluster = self.cluster()
         cluster.submit(spec(step(4)))
