Let restarts overtake jobs in time only once they are overdue

What bounds the wait is enough: a restart now ranks after the jobs that can be on time and before late ones and other long-running tasks, and goes before everything once it has waited 3 s.

--- a/packages/foxspring-jobs/foxspring_jobs/_interrupted_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_interrupted_log.py
@@ -14,7 +14,7 @@
 from foxspring_jobs._restarts import Restarts
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import TargetState
-from foxspring_jobs._waiting import Precedence, WaitingStep
+from foxspring_jobs._waiting import Rank, WaitingStep
 
 _LOG = logging.getLogger(__name__)
 
@@ -55,8 +55,8 @@
         self.logged_ms = now_ms
         found = []
         for ahead, step in enumerate(waiting):
-            if step.precedence is not Precedence.RESTART:
-                break  # Restarts come first.
+            if step.rank is not Rank.RESTART:
+                continue
             interrupted_ms = self.restarts.longest_ms(step.step_key(), now_ms)
             if interrupted_ms < MIN_INTERRUPTION_MS:
                 continue
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -308,20 +308,20 @@
         return starts
 
     def _plan_starts(self) -> tuple[RunStart, ...]:
-        waiting = waiting_steps(self.context.draft, self.context.clock.wall_ms())
         now_ms = self.context.clock.monotonic_ms()
-        self.restarts.update(self.context.draft, waiting, now_ms)
+        self.restarts.update(self.context.draft, now_ms)
+        waiting = waiting_steps(
+            self.context.draft,
+            self.context.clock.wall_ms(),
+            self.restarts.overdue(now_ms),
+        )
         overdue = self.poller.overdue_runs()
         if not waiting and not overdue:
             return ()
         allowed = self._allowed(waiting)
         candidates = self.poller.candidates()
         planner = Planner(
-            self.context.draft,
-            candidates,
-            self.context.interference,
-            allowed,
-            self.restarts.overdue(now_ms),
+            self.context.draft, candidates, self.context.interference, allowed
         )
         interrupted = self.interrupted_log.before_plan(waiting, planner)
         starts = planner.plan(waiting)
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -6,7 +6,6 @@
 they lengthen no serving task's tail latency.
 """
 
-import math
 from collections.abc import Iterable, Iterator, Mapping
 
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
@@ -27,8 +26,7 @@
     """Plans starts once over the candidate targets.
 
     ``allowed`` maps each step of a queue that needs advice to the ids of the targets on
-    which it may start. ``overdue_restarts`` are the steps with tasks that have been
-    interrupted for too long.
+    which it may start.
     """
 
     def __init__(
@@ -37,24 +35,26 @@
         candidates: Iterable[Candidate],
         interference: Interference,
         allowed: Allowed | None = None,
-        overdue_restarts: frozenset[StepKey] = frozenset(),
     ) -> None:
         self.state = state
         self.candidates = list(candidates)
         self.effects = Effects(interference)
         self.allowed = allowed or {}
-        self.overdue_restarts = overdue_restarts
         self.busy = _is_busy(self.candidates)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
 
     def plan(self, steps: Iterable[WaitingStep]) -> list[RunStart]:
         """Return the starts to commit now, considering the steps in the given order."""
         starts: list[RunStart] = []
-        blocked: set[tuple[str, StepSpec]] = set()
+        blocked: set[tuple[Precedence, str, StepSpec]] = set()
         for waiting in steps:
             job = self.state.active[waiting.job_id]
             step = job.spec.steps[waiting.step]
-            kind = (job.queue.service, step._replace(task_count=0, after=()))
+            kind = (
+                waiting.precedence,
+                job.queue.service,
+                step._replace(task_count=0, after=()),
+            )
             if kind in blocked:
                 continue
             candidates = self._usable_candidates(job, waiting)
@@ -242,15 +242,13 @@
             candidates, accepts, score_long_running if step.long_running else score
         )
 
-    def _room_to_use_reserve(self, waiting: WaitingStep) -> float:
+    def _room_to_use_reserve(self, waiting: WaitingStep) -> int:
         """Return how many tasks must fit for one to use the reserve for short tasks.
 
-        Restarts are considered before the short tasks that the reserve is for, so they
-        leave it alone until they are overdue.
+        Overdue restarts use it wherever they fit.
         """
-        if waiting.precedence is Precedence.START:
-            return ROOM_TO_USE_RESERVE
-        return 1 if waiting.step_key() in self.overdue_restarts else math.inf
+        overdue = waiting.precedence is Precedence.OVERDUE_RESTART
+        return 1 if overdue else ROOM_TO_USE_RESERVE
 
     def _pick(
         self,
@@ -258,7 +256,7 @@
         step_key: StepKey,
         step: StepSpec,
         can_wait: bool,
-        room_to_use_reserve: float = ROOM_TO_USE_RESERVE,
+        room_to_use_reserve: int = ROOM_TO_USE_RESERVE,
     ) -> Candidate | None:
         """Return the target for one more task of a step, or None if it should wait.
 
--- a/packages/foxspring-jobs/foxspring_jobs/_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_restarts.py
@@ -1,11 +1,11 @@
 """Tracks for how long long-running tasks have been interrupted."""
 
-from collections.abc import Iterable
+from collections.abc import Iterator
 
 from foxspring_jobs._candidates import StepKey
 from foxspring_jobs._commands import TaskKey
-from foxspring_jobs._state import State
-from foxspring_jobs._waiting import Precedence, WaitingStep, is_interrupted
+from foxspring_jobs._state import JobState, State
+from foxspring_jobs._waiting import is_interrupted
 
 OVERDUE_MS = 3_000
 
@@ -19,27 +19,17 @@
     def __init__(self) -> None:
         self.since_ms: dict[StepKey, dict[TaskKey, int]] = {}
 
-    def update(self, state: State, waiting: Iterable[WaitingStep], now_ms: int) -> None:
-        """Take in the waiting steps of a new plan."""
-        self.since_ms = {
-            step.step_key(): self._since_of(state, step, now_ms)
-            for step in waiting
-            if step.precedence is Precedence.RESTART
-        }
-
-    def _since_of(
-        self, state: State, waiting: WaitingStep, now_ms: int
-    ) -> dict[TaskKey, int]:
-        known = self.since_ms.get(waiting.step_key(), {})
-        job = state.active[waiting.job_id]
-        step = job.spec.steps[waiting.step]
-        tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
-        keys = [
-            TaskKey(*waiting.step_key(), index)
-            for index, task in enumerate(tasks)
-            if is_interrupted(task, step)
-        ]
-        return {key: known.get(key, now_ms) for key in keys}
+    def update(self, state: State, now_ms: int) -> None:
+        """Note which tasks are interrupted now."""
+        found: dict[StepKey, dict[TaskKey, int]] = {}
+        for job in state.active.values():
+            if not job.spec.is_long_running():
+                continue
+            for key in _interrupted_tasks(job):
+                step_key = key[:3]
+                known = self.since_ms.get(step_key, {})
+                found.setdefault(step_key, {})[key] = known.get(key, now_ms)
+        self.since_ms = found
 
     def longest_ms(self, step_key: StepKey, now_ms: int) -> int:
         """Return for how long a step's longest interrupted task has waited, or 0."""
@@ -51,3 +41,13 @@
         return frozenset(
             key for key in self.since_ms if self.longest_ms(key, now_ms) >= OVERDUE_MS
         )
+
+
+def _interrupted_tasks(job: JobState) -> Iterator[TaskKey]:
+    for occurrence, steps in job.occurrences.items():
+        for number, step in enumerate(steps):
+            if not step.idle:
+                continue
+            for index, task in enumerate(step.tasks):
+                if is_interrupted(task, job.spec.steps[number]):
+                    yield TaskKey(job.job_id, occurrence, number, index)
--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -7,12 +7,12 @@
 wait for these and are ordered by slack.
 
 Load pattern: targets are lost while short jobs fill all capacity. Interrupted
-long-running tasks start again before any task is started for the first time. They have
-no objective that they could still meet, so under a steady load of jobs that can be on
-time they would never run again.
+long-running tasks start again after the jobs that can be on time and before other
+long-running tasks. Under a steady load there is always a job that can be on time, so
+once their interruption is overdue they go before everything.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -31,22 +31,35 @@
     work of a higher priority waits; it should not lose that by an interruption.
     """
 
-    RESTART = 0
-    START = 1
+    OVERDUE_RESTART = 0
+    NORMAL = 1
+
+
+class Rank(IntEnum):
+    """What goes first within a priority.
+
+    ``LATE`` occurrences will miss their objective; ``HOPELESS`` ones will need more
+    than ``LATE_FACTOR`` times as long. Long-running tasks count as ``LATE`` before
+    their first run, since short jobs release their resources sooner.
+    """
+
+    IN_TIME = 0
+    RESTART = 1
+    LATE = 2
+    HOPELESS = 3
 
 
 class WaitingStep(NamedTuple):
     """A step with tasks to start; instances sort in scheduling order.
 
-    With ``Precedence.RESTART`` only its interrupted tasks are meant, otherwise only the
-    others. ``lateness`` is 0 if the occurrence can be on time, 1 if it will be late and
-    2 if it will be later than ``LATE_FACTOR`` times its objective. ``order_key`` is the
-    remaining work in core-seconds for lateness 0, otherwise the slack in milliseconds.
+    With ``Rank.RESTART`` only its interrupted tasks are meant, otherwise only the
+    others. ``order_key`` is the remaining work in core-seconds for ``Rank.IN_TIME``,
+    otherwise the slack in milliseconds.
     """
 
     precedence: Precedence
     priority: int
-    lateness: int
+    rank: Rank
     order_key: int
     job_id: str
     occurrence: int
@@ -58,8 +71,7 @@
 
     def includes(self, task: TaskState, step: StepSpec) -> bool:
         """Return whether a task of the step is meant."""
-        restart = self.precedence is Precedence.RESTART
-        return is_interrupted(task, step) == restart
+        return is_interrupted(task, step) == (self.rank is Rank.RESTART)
 
 
 def is_interrupted(task: TaskState, step: StepSpec) -> bool:
@@ -94,49 +106,63 @@
     return job.submitted_ms
 
 
-def waiting_steps(state: State, wall_ms: int) -> list[WaitingStep]:
-    """Return the steps that may start tasks, in scheduling order."""
+def waiting_steps(
+    state: State, wall_ms: int, overdue_restarts: Set[StepKey] = frozenset()
+) -> list[WaitingStep]:
+    """Return the steps that may start tasks, in scheduling order.
+
+    ``overdue_restarts`` are the steps with tasks whose interruption is overdue.
+    """
     found: list[WaitingStep] = []
     for job in state.active.values():
         for occurrence, steps in job.occurrences.items():
             if any(step.idle for step in steps):
-                found += _waiting_steps_of(job, occurrence, wall_ms)
+                found += _waiting_steps_of(job, occurrence, wall_ms, overdue_restarts)
     return sorted(found)
 
 
 def _waiting_steps_of(
-    job: JobState, occurrence: int, wall_ms: int
+    job: JobState, occurrence: int, wall_ms: int, overdue_restarts: Set[StepKey]
 ) -> Iterator[WaitingStep]:
     objective_ms = job.completion_objective_ms
     age_ms = wall_ms - release_time_ms(job, occurrence)
     remaining_ms = remaining_critical_path_ms(job, occurrence)
     slack_ms = objective_ms - age_ms - remaining_ms
     late_slack_ms = LATE_FACTOR * objective_ms - age_ms - remaining_ms
-    lateness = 0 if slack_ms >= 0 else (1 if late_slack_ms >= 0 else 2)
-    if job.spec.is_long_running():
-        # Short jobs go first because they release their resources soon.
-        lateness = 1
-    order_key = slack_ms if lateness else remaining_work(job, occurrence)
+    job_rank = _rank_of(job, slack_ms, late_slack_ms)
     for number, step in enumerate(job.occurrences[occurrence]):
         if not step.idle or not job.step_is_ready(occurrence, number):
             continue
-        for precedence in _precedences(step, job.spec.steps[number]):
-            yield WaitingStep(
-                precedence,
+        for rank in _ranks_of(step, job.spec.steps[number], job_rank):
+            in_time = rank is Rank.IN_TIME
+            waiting = WaitingStep(
+                Precedence.NORMAL,
                 job.queue.priority,
-                lateness,
-                order_key,
+                rank,
+                remaining_work(job, occurrence) if in_time else slack_ms,
                 job.job_id,
                 occurrence,
                 number,
             )
+            if rank is Rank.RESTART and waiting.step_key() in overdue_restarts:
+                waiting = waiting._replace(precedence=Precedence.OVERDUE_RESTART)
+            yield waiting
+
+
+def _rank_of(job: JobState, slack_ms: int, late_slack_ms: int) -> Rank:
+    """Return the rank of an occurrence's tasks that are not interrupted."""
+    if job.spec.is_long_running():
+        return Rank.LATE
+    if slack_ms >= 0:
+        return Rank.IN_TIME
+    return Rank.LATE if late_slack_ms >= 0 else Rank.HOPELESS
 
 
-def _precedences(step: StepState, spec: StepSpec) -> list[Precedence]:
-    """Return the precedences of the idle tasks of a step."""
+def _ranks_of(step: StepState, spec: StepSpec, job_rank: Rank) -> list[Rank]:
+    """Return the ranks of the idle tasks of a step."""
     interrupted = sum(is_interrupted(task, spec) for task in step.tasks)
-    found = [Precedence.RESTART] if interrupted else []
-    return [*found, Precedence.START] if step.idle > interrupted else found
+    found = [Rank.RESTART] if interrupted else []
+    return [*found, job_rank] if step.idle > interrupted else found
 
 
 def due_occurrences(state: State, wall_ms: int) -> tuple[tuple[str, int], ...]:
