Hold a target for an overdue restart that fits nowhere

A plan now keeps the room of the suitable target with the most free cores from everything behind the restart, at most 2 % of the targets at a time.

--- a/packages/foxspring-jobs/foxspring_jobs/_candidates.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidates.py
@@ -90,8 +90,10 @@
         self, step_key: StepKey, step: StepSpec, reserved: Resources, service: str
     ) -> bool:
         """Return whether one more task of a step may start on this target."""
-        if not reserved.fits_in(self.free):
-            return False
+        return reserved.fits_in(self.free) and self.suits(step_key, step, service)
+
+    def suits(self, step_key: StepKey, step: StepSpec, service: str) -> bool:
+        """Return whether a task of a step may start here, apart from its size."""
         registered = self.target.registered
         if registered.service != service or registered.draining:
             return False
@@ -104,6 +106,18 @@
         bound = step.max_per_target
         return not bound or self.run_count(step_key) < bound
 
+    def free_without_short_tasks(self) -> Resources:
+        """Return the capacity that will be free once the running short tasks end."""
+        free = self.free
+        for step in self.target.runs.values():
+            if not step.long_running:
+                free = free.plus(step.reserved())
+        return free
+
+    def hold(self, reserved: Resources) -> None:
+        """Keep capacity from the rest of this plan, also if it is still in use."""
+        self.free = self.free.minus(reserved)
+
     def fitting_tasks(
         self, step_key: StepKey, step: StepSpec, reserved: Resources
     ) -> int:
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -19,6 +19,7 @@
 BUSY_FREE_PERCENT = 50
 SUSPECT_FAILURES = 2
 ROOM_TO_USE_RESERVE = 2
+MAX_HELD_PERCENT = 2
 Allowed = Mapping[StepKey, frozenset[str]]
 
 
@@ -42,6 +43,7 @@
         self.allowed = allowed or {}
         self.busy = _is_busy(self.candidates)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
+        self.held_count = 0
 
     def plan(self, steps: Iterable[WaitingStep]) -> list[RunStart]:
         """Return the starts to commit now, considering the steps in the given order."""
@@ -63,6 +65,8 @@
             else:
                 planned = self._plan_tasks(job, waiting, step, candidates)
             starts += planned
+            if not planned and waiting.precedence is Precedence.OVERDUE_RESTART:
+                self._hold_target(job, waiting, candidates)
             bounded = step.max_per_target or step.gang or step.best_effort
             if not planned and candidates is self.candidates and not bounded:
                 blocked.add(kind)
@@ -203,6 +207,29 @@
                 candidate.reserve(key, step, sign=-1)
         return []
 
+    def _hold_target(
+        self, job: JobState, waiting: WaitingStep, candidates: list[Candidate]
+    ) -> None:
+        """Let one target run empty for an overdue restart that fits nowhere.
+
+        Load pattern: short tasks that are smaller than the restart take each part of a
+        target as it becomes free. The target with the most free cores is held; as its
+        short tasks end, it stays the one with the most, so the next plan holds it too.
+        """
+        if self.held_count * PERCENT >= len(self.candidates) * MAX_HELD_PERCENT:
+            return
+        step = job.spec.steps[waiting.step]
+        reserved = step.reserved()
+        suitable = [
+            candidate
+            for candidate in candidates
+            if candidate.suits(waiting.step_key(), step, job.queue.service)
+            and reserved.fits_in(candidate.free_without_short_tasks())
+        ]
+        if suitable:
+            self.held_count += 1
+            max(suitable, key=_free_cores_of).hold(reserved)
+
     def _choose(
         self,
         task: TaskKey,
@@ -367,4 +394,8 @@
 
 
 def _free_cores(candidates: list[Candidate]) -> int:
-    return sum(candidate.free.cores_milli for candidate in candidates)
+    return sum(_free_cores_of(candidate) for candidate in candidates)
+
+
+def _free_cores_of(candidate: Candidate) -> int:
+    return candidate.free.cores_milli
