--- a/packages/foxspring-model/foxspring_model/__init__.py
+++ b/packages/foxspring-model/foxspring_model/__init__.py
@@ -64,6 +64,7 @@
     UsageBatch,
     UsageSample,
 )
+from foxspring_model._numbers import is_port, parse_whole_number
 from foxspring_model._platform import (
     HEADER_DEADLINE_MS,
     HEADER_KEY,
@@ -188,4 +189,6 @@
     "UsageSample",
     "Verdict",
     "Weights",
+    "is_port",
+    "parse_whole_number",
 ]
--- /dev/null
+++ b/packages/foxspring-model/foxspring_model/_numbers.py
@@ -0,0 +1,24 @@
+"""Parsing of numbers and ports in text that other processes send."""
+
+MAX_DIGITS = 15
+MAX_PORT = 65_535
+
+
+def parse_whole_number(text: str) -> int:
+    """Return the number that 1 to ``MAX_DIGITS`` ASCII digits spell.
+
+    Raises:
+        ValueError: the text is empty, longer or contains another character.
+    """
+    # str.isdigit() also accepts digits such as "²", for which int() raises.
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        raise ValueError(f"{text[: MAX_DIGITS + 1]!r} is not a whole number")
+    return int(text)
+
+
+def is_port(text: str) -> bool:
+    """Return whether the text is a port that a connection can be made to."""
+    try:
+        return 0 < parse_whole_number(text) <= MAX_PORT
+    except ValueError:
+        return False
