Refuse announcements with an address that no connection can use

Seen: by reading, then in a test. An entry answered 200 to a target that announced 127.0.0.1:99999 or 127.0.0.1:², and took it into service. Cause: decode_announcement asked only for str.isdigit() of the port. Change: the port must be one of 1 to 65535 in ASCII digits; other announcements get 400 and change nothing, as docs/PLATFORM.md says. Hosts may still be names.

--- a/packages/foxspring-entry/foxspring_entry/_reports.py
+++ b/packages/foxspring-entry/foxspring_entry/_reports.py
@@ -10,6 +10,7 @@
     ResourcesBody,
     TargetInfo,
     UsageSample,
+    is_port,
 )
 
 MAX_NAME_CHARS = 128
@@ -31,8 +32,10 @@
     _check_name("failure_domain", announcement["failure_domain"])
     _check_name("rack", announcement["rack"])
     host, _, port = announcement["address"].rpartition(":")
-    if not host or not port.isdigit():
-        raise MalformedBodyError("address must be host:port")
+    if not host or not is_port(port):
+        raise MalformedBodyError(
+            "address must be host:port, with a port from 1 to 65535"
+        )
     _check_amounts(announcement["capacity"])
     _check_count("incarnation", announcement["incarnation"])
     return announcement
--- a/packages/foxspring-entry/foxspring_entry/tests/builders.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/builders.py
@@ -74,6 +74,13 @@
     return info._replace(**changes)
 
 
+def announcement(**changes: Any) -> bytes:
+    """Return the body of a target's announcement."""
+    info = target_info()
+    body = {**info._asdict(), "capacity": info.capacity._asdict(), **changes}
+    return json.dumps(body).encode()
+
+
 def owned(target_id: str = "t-1", owner: str = "e-1", **changes: Any) -> OwnedTarget:
     """Return a target owned by ``owner`` that runs the service."""
     return OwnedTarget(target_info(target_id), owner, 1, ("register",))._replace(
