Take an address that can't be used for a target that was not reached

Seen: by reading, then in a test. With a target at 127.0.0.1:² callers were told may_have_run although no connection was made, the slot stayed held, and the log had a send_failed or call_failed with a ValueError. Cause: ConnectionPool._connect parsed the port outside its try. Change: whatever keeps a connection from being made (ValueError, which UnicodeError is, and OverflowError too) becomes ConnectFailedError: requests are refused as not run, calls count as not sent. A target already in the replicated state may have such an address, so refusing announcements is not enough. Run: the two new tests failed before for two of four addresses each; the other two addresses were handled already. After it test_target_client: 11 passed, 0 failed; make check clean.

--- a/packages/foxspring-entry/foxspring_entry/_connections.py
+++ b/packages/foxspring-entry/foxspring_entry/_connections.py
@@ -98,12 +98,18 @@
         return not wait_for_read(socket, timeout=0.0)
 
     def _connect(self, address: str) -> HTTPConnection:
+        try:
+            return self._open(address)
+        except (OSError, HTTPError, ValueError, OverflowError) as error:
+            raise ConnectFailedError(f"cannot connect to {address}: {error}") from error
+
+    def _open(self, address: str) -> HTTPConnection:
         host, _, port = address.rpartition(":")
         timeout_s = self._connect_ms / 1_000
         connection = HTTPConnection(host, int(port), timeout=timeout_s)
         try:
             connection.connect()
-        except (OSError, HTTPError) as error:
+        except BaseException:
             connection.close()
-            raise ConnectFailedError(f"cannot connect to {address}: {error}") from error
+            raise
         return connection
--- a/packages/foxspring-entry/foxspring_entry/tests/test_target_client.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_target_client.py
@@ -18,6 +18,7 @@
 from foxspring_entry.tests.raw_target import RawTarget, Script, request_id_of
 
 _LONG_TIMEOUT_MS = 10_000
+UNUSABLE_ADDRESSES = ("127.0.0.1:99999", "127.0.0.1:²", "nowhere", f"{'x' * 64}:80")
 _RESET = struct.pack("ii", 1, 0)
 
 
@@ -50,11 +51,12 @@
     def setUp(self) -> None:
         self.clock = SystemClock()
         self.done: queue.SimpleQueue[tuple[str, TargetOutcome]] = queue.SimpleQueue()
+        self.responses: queue.SimpleQueue[CallResponse] = queue.SimpleQueue()
         self.client = TargetClient(
             builders.settings("e-1", "c:1", max_answer_bytes=1_000),
             self.clock,
             lambda reservation_id, result: self.done.put((reservation_id, result)),
-            lambda call_id, response: None,
+            lambda call_id, response: self.responses.put(response),
         )
         self.addCleanup(self.client.close)
 
@@ -164,6 +166,24 @@
             (RefusalReason.TARGET_UNREACHABLE, Verdict.NOT_RUN),
         )
 
+    def test_request_to_an_address_that_cannot_be_used_did_not_run(self) -> None:
+        for address in UNUSABLE_ADDRESSES:
+            with self.subTest(address=address):
+                self.start(address)
+                outcome = self.outcome().outcome
+                assert isinstance(outcome, Refused), outcome
+                self.assertEqual(outcome.verdict, Verdict.NOT_RUN)
+
+    def test_call_to_an_address_that_cannot_be_used_was_not_sent(self) -> None:
+        send_by_ms = self.clock.monotonic_ms() + _LONG_TIMEOUT_MS
+        for address in UNUSABLE_ADDRESSES:
+            with self.subTest(address=address):
+                self.client.call(
+                    CallTarget(1, "t-1", address, "/v1/tasks", b"{}", 900, send_by_ms)
+                )
+                response = self.responses.get(timeout=builders.DEADLINE_S)
+                self.assertEqual((response.status, response.sent), (None, False))
+
     def test_no_request_is_sent_after_its_send_deadline(self) -> None:
         target = self.target(_respond_completely)
         now_ms = self.clock.monotonic_ms()
@@ -180,18 +200,10 @@
 
     def test_no_call_is_sent_after_its_send_deadline(self) -> None:
         target = self.target(_respond_completely)
-        responses: queue.SimpleQueue[CallResponse] = queue.SimpleQueue()
-        client = TargetClient(
-            builders.settings("e-1", "c:1"),
-            self.clock,
-            lambda reservation_id, result: None,
-            lambda call_id, response: responses.put(response),
-        )
-        self.addCleanup(client.close)
         now_ms = self.clock.monotonic_ms()
         address = target.address
-        client.call(CallTarget(1, "t-1", address, "/v1/tasks", b"{}", 900, now_ms))
-        response = responses.get(timeout=builders.DEADLINE_S)
+        self.client.call(CallTarget(1, "t-1", address, "/v1/tasks", b"{}", 900, now_ms))
+        response = self.responses.get(timeout=builders.DEADLINE_S)
         self.assertEqual((response.status, response.sent), (None, False))
         self.assertEqual(target.requests, [])
 
