Read whole numbers in headers and queries in one way

Cause: the entry's routes and the operator's routes each had their own test of digits before int(); the one for Content-Length accepted ², and only cheroot, which refuses such a length before, kept int() from raising. Change: all three use parse_whole_number, with the nine digits of a deadline as a limit. A Content-Length of 16 or more digits is answered 400 instead of 413; nothing else changes for callers.

--- a/packages/foxspring-daemon/foxspring_daemon/_operator_routes.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_operator_routes.py
@@ -23,6 +23,7 @@
     ErrorBody,
     SubmitJob,
     Verdict,
+    parse_whole_number,
 )
 
 TIMEOUT_MS = 10_000
@@ -257,6 +258,9 @@
 
 
 def _parse_whole_number(text: str, label: str) -> int:
-    if not text.isascii() or not text.isdigit() or len(text) > 15:
-        raise BadRequestError(f"{label} = {text[:20]!r}: give a whole number")
-    return int(text)
+    try:
+        return parse_whole_number(text)
+    except ValueError as error:
+        raise BadRequestError(
+            f"{label} = {text[:20]!r}: give a whole number"
+        ) from error
--- a/packages/foxspring-entry/foxspring_entry/_http_server.py
+++ b/packages/foxspring-entry/foxspring_entry/_http_server.py
@@ -9,7 +9,7 @@
 
 from cheroot import errors as cheroot_errors
 from cheroot import wsgi
-from foxspring_model import RefusalReason, Verdict
+from foxspring_model import RefusalReason, Verdict, parse_whole_number
 
 from foxspring_entry._http import HttpRequest, HttpResponse, Role, Route
 from foxspring_entry._request_head import limited_connection_class
@@ -193,9 +193,7 @@
             return _read_chunked(source, limit)
         if declared is None:
             return b""
-        if not declared.isdigit():
-            raise _RefusedError(malformed("Content-Length must be a number"))
-        length = int(declared)
+        length = _content_length(declared)
         if length > limit:
             detail = f"the body is longer than {limit} bytes"
             raise _RefusedError(malformed(detail, 413))
@@ -205,6 +203,13 @@
         return body
 
 
+def _content_length(text: str) -> int:
+    try:
+        return parse_whole_number(text)
+    except ValueError as error:
+        raise _RefusedError(malformed("Content-Length must be a number")) from error
+
+
 def _read_exactly(source: Any, length: int) -> bytes:
     chunks: list[bytes] = []
     missing = length
--- a/packages/foxspring-entry/foxspring_entry/_service_routes.py
+++ b/packages/foxspring-entry/foxspring_entry/_service_routes.py
@@ -13,6 +13,7 @@
     Refused,
     RelayRequest,
     Service,
+    parse_whole_number,
 )
 
 from foxspring_entry._control_client import ControlClient
@@ -26,6 +27,7 @@
 
 _PREFIX = "/services/"
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+_MAX_DEADLINE_DIGITS = 9
 HEADER_IDEMPOTENT = "foxspring-idempotent"
 
 Submit = Callable[[RelayRequest], tuple[Outcome, str]]
@@ -123,13 +125,12 @@
     requested = request.headers.get(HEADER_DEADLINE_MS.lower())
     if requested is None:
         return min(default_ms, settings.max_deadline_ms)
-    if (
-        not requested.isascii()
-        or not requested.isdigit()
-        or not 0 < len(requested) < 10
-    ):
-        raise _MalformedError(f"{HEADER_DEADLINE_MS} must be milliseconds from now")
-    return max(1, min(int(requested), settings.max_deadline_ms))
+    try:
+        requested_ms = parse_whole_number(requested, _MAX_DEADLINE_DIGITS)
+    except ValueError as error:
+        detail = f"{HEADER_DEADLINE_MS} must be milliseconds from now"
+        raise _MalformedError(detail) from error
+    return max(1, min(requested_ms, settings.max_deadline_ms))
 
 
 def _idempotency_key(request: HttpRequest) -> str:
--- a/packages/foxspring-entry/foxspring_entry/tests/test_http_server.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_http_server.py
@@ -83,6 +83,8 @@
             ),
             "length of letters": (f"{post}Content-Length: ten\n\n", 400),
             "negative length": (f"{post}Content-Length: -5\n\n", 400),
+            "length of other digits": (f"{post}Content-Length: \xb2\n\n", 400),
+            "length with a separator": (f"{post}Content-Length: 1_0\n\n", 400),
             "two lengths": (
                 f"{post}Content-Length: 2\nContent-Length: 4\n\nhalf",
                 400,
--- a/packages/foxspring-model/foxspring_model/tests/test_numbers.py
+++ b/packages/foxspring-model/foxspring_model/tests/test_numbers.py
@@ -11,6 +11,11 @@
             with self.subTest(text=text):
                 self.assertEqual(parse_whole_number(text), expected)
 
+    def test_number_of_digits_can_be_limited(self) -> None:
+        self.assertEqual(parse_whole_number("999", 3), 999)
+        with self.assertRaises(ValueError):
+            parse_whole_number("0999", 3)
+
     def test_other_text_is_refused(self) -> None:
         for text in NOT_WHOLE_NUMBERS:
             with self.subTest(text=text), self.assertRaises(ValueError):
--- a/packages/foxspring-testing/foxspring_testing/tests/test_bad_input.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_bad_input.py
@@ -112,10 +112,13 @@
             ("negative length", b"Content-Length: -5\r\n\r\n", b"400"),
             ("cut short", b"Content-Length: 10\r\n\r\nabc", b"400"),
             ("long header", b"X: " + b"a" * 20_000 + b"\r\n\r\n", b"4"),
-            (
-                "bad deadline",
-                b"Content-Length: 0\r\nFoxspring-Deadline-Ms: soon\r\n\r\n",
-                b"400",
+            *(
+                (
+                    f"deadline of {text!r}",
+                    b"Content-Length: 0\r\nFoxspring-Deadline-Ms: %s\r\n\r\n" % text,
+                    b"400",
+                )
+                for text in (b"soon", b"\xb2", b"-1", b"1234567890")
             ),
         ]
         events_before = len(self.site.events())
