Say not run only if no attempt of a request may have run

Seen: by reading, then in a test. The command line told operators not_run (exit code 3) about an idempotent request that one entry had answered with 503 and another verdict, or none, when the entries after it did not answer or answered not_run. Cause: the client noted only requests cut off without a response as possibly run; a 503 was tried at the next entry and its verdict dropped. Change: the verdict of the failure is the worst of all attempts; a 503 without a verdict counts as one that may have run.

--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
@@ -8,12 +8,14 @@
 
 import msgspec
 import urllib3
+from foxspring_model import Verdict
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 15.0
 ROUNDS = 4
 ROUND_DELAY_S = 0.3
 HTTP_UNAUTHORIZED = 401
+HTTP_UNAVAILABLE = 503
 
 
 @dataclass(frozen=True)
@@ -65,8 +67,11 @@
         idempotent: bool = True,
         timeout_s: float = READ_TIMEOUT_S,
     ) -> Reply | RequestFailure:
-        """Return the first complete response, or the reason why there is none."""
-        sent = False
+        """Return the first complete response, or the reason why there is none.
+
+        The verdict of a failure is ``not_run`` only if no attempt may have run.
+        """
+        may_have_run = False
         detail = "no entry address; give --entry"
         for number, address in enumerate(self.addresses * self.rounds):
             if number and number % len(self.addresses) == 0:
@@ -81,15 +86,18 @@
                 continue
             except urllib3.exceptions.HTTPError as error:
                 detail = f"{address}: {error}"
-                sent = True
+                may_have_run = True
                 if not idempotent:
                     break
                 continue
-            if reply.status == 503 and (idempotent or reply.verdict == "not_run"):
+            surely_not_run = reply.verdict == Verdict.NOT_RUN
+            if reply.status == HTTP_UNAVAILABLE and (idempotent or surely_not_run):
                 detail = f"{address}: {reply.body.decode(errors='replace')}"
+                may_have_run = may_have_run or not surely_not_run
                 continue
             return reply
-        return RequestFailure("may_have_run" if sent else "not_run", detail)
+        verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
+        return RequestFailure(verdict, detail)
 
     def _send(
         self,
