Call no rejection not run after an attempt that may have run

Seen: in a test of the command line's client. An idempotent request that one entry cut off, or answered with 503 and no not_run, and the next rejected (404) was shown as not_run, with exit code 1. Cause: the client returned the last entry's reply with that entry's verdict, which knows nothing of the earlier attempt.

--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
@@ -3,7 +3,7 @@
 import secrets
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import msgspec
@@ -69,7 +69,7 @@
     ) -> Reply | RequestFailure:
         """Return the first complete response, or the reason why there is none.
 
-        The verdict of a failure is ``not_run`` only if no attempt may have run.
+        The verdict is ``not_run`` only if no attempt may have run.
         """
         may_have_run = False
         detail = "no entry address; give --entry"
@@ -95,6 +95,8 @@
                 detail = f"{address}: {reply.body.decode(errors='replace')}"
                 may_have_run = may_have_run or not surely_not_run
                 continue
+            if may_have_run and surely_not_run:
+                return replace(reply, verdict=Verdict.MAY_HAVE_RUN)
             return reply
         verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
         return RequestFailure(verdict, detail)
--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_output.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_output.py
@@ -6,14 +6,16 @@
 
 import click
 import msgspec
+from foxspring_model import Verdict
 
 from foxspring_daemon._cli import _exit_codes as exit_codes
 from foxspring_daemon._cli._client import HTTP_UNAUTHORIZED, Reply, RequestFailure
 
 _FIRST_ERROR_STATUS = 400
-_VERDICT_EXIT_CODES = {
-    "not_run": exit_codes.NOT_RUN,
-    "may_have_run": exit_codes.MAY_HAVE_RUN,
+_FIRST_SERVER_ERROR_STATUS = 500
+_VERDICT_EXIT_CODES: dict[str, int] = {
+    Verdict.NOT_RUN: exit_codes.NOT_RUN,
+    Verdict.MAY_HAVE_RUN: exit_codes.MAY_HAVE_RUN,
 }
 
 
@@ -46,9 +48,14 @@
         sys.exit(exit_codes.UNAUTHORIZED)
     if fields.get("status") == "conflict":
         sys.exit(exit_codes.CONFLICT)
-    rejected = _FIRST_ERROR_STATUS <= outcome.status < 500
-    code = exit_codes.REJECTED if rejected else _VERDICT_EXIT_CODES.get(outcome.verdict)
-    sys.exit(code or exit_codes.REJECTED)
+    sys.exit(_exit_code(outcome))
+
+
+def _exit_code(reply: Reply) -> int:
+    rejected = _FIRST_ERROR_STATUS <= reply.status < _FIRST_SERVER_ERROR_STATUS
+    if rejected and reply.verdict != Verdict.MAY_HAVE_RUN:
+        return exit_codes.REJECTED
+    return _VERDICT_EXIT_CODES.get(reply.verdict, exit_codes.REJECTED)
 
 
 def json_or_exit(outcome: Reply | RequestFailure) -> Any:
--- a/packages/foxspring-daemon/foxspring_daemon/tests/test_client.py
+++ b/packages/foxspring-daemon/foxspring_daemon/tests/test_client.py
@@ -96,6 +96,15 @@
                 assert isinstance(outcome, RequestFailure)
                 self.assertEqual(outcome.verdict, verdict)
 
+    def test_rejection_after_an_attempt_that_may_have_run(self) -> None:
+        for earlier in (MAY_HAVE_RUN, NO_VERDICT, NO_ANSWER):
+            with self.subTest(earlier=earlier):
+                outcome = self.post(earlier, UNKNOWN_JOB)
+                assert isinstance(outcome, Reply)
+                self.assertEqual(
+                    (outcome.status, outcome.verdict), (404, "may_have_run")
+                )
+
     def test_whole_answer_keeps_its_verdict(self) -> None:
         cases = (
             ((NOT_RUN, UNKNOWN_JOB), 404, "not_run"),
@@ -134,6 +143,7 @@
             (Reply(504, "may_have_run", b""), exit_codes.MAY_HAVE_RUN),
             (Reply(503, "not_run", b""), exit_codes.NOT_RUN),
             (Reply(404, "not_run", b""), exit_codes.REJECTED),
+            (Reply(404, "may_have_run", b""), exit_codes.MAY_HAVE_RUN),
             (Reply(401, "not_run", b""), exit_codes.UNAUTHORIZED),
             (Reply(409, "", b'{"status": "conflict"}'), exit_codes.CONFLICT),
         )
