Answer entries while a control member starts

A control member logged service_failed (RuntimeError: call start() before status()) when an entry's heartbeat arrived between the start of its link and of its log; the heartbeat got no answer. A query for the member's metrics at that moment would have ended in the same way. Cause: ServiceCore asked the log for its status, which it has only once started, to learn the id of its own member. Change: the log gives its member id at any time and says whether it is started. Before that, a heartbeat is answered with HeartbeatRejected and a metrics query with not_leader, both without a leader, as by a follower that knows none.

--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -98,6 +98,15 @@
             target=self._run, name=f"raft-{settings.member_id}", daemon=True
         )
 
+    @property
+    def member_id(self) -> str:
+        """Return the id of this member."""
+        return self.settings.member_id
+
+    def is_started(self) -> bool:
+        """Return whether :meth:`start` has read the data folder."""
+        return self._runtime is not None
+
     def start(self) -> None:
         """Read the data folder and join the group.
 
--- a/packages/foxspring-control/foxspring_control/service/_bench.py
+++ b/packages/foxspring-control/foxspring_control/service/_bench.py
@@ -53,6 +53,8 @@
 class _InstantLog:
     """A log that commits each proposal immediately to one state."""
 
+    member_id = "c"
+
     def __init__(self, state: ControlState, clock: ManualClock) -> None:
         self.state = state
         self.clock = clock
@@ -77,11 +79,16 @@
         """Reject the membership change."""
         on_done(ProposeOutcome("rejected"))
 
+    def is_started(self) -> bool:
+        """Return that the log is started."""
+        return True
+
     def status(self) -> RaftStatus:
         """Return the status of a single-member group."""
         last = self.index
+        me = self.member_id
         return RaftStatus(
-            "c", "leader", 1, "c", "", last, last, last, 0, 1, (), True, 0, 0, 0, ""
+            me, "leader", 1, me, "", last, last, last, 0, 1, (), True, 0, 0, 0, ""
         )
 
 
--- a/packages/foxspring-control/foxspring_control/service/_core.py
+++ b/packages/foxspring-control/foxspring_control/service/_core.py
@@ -69,8 +69,12 @@
         )
 
     def receive(self, sender: str, message: Any) -> None:
-        """Handle a message from an entry; on a follower, reply with the leader's id."""
-        if isinstance(message, Query) and message.kind == MEMBER_METRICS:
+        """Handle a message from an entry; on a follower, reply with the leader's id.
+
+        Before its log is started, a member replies like a follower without a leader.
+        """
+        metrics = isinstance(message, Query) and message.kind == MEMBER_METRICS
+        if metrics and self.log.is_started():
             leading = self.leader is not None
             answer_member_metrics(
                 message, self.log.status(), leading, self.send, self.extra_metrics
@@ -112,7 +116,7 @@
     def _redirect_reply(self, message: Any) -> Any:
         leader_id = self.leadership.leader_id
         if isinstance(message, EntryHeartbeat):
-            return HeartbeatRejected(self.log.status().member_id, leader_id)
+            return HeartbeatRejected(self.log.member_id, leader_id)
         if isinstance(message, Proposal):
             return ProposalResult(message.proposal_id, "not_leader", leader_id)
         if isinstance(message, Query):
--- a/packages/foxspring-control/foxspring_control/service/_messages.py
+++ b/packages/foxspring-control/foxspring_control/service/_messages.py
@@ -14,6 +14,13 @@
 class LogHandle(Protocol):
     """The part of the replicated log that the service uses."""
 
+    @property
+    def member_id(self) -> str:
+        """Return the id of this member, also before the log is started."""
+
+    def is_started(self) -> bool:
+        """Return whether the log is started, so that it has a status."""
+
     def propose(self, kind: str, body: bytes, on_done: ProposeCallback) -> None:
         """Append an entry; call back when it is applied locally or has failed."""
 
@@ -27,7 +34,7 @@
         """Remove a member permanently."""
 
     def status(self) -> RaftStatus:
-        """Return the member's Raft status."""
+        """Return the member's Raft status; only call it once the log is started."""
 
 
 class Received(NamedTuple):
--- a/packages/foxspring-control/foxspring_control/service/tests/builders.py
+++ b/packages/foxspring-control/foxspring_control/service/tests/builders.py
@@ -44,6 +44,8 @@
 class FakeLog:
     """Commits each proposal immediately; collects proposals while ``held`` is set."""
 
+    member_id = "control-1"
+
     def __init__(self, driver: StateDriver, clock: ManualClock) -> None:
         self.driver = driver
         self.clock = clock
@@ -78,12 +80,16 @@
         """Reject the change; a fake log has only one member."""
         on_done(ProposeOutcome("rejected", "", b"a fake log has one member"))
 
+    def is_started(self) -> bool:
+        """Return that the log is started."""
+        return True
+
     def status(self) -> RaftStatus:
         """Return the status of a single-member group."""
         last = len(self.driver.log)
         role = "leader" if self.leads else "follower"
         return RaftStatus(
-            "control-1",
+            self.member_id,
             role,
             1,
             "control-1",
