Drop the acks of a target that was removed

Seen: by reading, then in a test. An entry kept the acks that an owner had sent for a target's next report although the target was removed, for as long as the entry ran; a target that came back under the id got the old ones. Cause: TargetIngest.remove_absent_targets did not look at _acks. Change: it drops them as it drops announcements. Run: test_acks_of_a_removed_target_are_dropped failed before; the test beside it guards what held. After it test_removed_targets: 2 passed, 0 failed; make check clean.

--- a/packages/foxspring-entry/foxspring_entry/_target_ingest.py
+++ b/packages/foxspring-entry/foxspring_entry/_target_ingest.py
@@ -90,8 +90,9 @@
 
     def remove_absent_targets(self) -> None:
         """Remove the state of targets that are not in the ownership table."""
-        for target_id in self._announcements.keys() - self.table.targets.keys():
-            del self._announcements[target_id]
+        for state in (self._announcements, self._acks):
+            for target_id in state.keys() - self.table.targets.keys():
+                del state[target_id]
         self.usage.retain(set(self.table.targets))
 
     def _accept(self, report: ReportBody, now_ms: int) -> Acked:
