Drop the recorded releases of targets that were removed

Seen: by reading, then in a test. An entry kept for each target that was ever handed over to it the epoch of the release, also once the target was removed. Cause: nothing removed entries of OwnerTargets._released_epochs. Change: when an ownership update removes a target, the releases of all targets that the table lacks are dropped. Other updates drop none, since a release may arrive before the first table that has its target.

--- a/packages/foxspring-entry/foxspring_entry/_core.py
+++ b/packages/foxspring-entry/foxspring_entry/_core.py
@@ -273,6 +273,8 @@
                 effects.extend(self._hand_over(changed.owned))
         for owned in change.removed:
             effects.extend(self._stop_owning(owned.info.target_id))
+        if change.removed:
+            self.targets.retain_releases(self.table.targets.keys())
         if change.entries_changed:
             effects.extend(self.origin.on_entries_changed(now_ms))
         for entry in change.departed:
--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -1,6 +1,7 @@
 """Owned targets: takeovers, reports, lease renewals and task calls."""
 
 import logging
+from collections.abc import Set
 from typing import NamedTuple
 
 import msgspec
@@ -115,6 +116,15 @@
         if target is not None and target.owned.owner_epoch == owner_epoch:
             target.record_release(now_ms + SETTLE_TIME_MS)
 
+    def retain_releases(self, target_ids: Set[str]) -> None:
+        """Drop the recorded releases of all targets but these.
+
+        Only call it when a target was removed: a release may arrive before the
+        first ownership table that has its target.
+        """
+        for target_id in self._released_epochs.keys() - target_ids:
+            del self._released_epochs[target_id]
+
     def run(self, run: RunTask, now_ms: int) -> bool:
         """Start a task that control placed on a target.
 
--- a/packages/foxspring-entry/foxspring_entry/tests/test_removed_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_removed_targets.py
@@ -7,7 +7,7 @@
 from foxspring_model import OwnedTarget, OwnershipUpdate
 
 from foxspring_entry._core import EntryCore
-from foxspring_entry._messages import ReportAcks
+from foxspring_entry._messages import ReportAcks, TargetReleased
 from foxspring_entry.tests import builders
 
 NOW_MS = 10_000
@@ -60,6 +60,27 @@
         self.update_table(builders.owned(owner=PEER_ID, owner_epoch=5))
         self.assertEqual(self.acked_by_report(), [])
 
+    def test_release_before_the_table_names_the_target_shortens_the_wait(self) -> None:
+        self.core.on_message(PEER_ADDRESS, TargetReleased("t-1", 2), NOW_MS)
+        self.update_table(builders.owned(owner=OWN_ID, owner_epoch=2))
+        self.assertLess(self.wait_of_takeover_ms(), self.settings.takeover_wait_ms)
+
+    def test_release_of_a_removed_target_is_dropped(self) -> None:
+        self.update_table(builders.owned(owner=PEER_ID))
+        self.core.on_message(PEER_ADDRESS, TargetReleased("t-1", 2), NOW_MS)
+        self.update_table()
+        self.update_table(builders.owned(owner=OWN_ID, owner_epoch=2))
+        self.assertEqual(self.wait_of_takeover_ms(), self.settings.takeover_wait_ms)
+
+    def test_release_after_the_removal_is_dropped_at_the_next_one(self) -> None:
+        other = builders.owned("t-2", owner=PEER_ID)
+        self.update_table(builders.owned(owner=PEER_ID), other)
+        self.update_table(other)
+        self.core.on_message(PEER_ADDRESS, TargetReleased("t-1", 2), NOW_MS)
+        self.update_table()
+        self.update_table(builders.owned(owner=OWN_ID, owner_epoch=2))
+        self.assertEqual(self.wait_of_takeover_ms(), self.settings.takeover_wait_ms)
+
 
 if __name__ == "__main__":
     unittest.main()
