Drop a removed target from the list of those without an owner

Seen: while pruning the other state of removed targets, then in a test. A target that lost its owner and was then removed stayed in OwnershipTable._ended_owner_targets of every entry. It had no effect besides the memory. Cause: _remove took targets out of the table only. Change: it takes them out of that set, too. Run: test_targets_without_an_owner_are_not_listed_once_removed failed before.

--- a/packages/foxspring-entry/foxspring_entry/_ownership.py
+++ b/packages/foxspring-entry/foxspring_entry/_ownership.py
@@ -127,6 +127,7 @@
         absent = set(update.removed)
         if update.full:
             absent |= set(self.targets) - {t.info.target_id for t in update.targets}
+        self._ended_owner_targets -= absent
         return tuple(
             self.targets.pop(target_id)
             for target_id in sorted(absent)
--- a/packages/foxspring-entry/foxspring_entry/tests/test_removed_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_removed_targets.py
@@ -81,6 +81,13 @@
         self.update_table(builders.owned(owner=OWN_ID, owner_epoch=2))
         self.assertEqual(self.wait_of_takeover_ms(), self.settings.takeover_wait_ms)
 
+    def test_targets_without_an_owner_are_not_listed_once_removed(self) -> None:
+        self.update_table(builders.owned(owner=PEER_ID))
+        self.update_table(builders.owned(owner=""))
+        self.assertEqual(self.core.table._ended_owner_targets, {"t-1"})
+        self.update_table()
+        self.assertEqual(self.core.table._ended_owner_targets, set())
+
 
 if __name__ == "__main__":
     unittest.main()
