Refuse numbers in bodies that messages or sums can't hold

A job with a cpu of 2^64 and a heartbeat with a clockMs of 2^64 raised OverflowError in the handler, which answers 500. By reading: such a number in a target's view reaches the leader, which proposes the ends of all targets together; and estimates of just under 2^64 add up to more than the stored state can hold. Cause: msgspec decodes JSON integers of any size, and messages and stored data are MessagePack, which holds 64 bits. Change: every number of a body has a type with bounds (Int64, Amount): 64 bits for times, versions, run numbers and limits; 10^11 for sizes, counts and durations; 1,000 for a stretch factor. A body beyond them is malformed, which is 400 for jobs, configurations and heartbeats. The product's other front (foxspring-entry) was not looked at.

--- a/packages/foxspring-model/foxspring_model/__init__.py
+++ b/packages/foxspring-model/foxspring_model/__init__.py
@@ -64,7 +64,14 @@
     UsageBatch,
     UsageSample,
 )
-from foxspring_model._numbers import is_port, parse_whole_number
+from foxspring_model._numbers import (
+    MAX_AMOUNT,
+    MAX_INT64,
+    Amount,
+    Int64,
+    is_port,
+    parse_whole_number,
+)
 from foxspring_model._platform import (
     HEADER_DEADLINE_MS,
     HEADER_KEY,
@@ -97,6 +104,7 @@
 )
 
 __all__ = [
+    "Amount",
     "AnnounceBody",
     "Answered",
     "ApplyConfiguration",
@@ -128,12 +136,15 @@
     "HEADER_TARGET",
     "HEADER_VERDICT",
     "HeartbeatRejected",
+    "Int64",
     "Invariant",
     "InvariantChecks",
     "JobSpec",
     "JobView",
     "LinkPing",
     "LinkPong",
+    "MAX_AMOUNT",
+    "MAX_INT64",
     "MESSAGES",
     "NO_RESOURCES",
     "Outcome",
