Refuse numbers in targets' reports that messages or sums can't hold

Seen: in a trial of the decoders. An entry took announcements and reports with numbers of 2^64 and more. By reading: encoding them for control or for the target's owner raises OverflowError in the entry's actor (event_failed); the message is lost with whatever else it carries, such as the usage and task events of other targets. Cause: as in the platform's bodies, JSON integers of any size were decoded. Change: the numbers of the bodies in foxspring_model._platform have the same bounds; a body beyond them gets 400, as docs/PLATFORM.md says of a body that is not as described.

--- a/packages/foxspring-model/foxspring_model/_platform.py
+++ b/packages/foxspring-model/foxspring_model/_platform.py
@@ -7,22 +7,24 @@
 
 from typing import NotRequired, TypedDict
 
+from foxspring_model._numbers import Amount, Int64
+
 
 class ResourcesBody(TypedDict):
     """Amounts as in :class:`foxspring_model.Resources`."""
 
-    slots: int
-    connections: int
-    cores_milli: int
-    memory_mb: int
-    accelerators: int
+    slots: Amount
+    connections: Amount
+    cores_milli: Amount
+    memory_mb: Amount
+    accelerators: Amount
 
 
 class AnnounceBody(TypedDict):
     """``POST /v1/targets/announce`` on any entry, sent every second."""
 
     target_id: str
-    incarnation: int
+    incarnation: Int64
     address: str
     failure_domain: str
     rack: str
@@ -40,13 +42,13 @@
     """
 
     task_id: str
-    epoch: int
+    epoch: Int64
     state: str
     checkpoint: str
     result: str
     detail: str
-    cores_milli: int
-    memory_mb: int
+    cores_milli: Amount
+    memory_mb: Amount
     resources: NotRequired[ResourcesBody]
 
 
@@ -54,9 +56,9 @@
     """Latency of one service on a target since its last report."""
 
     service: str
-    count: int
-    p50_us: int
-    p99_us: int
+    count: Amount
+    p50_us: Amount
+    p99_us: Amount
 
 
 class ReportBody(TypedDict):
@@ -67,12 +69,12 @@
     """
 
     target_id: str
-    incarnation: int
-    sequence: int
-    measured_ms: int
-    target_ms: int
-    cores_milli: int
-    memory_mb: int
+    incarnation: Int64
+    sequence: Int64
+    measured_ms: Int64
+    target_ms: Int64
+    cores_milli: Amount
+    memory_mb: Amount
     latencies: list[ServiceLatencyBody]
     tasks: list[TaskStatusBody]
     requests: list[str]
@@ -93,8 +95,8 @@
     """``POST /v1/tasks`` on a target: start a task with a lease."""
 
     task_id: str
-    epoch: int
-    lease_until_ms: int
+    epoch: Int64
+    lease_until_ms: Int64
     service: str
     resources: ResourcesBody
     payload: str
@@ -104,7 +106,7 @@
 class RenewBody(TypedDict):
     """``POST /v1/leases`` on a target: renew the leases of all its tasks."""
 
-    lease_until_ms: int
+    lease_until_ms: Int64
     tasks: list[list[str | int]]
 
 
@@ -112,7 +114,7 @@
     """Tasks of the renewal that the target does not run, and its clock reading."""
 
     unknown: list[list[str | int]]
-    target_ms: int
+    target_ms: Int64
 
 
 class StopTaskBody(TypedDict):
@@ -122,7 +124,7 @@
     """
 
     task_id: str
-    epoch: int
+    epoch: Int64
     checkpoint: bool
 
 
@@ -130,8 +132,8 @@
     """``POST /v1/tasks/throttle`` on a target."""
 
     task_id: str
-    epoch: int
-    percent: int
+    epoch: Int64
+    percent: Amount
 
 
 class ErrorBody(TypedDict):
