Ignore the answer to a renewal whose task list is malformed

Seen: by reading, then in a test. A target that answered a renewal with a task list whose rows are not pairs, or whose epoch is ² or other text, made the entry log event_failed with a ValueError; the task events due then were not sent with that message. Cause: the rows were decoded as lists of texts and numbers, then unpacked and int() applied. Change: the rows of a renewal and of its answer are pairs of text and number by type, so that such an answer is ignored like any other malformed one. Run: test_renewal_with_a_malformed_answer_is_repeated failed before for four of its six rows. After it test_owner, test_tasks, test_standin and test_task_run: 43 passed, 0 failed; make check clean.

--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -265,7 +265,7 @@
         target.renewal_in_flight, target.last_renewal_ms = True, now_ms
         body = RenewBody(
             lease_until_ms=target.clock.reading_ms + self.settings.task_lease_ms,
-            tasks=[[task.task_id, task.epoch] for task in tasks],
+            tasks=[(task.task_id, task.epoch) for task in tasks],
         )
         pending = _Renewal(target, tasks, now_ms)
         timeout_ms = self.settings.task_call_timeout_ms
@@ -323,7 +323,7 @@
         target.ledger.record_reading(pending.requested_ms, reading_ms, SETTLE_TIME_MS)
         target.fence_takeover(pending.requested_ms, reading_ms)
         for task_id, epoch in renewed["unknown"]:
-            target.tasks.record_unknown(str(task_id), int(epoch), reading_ms)
+            target.tasks.record_unknown(task_id, epoch, reading_ms)
 
     def _task_call_done(
         self, pending: _TaskCallInFlight, response: CallResponse, now_ms: int
--- a/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
@@ -31,6 +31,7 @@
 
 _TARGET_CLOCK_OFFSET_MS = 500_000
 _FAR_FUTURE_MS = 10**9
+_RENEW_INTERVAL_MS = builders.settings("e-1", "c:1").renew_interval_ms
 _COMPLETE = TargetOutcome(Answered(200, (), b"ok"), 10_000)
 _INCOMPLETE = TargetOutcome(Uncertain("cut"))
 
@@ -251,6 +252,20 @@
             with self.subTest(lease_ms=lease_ms):
                 self.assertEqual(call.send_by_ms, self.now_ms + within_ms)
 
+    def test_renewal_with_a_malformed_answer_is_repeated(self) -> None:
+        reading_ms = self.now_ms + _TARGET_CLOCK_OFFSET_MS
+        self.make_available("t-1")
+        for row in ([], ["job-1/0"], ["job-1/0", "²"], ["job-1/0", 1, 2], [1, 1], "a1"):
+            self.now_ms += _RENEW_INTERVAL_MS
+            (call,) = self.targets.tick(_FAR_FUTURE_MS, self.now_ms)
+            assert isinstance(call, CallTarget)
+            body = msgspec.json.encode({"unknown": [row], "target_ms": reading_ms})
+            with self.subTest(row=row):
+                response = CallResponse(200, body)
+                self.targets.on_call_done(call.call_id, response, self.now_ms)
+        self.now_ms += _RENEW_INTERVAL_MS
+        self.assertEqual(len(self.targets.tick(_FAR_FUTURE_MS, self.now_ms)), 1)
+
     def test_outdated_reports_are_ignored(self) -> None:
         self.make_available("t-1")
         stale = builders.report("t-1", 1, target_ms=10**9, requests=["x"])
--- a/packages/foxspring-model/foxspring_model/_platform.py
+++ b/packages/foxspring-model/foxspring_model/_platform.py
@@ -104,16 +104,19 @@
 
 
 class RenewBody(TypedDict):
-    """``POST /v1/leases`` on a target: renew the leases of all its tasks."""
+    """``POST /v1/leases`` on a target: renew the leases of all its tasks.
+
+    ``tasks`` contains pairs of task id and epoch.
+    """
 
     lease_until_ms: Int64
-    tasks: list[list[str | int]]
+    tasks: list[tuple[str, Int64]]
 
 
 class RenewAnswerBody(TypedDict):
     """Tasks of the renewal that the target does not run, and its clock reading."""
 
-    unknown: list[list[str | int]]
+    unknown: list[tuple[str, Int64]]
     target_ms: Int64
 
 
--- a/packages/foxspring-testing/foxspring_testing/_task_table.py
+++ b/packages/foxspring-testing/foxspring_testing/_task_table.py
@@ -57,14 +57,14 @@
 
     def renew(self, body: RenewBody) -> RenewAnswerBody:
         """Renew the leases of running tasks; return those that are not running."""
-        unknown: list[list[str | int]] = []
+        unknown: list[tuple[str, int]] = []
         with self._lock:
             for task_id, epoch in body["tasks"]:
-                task = self._tasks.get((str(task_id), int(epoch)))
+                task = self._tasks.get((task_id, epoch))
                 if task is not None:
                     self._advance(task)
                 if task is None or not task.running:
-                    unknown.append([task_id, epoch])
+                    unknown.append((task_id, epoch))
                     continue
                 task.renew(body["lease_until_ms"])
         return RenewAnswerBody(unknown=unknown, target_ms=self.target_ms())
