Split the sending of one request by the command line's client

Cause: Client.request chose the addresses, sent, sorted out the errors and merged the verdicts in one loop with three ways on. Change: _addresses_in_turn, _attempt and _with_worst_verdict do one step each. No behaviour changes.

--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_client.py
@@ -2,9 +2,9 @@
 
 import secrets
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 import urllib3
@@ -42,6 +42,17 @@
     detail: str
 
 
+OutcomeT = TypeVar("OutcomeT", Reply, RequestFailure)
+
+
+class _Request(NamedTuple):
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    timeout_s: float
+
+
 class Client:
     """Sends a request to one entry after another until one responds.
 
@@ -71,56 +82,64 @@
 
         The verdict is ``not_run`` only if no attempt may have run.
         """
-        may_have_run = False
-        detail = "no entry address; give --entry"
+        request = _Request(method, path, body, headers or {}, timeout_s)
+        failure = RequestFailure(Verdict.NOT_RUN, "no entry address; give --entry")
+        for address in self._addresses_in_turn():
+            outcome = self._attempt(address, request)
+            may_repeat = idempotent or outcome.verdict == Verdict.NOT_RUN
+            if isinstance(outcome, Reply):
+                if outcome.status != HTTP_UNAVAILABLE or not may_repeat:
+                    return _with_worst_verdict(outcome, failure)
+                outcome = _failure_of(outcome, address)
+            failure = _with_worst_verdict(outcome, failure)
+            if not may_repeat:
+                break
+        return failure
+
+    def _addresses_in_turn(self) -> Iterator[str]:
+        """Yield the addresses in each round, with a pause between two rounds."""
         for number, address in enumerate(self.addresses * self.rounds):
             if number and number % len(self.addresses) == 0:
                 time.sleep(ROUND_DELAY_S)
-            try:
-                reply = self._send(address, method, path, body, headers, timeout_s)
-            except (
-                urllib3.exceptions.NewConnectionError,
-                urllib3.exceptions.ConnectTimeoutError,
-            ) as error:
-                detail = f"{address}: {error}"
-                continue
-            except urllib3.exceptions.HTTPError as error:
-                detail = f"{address}: {error}"
-                may_have_run = True
-                if not idempotent:
-                    break
-                continue
-            surely_not_run = reply.verdict == Verdict.NOT_RUN
-            if reply.status == HTTP_UNAVAILABLE and (idempotent or surely_not_run):
-                detail = f"{address}: {reply.body.decode(errors='replace')}"
-                may_have_run = may_have_run or not surely_not_run
-                continue
-            if may_have_run and surely_not_run:
-                return replace(reply, verdict=Verdict.MAY_HAVE_RUN)
-            return reply
-        verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
-        return RequestFailure(verdict, detail)
-
-    def _send(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        body: bytes,
-        headers: dict[str, str] | None,
-        timeout_s: float,
-    ) -> Reply:
+            yield address
+
+    def _attempt(self, address: str, request: _Request) -> Reply | RequestFailure:
+        try:
+            return self._send(address, request)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return RequestFailure(Verdict.NOT_RUN, f"{address}: {error}")
+        except urllib3.exceptions.HTTPError as error:
+            return RequestFailure(Verdict.MAY_HAVE_RUN, f"{address}: {error}")
+
+    def _send(self, address: str, request: _Request) -> Reply:
         response = self._pool.request(
-            method,
-            f"http://{address}{path}",
-            body=body,
-            headers={"Authorization": f"Bearer {self.token}", **(headers or {})},
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+            request.method,
+            f"http://{address}{request.path}",
+            body=request.body,
+            headers={"Authorization": f"Bearer {self.token}", **request.headers},
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=request.timeout_s),
         )
         verdict = response.headers.get("Foxspring-Verdict", "")
         return Reply(response.status, verdict, response.data)
 
 
+def _failure_of(reply: Reply, address: str) -> RequestFailure:
+    """Return the failure that a rejection by one entry is, if no other responds."""
+    not_run = reply.verdict == Verdict.NOT_RUN
+    verdict = Verdict.NOT_RUN if not_run else Verdict.MAY_HAVE_RUN
+    return RequestFailure(verdict, f"{address}: {reply.body.decode(errors='replace')}")
+
+
+def _with_worst_verdict(outcome: OutcomeT, earlier: RequestFailure) -> OutcomeT:
+    """Return the outcome, not as not run if an earlier attempt may have run."""
+    if outcome.verdict == Verdict.NOT_RUN:
+        return replace(outcome, verdict=earlier.verdict)
+    return outcome
+
+
 def new_id(prefix: str) -> str:
     """Return a new random id that starts with ``prefix``."""
     return f"{prefix}-{secrets.token_hex(8)}"
