--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -1,6 +1,7 @@
 """Owned targets: takeovers, reports, lease renewals and task calls."""
 
 import logging
+from collections.abc import Set
 from typing import NamedTuple
 
 import msgspec
@@ -115,6 +116,15 @@
         if target is not None and target.owned.owner_epoch == owner_epoch:
             target.record_release(now_ms + SETTLE_TIME_MS)
 
+    def retain_releases(self, target_ids: Set[str]) -> None:
+        """Drop the recorded releases of all targets but these.
+
+        Only call it when a target was removed: a release may arrive before the
+        first ownership table that has its target.
+        """
+        for target_id in self._released_epochs.keys() - target_ids:
+            del self._released_epochs[target_id]
+
     def run(self, run: RunTask, now_ms: int) -> bool:
         """Start a task that control placed on a target.
 
@@ -255,7 +265,7 @@
         target.renewal_in_flight, target.last_renewal_ms = True, now_ms
         body = RenewBody(
             lease_until_ms=target.clock.reading_ms + self.settings.task_lease_ms,
-            tasks=[[task.task_id, task.epoch] for task in tasks],
+            tasks=[(task.task_id, task.epoch) for task in tasks],
         )
         pending = _Renewal(target, tasks, now_ms)
         timeout_ms = self.settings.task_call_timeout_ms
@@ -313,7 +323,7 @@
         target.ledger.record_reading(pending.requested_ms, reading_ms, SETTLE_TIME_MS)
         target.fence_takeover(pending.requested_ms, reading_ms)
         for task_id, epoch in renewed["unknown"]:
-            target.tasks.record_unknown(str(task_id), int(epoch), reading_ms)
+            target.tasks.record_unknown(task_id, epoch, reading_ms)
 
     def _task_call_done(
         self, pending: _TaskCallInFlight, response: CallResponse, now_ms: int
