Refuse jobs of more than 20,000 tasks

One submission with a count of 10^9 would have been committed and then have filled the memory of every control member, again at each restart: nothing bounded the tasks that a step creates.

--- a/packages/foxspring-jobs/foxspring_jobs/_specs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_specs.py
@@ -5,6 +5,7 @@
 from foxspring_model import Resources
 
 JOB_ID_LENGTH = 16
+MAX_TASKS_PER_OCCURRENCE = 20_000
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -165,6 +166,8 @@
         problem = _step_problem(number, step)
         if problem:
             return f"step {number}: {problem}"
+    if sum(step.task_count for step in job.steps) > MAX_TASKS_PER_OCCURRENCE:
+        return f"more than {MAX_TASKS_PER_OCCURRENCE} tasks"
     return ""
 
 
