Keep the covariance of interference estimates as rows

Cause: every poll of a target updates one Kalman estimate for each of its serving tasks, 1,550 updates a second at 175 targets; each looked up every pair of images in one dictionary.

Change: rows in lists, by the position of the image. Sums keep their order, so the estimates are equal to the last bit; a test compares them with a filter that keeps pairs.

--- a/packages/foxspring-jobs/foxspring_jobs/_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_interference.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 INITIAL_BASELINE = 0.45
 BASELINE_WEIGHT = 0.05
@@ -27,16 +27,27 @@
 
 
 class Estimate:
-    """The effects of best-effort images on one serving image, per core."""
+    """The effects of best-effort images on one serving image, per core.
+
+    ``mean`` has an entry for each image, and ``covariance`` has a row and a column for
+    each, at the image's position. Load pattern: every poll of a target updates one
+    estimate for each of its serving tasks.
+    """
 
     def __init__(self) -> None:
         self.mean: dict[str, float] = {}
-        self.covariance: dict[tuple[str, str], float] = {}
+        self.positions: dict[str, int] = {}
+        self.covariance: list[list[float]] = []
 
     def _add_image(self, best_effort: str) -> None:
-        if best_effort not in self.mean:
-            self.mean[best_effort] = INITIAL_EFFECT
-            self.covariance[best_effort, best_effort] = INITIAL_DEVIATION**2
+        if best_effort in self.mean:
+            return
+        position = len(self.mean)
+        self.mean[best_effort] = INITIAL_EFFECT
+        self.positions[best_effort] = position
+        for row in self.covariance:
+            row.append(0.0)
+        self.covariance.append([0.0] * position + [INITIAL_DEVIATION**2])
 
     def expected(self, cores: Mapping[str, float]) -> float:
         """Return the pressure expected from best-effort tasks that use ``cores``."""
@@ -45,31 +56,42 @@
 
     def deviation(self, best_effort: str) -> float:
         """Return the standard deviation of a best-effort image's estimated effect."""
-        return math.sqrt(
-            self.covariance.get((best_effort, best_effort), INITIAL_DEVIATION**2)
-        )
+        position = self.positions.get(best_effort)
+        if position is None:
+            return INITIAL_DEVIATION
+        return math.sqrt(self.covariance[position][position])
 
     def update(self, pressure: float, cores: Mapping[str, float]) -> None:
         """Update the estimates from a measured pressure and the cores in use."""
         for best_effort in cores:
             self._add_image(best_effort)
-            self.covariance[best_effort, best_effort] += DRIFT_VARIANCE
-        covariance = self.covariance
-        cross_covariance = {
-            known: sum(covariance.get((known, f), 0.0) * c for f, c in cores.items())
-            for known in self.mean
-        }
-        variance = NOISE_VARIANCE + sum(
-            cross_covariance[f] * c for f, c in cores.items()
-        )
+        used = [(self.positions[f], c) for f, c in cores.items()]
+        for position, _ in used:
+            self.covariance[position][position] += DRIFT_VARIANCE
+        cross_covariance = self._cross_covariance(used)
+        variance = NOISE_VARIANCE + sum(cross_covariance[p] * c for p, c in used)
         error = pressure - sum(self.mean[f] * c for f, c in cores.items())
-        changed = [known for known in cross_covariance if cross_covariance[known]]
-        for known in changed:
-            gain = cross_covariance[known] / variance
+        for known, position in self.positions.items():
+            if not cross_covariance[position]:
+                continue
+            gain = cross_covariance[position] / variance
             self.mean[known] = max(0.0, self.mean[known] + gain * error)
-            for other in changed:
-                previous = covariance.get((known, other), 0.0)
-                covariance[known, other] = previous - gain * cross_covariance[other]
+            self.covariance[position] = [
+                previous - gain * cross
+                for previous, cross in zip(
+                    self.covariance[position], cross_covariance, strict=True
+                )
+            ]
+
+    def _cross_covariance(self, used: Iterable[tuple[int, float]]) -> list[float]:
+        """Return each effect's covariance with the total effect of the cores in use."""
+        totals = [0.0] * len(self.covariance)
+        for position, cores in used:
+            totals = [
+                total + row[position] * cores
+                for total, row in zip(totals, self.covariance, strict=True)
+            ]
+        return totals
 
 
 class Interference:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
@@ -2,7 +2,14 @@
 import unittest
 
 from foxspring_jobs._commands import RunKey, TaskKey
-from foxspring_jobs._interference import Interference
+from foxspring_jobs._interference import (
+    DRIFT_VARIANCE,
+    INITIAL_DEVIATION,
+    INITIAL_EFFECT,
+    NOISE_VARIANCE,
+    Estimate,
+    Interference,
+)
 from foxspring_jobs._pressure import (
     BestEffortRun,
     Mitigation,
@@ -31,6 +38,30 @@
     return interference
 
 
+def kalman_means(updates: list[tuple[float, dict[str, float]]]) -> dict[str, float]:
+    """Return the means of a Kalman filter that keeps its covariance pair by pair."""
+    mean: dict[str, float] = {}
+    covariance: dict[tuple[str, str], float] = {}
+    for pressure, cores in updates:
+        for image in cores:
+            mean.setdefault(image, INITIAL_EFFECT)
+            covariance.setdefault((image, image), INITIAL_DEVIATION**2)
+            covariance[image, image] += DRIFT_VARIANCE
+        cross = {
+            known: sum(covariance.get((known, f), 0.0) * c for f, c in cores.items())
+            for known in mean
+        }
+        variance = NOISE_VARIANCE + sum(cross[f] * c for f, c in cores.items())
+        error = pressure - sum(mean[f] * c for f, c in cores.items())
+        for known in mean:
+            gain = cross[known] / variance
+            mean[known] = max(0.0, mean[known] + gain * error)
+            for other in mean:
+                previous = covariance.get((known, other), 0.0)
+                covariance[known, other] = previous - gain * cross[other]
+    return mean
+
+
 def best_effort_run(
     number: int, image: str, pace: int = 100, movable: bool = False
 ) -> BestEffortRun:
@@ -51,6 +82,19 @@
             self.assertGreater(effects["rough"], 0.015, seed)
             self.assertLess(effects["mild"], effects["rough"], seed)
 
+    def test_means_equal_those_of_a_filter_that_keeps_pairs(self) -> None:
+        rng = random.Random(5)
+        images = [f"image{number}" for number in range(8)]
+        updates = []
+        for _ in range(300):
+            used = rng.sample(images, rng.randint(1, 4))
+            cores = {image: rng.choice((0.5, 2.0, 6.0)) for image in used}
+            updates.append((rng.uniform(-0.2, 0.6), cores))
+        estimate = Estimate()
+        for pressure, cores in updates:
+            estimate.update(pressure, cores)
+        self.assertEqual(estimate.mean, kalman_means(updates))
+
     def test_changed_effect_is_learned(self) -> None:
         interference = trained_interference()
         for _ in range(60):
