Do not compute the risk of targets that are crowded anyway

Cause: while half of the cores are reserved, every best-effort task can wait, and it waits if the best target is crowded.

Change: a ranking of tasks that can all wait gives a crowded target a short score that makes the task wait. A test compares the choice with that of all scores; it also passes on the old code.

--- a/packages/foxspring-jobs/foxspring_jobs/_candidates.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidates.py
@@ -147,6 +147,10 @@
         unused = self.serving_cores * (PERCENT - SERVING_USE_PERCENT) // PERCENT
         return self.free.cores_milli + unused - self.total_best_effort_cores
 
+    def is_crowded(self, step: StepSpec) -> bool:
+        """Return whether a task of a step would use cores that others may need."""
+        return self.unused_cores() < step.resources.cores_milli
+
     def used_percent(self) -> int:
         """Return the used share of cores or memory, whichever is higher."""
         capacity = self.target.registered.capacity
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -153,7 +153,9 @@
             return []
         running = any(s.running for s in steps)
         room_to_use_reserve = self._room_to_use_reserve(waiting)
-        ranking = self._rank(waiting.step_key(), step, job, candidates)
+        ranking = self._rank(
+            waiting.step_key(), step, job, candidates, self.busy or running
+        )
         for index, task in startable_tasks(steps[waiting.step], step):
             if not waiting.includes(task, step):
                 continue
@@ -212,9 +214,8 @@
         can_wait: bool,
     ) -> Candidate | None:
         step_key = step_key_of(task)
-        return self._pick(
-            self._rank(step_key, step, job, candidates), step_key, step, can_wait
-        )
+        ranking = self._rank(step_key, step, job, candidates, can_wait)
+        return self._pick(ranking, step_key, step, can_wait)
 
     def _rank(
         self,
@@ -222,7 +223,9 @@
         step: StepSpec,
         job: JobState,
         candidates: list[Candidate],
+        can_wait: bool,
     ) -> Ranking:
+        """Rank targets for a step; with ``can_wait``, all its tasks can wait."""
         reserved = step.reserved()
         service = job.queue.service
 
@@ -232,15 +235,24 @@
         def score(candidate: Candidate) -> Score:
             return self._score(candidate, step)
 
+        def score_if_uncrowded(candidate: Candidate) -> Score:
+            # The task waits if a crowded target is the best, whatever its risk is,
+            # and while capacity is scarce most targets are crowded.
+            if candidate.is_crowded(step):
+                return (candidate.on_probation, True, True)
+            return self._score(candidate, step)
+
         def score_long_running(candidate: Candidate) -> Score:
             return (
                 not candidate.leaves_short_task_reserve(reserved),
                 *self._score(candidate, step),
             )
 
-        return Ranking(
-            candidates, accepts, score_long_running if step.long_running else score
-        )
+        if step.long_running:
+            return Ranking(candidates, accepts, score_long_running)
+        if step.best_effort and can_wait:
+            return Ranking(candidates, accepts, score_if_uncrowded)
+        return Ranking(candidates, accepts, score)
 
     def _room_to_use_reserve(self, waiting: WaitingStep) -> float:
         """Return how many tasks must fit for one to use the reserve for short tasks.
@@ -298,11 +310,10 @@
             # Harmless images prefer sensitive targets and leave the tolerant
             # ones to others.
             sensitivity = self.effects.sensitivity(candidate.serving_images())
-            crowded = unused < cores
             return (
                 on_probation,
                 risk > 1,
-                crowded,
+                candidate.is_crowded(step),
                 off_rack,
                 risk > 0,
                 -sensitivity,
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -1,14 +1,15 @@
+import random
 import unittest
 
 from foxspring_model import Resources
 
 from foxspring_jobs._candidates import Candidate, StepKey
-from foxspring_jobs._commands import Advance, RunStart
+from foxspring_jobs._commands import Advance, RunStart, TaskKey
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._placement import Planner, startable_tasks
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import JobPhase, State, StepState, TaskState
-from foxspring_jobs._waiting import waiting_steps
+from foxspring_jobs._waiting import Precedence, WaitingStep, waiting_steps
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
@@ -212,6 +213,62 @@
         )
 
 
+class WaitingBestEffortTest(unittest.TestCase):
+    """A best-effort task that can wait takes the best target of all or none."""
+
+    def random_candidates(self, rng: random.Random) -> list[Candidate]:
+        names = [f"t{number}" for number in range(6)]
+        state = state_with(*(registered(name, cores=8_000) for name in names))
+        for name in names:
+            submit(state, spec(serving()), name)
+            if rng.random() < 0.7:
+                start(state, run_key(job_id=name), name)
+        candidates = []
+        for target in state.targets.values():
+            candidate = Candidate(target, on_probation=rng.random() < 0.4)
+            for image in (LIGHT, HEAVY):
+                cores = rng.choice((2_000, 4_000, 6_000))
+                candidate.best_effort_cores[image] = cores
+                candidate.total_best_effort_cores += cores
+            candidates.append(candidate)
+        return candidates
+
+    def best_of_all(
+        self, planner: Planner, waiting: WaitingStep, wanted: StepSpec
+    ) -> list[str]:
+        job = planner.state.jobs[waiting.job_id]
+        best = planner.ranked_targets(job, waiting)[0]
+        candidate = next(c for c in planner.candidates if c.target.incarnation == best)
+        cores = wanted.resources.cores_milli
+        too_risky = candidate.risk(planner.effects, wanted.image, cores) > 1
+        waits = too_risky or candidate.is_crowded(wanted)
+        return [] if waits else [best.target_id]
+
+    def test_choice_equals_that_of_all_scores(self) -> None:
+        interference = trained_interference()
+        chosen_count = 0
+        for seed in range(200):
+            rng = random.Random(seed)
+            wanted = best_effort_step(
+                1, rng.choice((LIGHT, HEAVY)), rng.choice((1_000, 3_000))
+            )
+            state = state_with()
+            submit(state, spec(wanted), JOB)
+            planner = Planner(state, self.random_candidates(rng), interference)
+            waiting = WaitingStep(Precedence.START, 0, 0, 0, JOB, 0, 0)
+            expected = self.best_of_all(planner, waiting, wanted)
+            planner.try_place(TaskKey(JOB, 0, 0, 0), wanted, state.jobs[JOB])
+            chosen = [
+                candidate.target.incarnation.target_id
+                for candidate in planner.candidates
+                if candidate.started
+            ]
+            self.assertEqual(chosen, expected, seed)
+            chosen_count += len(chosen)
+        self.assertGreater(chosen_count, 50)
+        self.assertLess(chosen_count, 150)
+
+
 class RestartOrderTest(unittest.TestCase):
     """Interrupted long-running tasks compete with new work for one target."""
 
