Look for interrupted tasks in long-running steps only

Cause: each plan went through all tasks of each waiting step to count the interrupted ones, which only long-running steps can have.

Change: other steps are waiting for a first start, without a look at their tasks.

--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -133,7 +133,9 @@
 
 
 def _precedences(step: StepState, spec: StepSpec) -> list[Precedence]:
-    """Return the precedences of the idle tasks of a step."""
+    """Return the precedences of the idle tasks of a step, which has some."""
+    if not spec.long_running:
+        return [Precedence.START]
     interrupted = sum(is_interrupted(task, spec) for task in step.tasks)
     found = [Precedence.RESTART] if interrupted else []
     return [*found, Precedence.START] if step.idle > interrupted else found
