--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -159,7 +159,9 @@
 
 
 def _ranks_of(step: StepState, spec: StepSpec, job_rank: Rank) -> list[Rank]:
-    """Return the ranks of the idle tasks of a step."""
+    """Return the ranks of the idle tasks of a step, which has some."""
+    if not spec.long_running:
+        return [job_rank]
     interrupted = sum(is_interrupted(task, spec) for task in step.tasks)
     found = [Rank.RESTART] if interrupted else []
     return [*found, job_rank] if step.idle > interrupted else found
