--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -12,7 +12,7 @@
     TargetIncarnation,
 )
 from foxspring_jobs._leader_context import LeaderContext, PendingEnd
-from foxspring_jobs._metrics import ENDS, LOST, MITIGATIONS, POLLS
+from foxspring_jobs._metrics import ENDS, LOST, POLLS
 from foxspring_jobs._operations import Answer
 from foxspring_jobs._orders import (
     PaceOrder,
@@ -22,15 +22,6 @@
     TargetResult,
     TargetView,
 )
-from foxspring_jobs._placement import Planner
-from foxspring_jobs._pressure import (
-    BestEffortRun,
-    Mitigation,
-    Move,
-    Pace,
-    ServingTask,
-    mitigate,
-)
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._stalls import (
     FULL_PERCENT,
@@ -39,6 +30,7 @@
     needs_speculative_run,
 )
 from foxspring_jobs._state import EndKind, TargetState
+from foxspring_jobs._target_mitigation import TargetMitigation
 from foxspring_jobs._target_orders import TargetOrders
 
 _LOG = logging.getLogger(__name__)
@@ -51,8 +43,6 @@
 # The time from the wait of a lost poll to the next renewal: its timeout, the pause
 # before the retry, the retry, and delays of a busy leader.
 LOST_POLL_MS = 1_600
-MOVE_PLANNER_MAX_AGE_MS = 100
-MITIGATION_INTERVAL_MS = 600
 SPECULATION_INTERVAL_MS = 100
 LATE_ORDER_MS = 12_000
 # A late order may carry a lease of 10 s; the rest allows for differences between wall
@@ -80,8 +70,7 @@
         self.context = context
         self.orders = orders
         self.longest_wait_ms = longest_wait_ms(context.settings.lease_ms)
-        self.move_planner: Planner | None = None
-        self.move_planner_built_ms = 0
+        self.mitigation = TargetMitigation(context, orders, self.candidates)
         self.speculation_due_ms = 0
 
     def open_session(
@@ -247,7 +236,7 @@
             if row.run not in target.runs:
                 self.orders.order(session, StopOrder(row.run))
         session.note_running(view.running, now_ms)
-        self._mitigate(session, target)
+        self.mitigation.mitigate(session, target)
         self._replace_stalled(session, target)
         if view.complete:
             self.orders.settle(session, listed)
@@ -297,59 +286,6 @@
         )
         return RISKY_POLL_WAIT_MS if risky else POLL_WAIT_MS
 
-    def _mitigate(self, session: TargetSession, target: TargetState) -> None:
-        now_ms = self.context.clock.monotonic_ms()
-        session.measure(target, self.context.interference, now_ms)
-        if now_ms < session.mitigated_ms + MITIGATION_INTERVAL_MS:
-            return
-        serving, best_effort_runs = session.mitigation_inputs(target, now_ms)
-        mitigations = mitigate(
-            serving, best_effort_runs, self.context.interference, self._can_move
-        )
-        if mitigations:
-            session.mitigated_ms = now_ms
-        for mitigation in mitigations:
-            self._log_mitigation(session, mitigation, serving)
-            if isinstance(mitigation, Move):
-                self.orders.send_stop(session, mitigation.run)
-            else:
-                session.pace(mitigation.run, mitigation.percent, now_ms)
-                self.orders.order(
-                    session, PaceOrder(mitigation.run, mitigation.percent)
-                )
-
-    def _can_move(self, best_effort: BestEffortRun) -> bool:
-        job = self.context.draft.active.get(best_effort.run.task.job_id)
-        if job is None:
-            return False
-        step = job.spec.steps[best_effort.run.task.step]
-        now_ms = self.context.clock.monotonic_ms()
-        if (
-            self.move_planner is None
-            or now_ms >= self.move_planner_built_ms + MOVE_PLANNER_MAX_AGE_MS
-        ):
-            self.move_planner = Planner(
-                self.context.draft, self.candidates(), self.context.interference
-            )
-            self.move_planner_built_ms = now_ms
-        return self.move_planner.try_place(best_effort.run.task, step, job)
-
-    def _log_mitigation(
-        self, session: TargetSession, mitigation: Mitigation, serving: list[ServingTask]
-    ) -> None:
-        worst = max(row.tail_ms for row in serving)
-        self.context.metrics.count(MITIGATIONS, type(mitigation).__name__.lower())
-        _LOG.info(
-            "event=fill_relieved action=%s job=%s task=%d.%d.%d run=%d target=%s "
-            "percent=%d worst_tail_ms=%d",
-            type(mitigation).__name__.lower(),
-            *mitigation.run.task,
-            mitigation.run.number,
-            session.incarnation.target_id,
-            mitigation.percent if isinstance(mitigation, Pace) else 0,
-            worst,
-        )
-
     def _on_adopted_view(
         self, session: TargetSession, registration: RegisterTarget, view: TargetView
     ) -> None:
