Claim harness ports, so that no other process is given them

Cause: PortChooser let the kernel choose a port, closed the probe and gave the port out. Until the listener started, another harness process's chooser or a fault proxy on port 0 could be given the same port by the kernel.

Site.close releases the claims.

--- a/packages/foxspring-testing/foxspring_testing/_site.py
+++ b/packages/foxspring-testing/foxspring_testing/_site.py
@@ -79,12 +79,13 @@
         self.wait_ready()
 
     def close(self) -> None:
-        """Kill every running process and stop the fault network."""
+        """Kill every process, stop the fault network and release the ports."""
         for process in self.processes.values():
             process.kill()
         if self.network is not None:
             self.network.stop()
             self.network = None
+        self._ports.close()
         atexit.unregister(self.close)
 
     def start(self, name: str) -> None:
--- a/packages/foxspring-testing/foxspring_testing/tests/test_cli.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_cli.py
@@ -82,7 +82,9 @@
         return self._run("call", "register", token=CALLER_TOKEN).exit_code == 0
 
     def test_exit_codes(self) -> None:
-        unused_address = PortChooser().free_address()
+        ports = PortChooser()
+        self.addCleanup(ports.close)
+        unused_address = ports.free_address()
         bad = self._file("bad.ini", "[team a]\nmax_tasks = -1\n")
         good_entries = tuple(self.site.entry_addresses())
         cases = [
--- a/packages/foxspring-testing/foxspring_testing/tests/test_link_silence.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_link_silence.py
@@ -18,6 +18,7 @@
         self.network = FaultNetwork(lambda _: {})
         self.addCleanup(self.network.stop)
         self.ports = PortChooser()
+        self.addCleanup(self.ports.close)
         self.received: set[tuple[str, str]] = set()
         self.short_limit_link = self.link("short-limit", SHORT_SILENCE_LIMIT)
         self.long_limit_link = self.link("long-limit", LONG_SILENCE_LIMIT)
