End a stand-in whose second address is in use

Cause: a stand-in target binds its platform address, then its control address. If the second was in use, start() raised, but the worker threads of the first server kept the process running, so Site.wait_ready did not start it again.

Change: start() stops the first server before it raises.

--- a/packages/foxspring-testing/foxspring_testing/_standin.py
+++ b/packages/foxspring-testing/foxspring_testing/_standin.py
@@ -72,7 +72,12 @@
             OSError: an address of the settings is in use.
         """
         self.platform.start()
-        self.control.start()
+        try:
+            self.control.start()
+        except OSError:
+            # Its worker threads would keep the process running.
+            self.platform.stop()
+            raise
         self._events.write("process_started")
         self._ticker.start()
         self._announcer.start()
--- a/packages/foxspring-testing/foxspring_testing/tests/test_process.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_process.py
@@ -1,3 +1,4 @@
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -46,3 +47,21 @@
             lambda: self.process.exit_code() is not None, "the end of the process"
         )
         self.assertEqual(1, self.process.exit_code())
+
+    def test_occupied_addresses_end_the_process_with_an_error(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            occupied = f"127.0.0.1:{listener.getsockname()[1]}"
+            for settings in (
+                self.settings._replace(address=occupied),
+                self.settings._replace(control_address=occupied),
+            ):
+                with self.subTest(settings=settings):
+                    write_standin_settings(Path(self.process.arguments[-1]), settings)
+                    self.process.start()
+                    wait_until(
+                        lambda: self.process.exit_code() is not None,
+                        "the end of the process",
+                    )
+                    self.assertEqual(1, self.process.exit_code())
+                    log = self.process.log.read_text()
+                    self.assertIn("Address already in use", log)
