Wait until every process listens; report one that cannot

Cause: Site.wait_ready looked at the entries only. It returned while a control member or target was still starting, so that one whose port was taken ended unnoticed, and it gave up on a process that ended at each start without a word: the caller saw "not reached within 40.0 s: ready entries".

Change: it waits until each running process itself listens on all of its addresses (the kernel's socket table names the owner, so a foreign listener does not count), and it raises at once with the last line of the log when a process has ended after each of its four starts.

--- a/packages/foxspring-testing/foxspring_testing/_site.py
+++ b/packages/foxspring-testing/foxspring_testing/_site.py
@@ -22,12 +22,12 @@
     SiteSize,
     write_daemon_settings,
 )
-from foxspring_testing._socket_owner import owner_finder
+from foxspring_testing._socket_owner import is_listening, owner_finder
 from foxspring_testing._standin_settings import (
     StandInSettings,
     write_standin_settings,
 )
-from foxspring_testing._wait import wait_until
+from foxspring_testing._wait import NotReachedError, wait_until
 
 _MAX_STARTS = 4
 _READY_TIMEOUT_S = 40.0
@@ -173,25 +173,33 @@
             return False
 
     def wait_ready(self, timeout_s: float = _READY_TIMEOUT_S) -> None:
-        """Wait until every running entry is ready.
+        """Wait until every running process listens and every entry is ready.
 
         A process that has ended, for example because another process took its
         port, is restarted a limited number of times.
 
         Raises:
-            NotReachedError: the site was not ready within ``timeout_s`` seconds.
+            NotReachedError: the site was not ready within ``timeout_s`` seconds, or
+                a process ended after each of its starts; the message has the last
+                line of its log.
         """
         starts = dict.fromkeys(self.processes, 1)
 
         def ready() -> bool:
-            for name, process in self.processes.items():
-                if process.exit_code() is not None and starts[name] < _MAX_STARTS:
-                    starts[name] += 1
-                    self.start(name)
-            names = [n for n in self.names("entry") if self.processes[n].alive()]
-            return bool(names) and all(self.entry_ready(name) for name in names)
-
-        wait_until(ready, f"ready entries; logs are in {self.folder}", timeout_s)
+            for name in self._ended():
+                if starts[name] == _MAX_STARTS:
+                    raise NotReachedError(self._describe_end(name))
+                starts[name] += 1
+                self.start(name)
+            running = [n for n, process in self.processes.items() if process.alive()]
+            entries = [name for name in self.names("entry") if name in running]
+            return (
+                bool(entries)
+                and all(self.entry_ready(name) for name in entries)
+                and all(self._listens(name) for name in running)
+            )
+
+        wait_until(ready, f"a ready site; logs are in {self.folder}", timeout_s)
 
     def wait_targets_owned(self, timeout_s: float = _READY_TIMEOUT_S) -> None:
         """Wait until every running target has an owning entry.
@@ -210,6 +218,28 @@
         """Return the log of a process."""
         return self.processes[name].log.read_text(errors="replace")
 
+    def _ended(self) -> list[str]:
+        processes = self.processes.items()
+        return [name for name, each in processes if each.exit_code() is not None]
+
+    def _describe_end(self, name: str) -> str:
+        lines = self.log(name).splitlines() or ["its log is empty"]
+        return (
+            f"{name} ended after each of {_MAX_STARTS} starts, last with exit code "
+            f"{self.processes[name].exit_code()}: {lines[-1]}"
+        )
+
+    def _listens(self, name: str) -> bool:
+        pid = self.processes[name].pid
+        return all(is_listening(pid, each) for each in self._listen_addresses(name))
+
+    def _listen_addresses(self, name: str) -> list[str]:
+        if name in self.targets:
+            target = self.targets[name]
+            return [target.address, target.control_address]
+        daemon = self.daemons[name]
+        return [daemon.link, daemon.http] if daemon.http else [daemon.link]
+
     def _add_processes(self) -> None:
         for number in range(1, self.size.controls + 1):
             self._add_daemon("control", number)
