End a task that is out of tries without a further delay

Cause: the scheduler looked at whether a failed task may run again only when its back-off delay was over. A task with its last failure therefore stayed queued for a delay before a run that it never got: 4 to 8 s after five failures, 30 to 60 s after eight, which is what five tries become when three of the targets that it failed on are quarantined. Up to 63.5 s of delays between eight runs and 60 s after them are more than the 90 s that the soak waits for rest.

Change: a task that gets no further run has no delay, so that the next call of decide() ends it.

Evidence: the new test failed with the former scheduler (five failures, no target quarantined; eight failures, three quarantined: not ended) and passes.

--- a/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
@@ -67,7 +67,7 @@
         failed = self._record_outcome(task, before, now_ms)
         wait_ms = 0
         if failed and task.state is TaskState.QUEUED:
-            wait_ms = self._retry_delay(task.attempts)
+            wait_ms = self._retry_delay(task)
         if before is not None and task.state in ENDED_STATES:
             self._remember_shape(before)
         self.site.task_table.upsert(task, wait_ms, now_ms)
@@ -168,12 +168,15 @@
         ):
             self.site.sync_quarantine(target_id)
 
-    def _retry_delay(self, attempts: int) -> int:
+    def _retry_delay(self, task: Task) -> int:
+        """Return the delay before a task's next run, 0 if it is to be ended."""
+        if self.site.tries_used_reason(task.attempts, task.failed_targets):
+            return 0
         settings = self.settings
         return backoff_ms(
             settings.retry_delay_ms,
             settings.retry_delay_max_ms,
-            attempts,
+            task.attempts,
             self.site.rng,
         )
 
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -131,22 +131,23 @@
 
     def end_reason(self, record: TaskRecord) -> str:
         """Return why a queued task is to be ended as failed, or ``""``."""
+        if record.attempts:
+            return self.tries_used_reason(record.attempts, record.failed_targets)
+        if self.failures.is_job_at_fault(record.group.shape.job_id):
+            return self._job_fault_reason(record.group.shape.job_id)
+        return ""
+
+    def tries_used_reason(self, attempts: int, failed_targets: tuple[str, ...]) -> str:
+        """Return why a task gets no run after ``attempts`` failed ones, or ``""``."""
         settings, failures = self.settings, self.failures
-        if not record.attempts:
-            if failures.is_job_at_fault(record.group.shape.job_id):
-                return self._job_fault_reason(record.group.shape.job_id)
-            return ""
-        target_caused = len(record.failed_targets) - failures.job_caused_failures(
-            record.failed_targets
+        target_caused = len(failed_targets) - failures.job_caused_failures(
+            failed_targets
         )
-        job_caused = record.attempts - target_caused
-        if (
-            job_caused < settings.tries_per_task
-            and record.attempts < settings.runs_per_task
-        ):
+        job_caused = attempts - target_caused
+        if job_caused < settings.tries_per_task and attempts < settings.runs_per_task:
             return ""
         return (
-            f"failed {record.attempts} times, {job_caused} of them not caused by the"
+            f"failed {attempts} times, {job_caused} of them not caused by the"
             " targets; fix the job and submit it again"
         )
 
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
@@ -35,6 +35,10 @@
     return sum(site.tasks[name].state is state for name in names)
 
 
+def failed_task(task: Task, attempts: int, *targets: str) -> Task:
+    return task._replace(epoch=attempts, attempts=attempts, failed_targets=targets)
+
+
 class FailureAttributionTest(unittest.TestCase):
     def test_failing_target_is_quarantined_and_every_job_finishes(self) -> None:
         site = a_site(8)
@@ -109,6 +113,25 @@
         for earlier, later in zip(waits, waits[2:], strict=False):
             self.assertGreater(later, earlier)
 
+    def test_task_out_of_tries_is_ended_without_another_delay(self) -> None:
+        for quarantined in (0, 3):
+            scheduler = a_site(8).scheduler
+            for target in range(quarantined):
+                for number in range(SETTINGS.failures_to_quarantine):
+                    old = a_task(0, f"old{target}-{number}")
+                    scheduler.upsert_task(failed_task(old, 1, f"t{target}"), 0)
+            self.assertEqual(quarantined, len(scheduler.quarantined(0)))
+            last = SETTINGS.tries_per_task + quarantined
+            for attempts in range(1, last + 1):
+                now_ms = attempts * SETTINGS.retry_delay_max_ms
+                targets = [f"t{number}" for number in range(attempts)]
+                task = failed_task(a_task(), attempts, *targets)
+                scheduler.upsert_task(task, now_ms)
+                ended = scheduler.decide(now_ms).ended
+                names = [name for each in ended for name in each.task_ids]
+                with self.subTest(quarantined=quarantined, attempts=attempts):
+                    self.assertEqual(["job/0"] if attempts == last else [], names)
+
     def test_refusal_is_retried_and_not_counted_as_failure(self) -> None:
         scheduler = a_site(2).scheduler
         scheduler.upsert_task(a_task(), 0)
