Probe a target again if its probe was refused or not committed

Cause: a target is closed while its probe is placed on it. When the owner refused the probe, or its placement was not committed in time, the task was queued again but the target stayed closed ("it is being probed by ..."): its state is computed again only when a task that is recorded there changes. Until the next leader it got no task, not even another probe; a task with no other target stayed queued.

Change: requeue() computes the state of a quarantined target again.

--- a/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
@@ -52,9 +52,15 @@
             self._serve(lane)
 
     def requeue(self, record: TaskRecord, now_ms: int) -> None:
-        """Release what a placement or claim holds and queue the task again."""
+        """Release what a placement or claim holds and queue the task again.
+
+        If the placement was a target's probe, the target may be probed again.
+        """
+        target_id = record.target_id
         self._site.task_table.release(record)
         self._site.task_table.waiting.add(record, now_ms)
+        if target_id in self._site.failures.isolated:
+            self._site.sync_quarantine(target_id)
 
     def quota_refusal(self, group: TaskGroup) -> str:
         """Return why the team's quota blocks a task of ``group``, or ``""``."""
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
@@ -24,6 +24,19 @@
     return site
 
 
+def probed_target() -> tuple[Scheduler, int]:
+    """Return a site whose one target is probed by ``probe/0``, and the time."""
+    scheduler = a_site(1).scheduler
+    failed = [failed_task(a_task(0, f"old{n}"), 1, "t0") for n in range(3)]
+    for task in failed:
+        scheduler.upsert_task(task, 0)
+        scheduler.remove_task(task.task_id)
+    scheduler.upsert_task(a_task(0, "probe"), 0)
+    now_ms = SETTINGS.quarantine_ms
+    assert [p.task_id for p in scheduler.decide(now_ms).placements] == ["probe/0"]
+    return scheduler, now_ms
+
+
 def submit_jobs(site: FakeSite, name: str, count: int) -> list[str]:
     tasks = [a_task(0, f"{name}{number}") for number in range(count)]
     for task in tasks:
@@ -151,3 +164,16 @@
             failed = task._replace(attempts=1, failed_targets=("t1",))
             scheduler.upsert_task(failed, 0)
         self.assertEqual(("t1",), scheduler.quarantined(0))
+
+    def test_target_whose_probe_was_refused_is_probed_again(self) -> None:
+        scheduler, now_ms = probed_target()
+        scheduler.task_refused("probe/0", "t0", now_ms)
+        now_ms += SETTINGS.refusal_delay_ms
+        again = scheduler.decide(now_ms).placements
+        self.assertEqual(["probe/0"], [each.task_id for each in again])
+
+    def test_target_whose_probe_was_not_committed_is_probed_again(self) -> None:
+        scheduler, now_ms = probed_target()
+        now_ms += SETTINGS.command_timeout_ms
+        again = scheduler.decide(now_ms).placements
+        self.assertEqual(["probe/0"], [each.task_id for each in again])
