Place a replica again however often its runs have failed

Cause: the scheduler decided to end a replica after five failed runs, as it does with a batch task. The state keeps replicas, so the command changed nothing; the replica stayed queued, was "ended" again every 3 s and was never placed, since failed runs of a replica are never forgotten. The same held for a new replica of a service that had failed on five targets.

Change: a replica is never ended; it is placed again after its back-off.

--- a/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_scheduler.py
@@ -2,7 +2,7 @@
 
 from foxspring_model._commands import EndTasks
 from foxspring_model._configuration import Configuration, Team
-from foxspring_model._job import ENDED_STATES, JobSpec, Task, TaskState
+from foxspring_model._job import ENDED_STATES, JobSpec, Task, TaskKind, TaskState
 from foxspring_model._messages import UsageSample
 from foxspring_model._target import TargetInfo
 from foxspring_model.scheduling import _explain
@@ -170,9 +170,11 @@
 
     def _retry_delay(self, task: Task) -> int:
         """Return the delay before a task's next run, 0 if it is to be ended."""
-        if self.site.tries_used_reason(task.attempts, task.failed_targets):
-            return 0
         settings = self.settings
+        if task.kind is not TaskKind.SERVICE and self.site.tries_used_reason(
+            task.attempts, task.failed_targets
+        ):
+            return 0
         return backoff_ms(
             settings.retry_delay_ms,
             settings.retry_delay_max_ms,
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -130,7 +130,12 @@
         return Eviction(record.task_id, record.epoch, reason)
 
     def end_reason(self, record: TaskRecord) -> str:
-        """Return why a queued task is to be ended as failed, or ``""``."""
+        """Return why a queued task is to be ended as failed, or ``""``.
+
+        A replica is never ended, since its service needs it.
+        """
+        if record.group.service:
+            return ""
         if record.attempts:
             return self.tries_used_reason(record.attempts, record.failed_targets)
         if self.failures.is_job_at_fault(record.group.shape.job_id):
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
@@ -6,6 +6,7 @@
 from foxspring_model.scheduling import Scheduler, SchedulerSettings
 from foxspring_model.scheduling.tests.builders import (
     a_configuration,
+    a_replica,
     a_target,
     a_task,
 )
@@ -177,3 +178,28 @@
         now_ms += SETTINGS.command_timeout_ms
         again = scheduler.decide(now_ms).placements
         self.assertEqual(["probe/0"], [each.task_id for each in again])
+
+    def test_replica_is_placed_again_after_any_number_of_failed_runs(self) -> None:
+        scheduler = a_site(8).scheduler
+        targets = [f"t{number}" for number in range(8)]
+        for attempts in range(1, 2 * SETTINGS.runs_per_task):
+            now_ms = 2 * attempts * SETTINGS.retry_delay_max_ms
+            replica = failed_task(a_replica(), attempts, *targets[:attempts])
+            scheduler.upsert_task(replica, now_ms)
+            with self.subTest(attempts=attempts):
+                self.assertEqual(((), ()), scheduler.decide(now_ms)[:2])
+                self.assertEqual((), scheduler.decide(now_ms).ended)
+                later = scheduler.decide(now_ms + SETTINGS.retry_delay_max_ms)
+                self.assertEqual(1, len(later.placements))
+                self.assertEqual((), later.ended)
+
+    def test_new_replica_is_placed_although_its_service_failed_on_targets(self) -> None:
+        scheduler = a_site(8).scheduler
+        targets = [f"t{number}" for number in range(SETTINGS.tries_per_task)]
+        failed = failed_task(a_replica(0), len(targets), *targets)
+        scheduler.upsert_task(failed, 0)
+        scheduler.upsert_task(a_replica(1), 0)
+        decisions = scheduler.decide(0)
+        placed = [each.task_id for each in decisions.placements]
+        self.assertEqual(["service/register/1"], placed)
+        self.assertEqual((), decisions.ended)
