Replace a failed replica beside two or more running ones

Cause: a job that has failed and never succeeded runs two tasks at once. A run of a replica never counts as a success, so after one failed run of any replica a service with two others placed got no replica back, neither that one nor a new one, for as long as the failed replica existed.

Change: the limit holds for batch jobs only, in placement and in explanations.

Evidence: both new tests failed with the former scheduler and pass.

--- a/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
@@ -144,11 +144,7 @@
         return True
 
     def _is_blocked(self, group: TaskGroup) -> bool:
-        if self.quota_refusal(group):
-            return True
-        if not self._site.failures.is_unproven(group.shape.job_id):
-            return False
-        return group.placed >= self._site.settings.tasks_per_unproven_job
+        return bool(self.quota_refusal(group) or self._site.is_held_back(group))
 
     def _find_target(self, record: TaskRecord, size: Resources) -> str:
         self._searches_left -= 1
--- a/packages/foxspring-model/foxspring_model/scheduling/_explain.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_explain.py
@@ -55,9 +55,9 @@
 
 def unproven_reasons(record: TaskRecord, site: Site) -> list[str]:
     """Return the limit on tasks of a job that has failed and never succeeded."""
-    job_id, limit = record.group.shape.job_id, site.settings.tasks_per_unproven_job
-    if not site.failures.is_unproven(job_id) or record.group.placed < limit:
+    if not site.is_held_back(record.group):
         return []
+    job_id, limit = record.group.shape.job_id, site.settings.tasks_per_unproven_job
     count = len(site.failures.jobs[job_id].failed_on)
     return [f"job {job_id} failed on {count} targets; {limit} of its tasks run at once"]
 
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -156,6 +156,15 @@
             " targets; fix the job and submit it again"
         )
 
+    def is_held_back(self, group: TaskGroup) -> bool:
+        """Return whether as many tasks are placed as an unproven job may run.
+
+        A service is not held back: its replicas never count as a success.
+        """
+        if group.service or not self.failures.is_unproven(group.shape.job_id):
+            return False
+        return group.placed >= self.settings.tasks_per_unproven_job
+
     def begin_probe(self, record: TaskRecord) -> None:
         """Make a task that was placed on an isolated target its probe."""
         target = self.failures.targets[record.target_id]
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
@@ -203,3 +203,28 @@
         placed = [each.task_id for each in decisions.placements]
         self.assertEqual(["service/register/1"], placed)
         self.assertEqual((), decisions.ended)
+
+    def test_failed_replica_is_replaced_beside_several_running_ones(self) -> None:
+        scheduler = a_site(8).scheduler
+        for number in range(2 * SETTINGS.tasks_per_unproven_job):
+            running = a_replica(number)._replace(
+                state=TaskState.RUNNING, epoch=1, target_id=f"t{number}"
+            )
+            scheduler.upsert_task(running, 0)
+        scheduler.upsert_task(failed_task(a_replica(0), 1, "t0"), 0)
+        later_ms = SETTINGS.retry_delay_max_ms
+        placed = [each.task_id for each in scheduler.decide(later_ms).placements]
+        self.assertEqual(["service/register/0"], placed)
+
+    def test_waiting_replica_is_not_explained_by_failures_of_its_service(self) -> None:
+        scheduler = a_site(0).scheduler
+        for number in range(SETTINGS.tasks_per_unproven_job):
+            running = a_replica(number)._replace(
+                state=TaskState.RUNNING, epoch=1, target_id=f"t{number}"
+            )
+            scheduler.upsert_task(running, 0)
+        scheduler.upsert_task(failed_task(a_replica(9), 1, "t9"), 0)
+        later_ms = SETTINGS.retry_delay_max_ms
+        reasons = " ".join(scheduler.explain("service/register/9", later_ms))
+        self.assertNotIn("of its tasks run at once", reasons)
+        self.assertIn("needs", reasons)
