Count a probe only where it was placed as one

Cause: the quarantine of a target ended once its probe's task had run for 60 s, even if the owner had refused the probe and the task ran on another target.

Change: a probe counts only while its task is on the probed target.

Evidence: the new test failed with the former scheduler (no target isolated any more) and passes. make test TESTS=model: 67 passed.

--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -187,7 +187,9 @@
             record = self.task_table.records.get(
                 self.failures.targets[target_id].probe_task_id
             )
-            if record is None or record.state is not TaskState.RUNNING:
+            if record is None or record.target_id != target_id:
+                continue
+            if record.state is not TaskState.RUNNING:
                 continue
             if now_ms - record.since_ms >= self.settings.probe_ms:
                 self.failures.record_success(record.group.shape.job_id, target_id)
--- a/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/tests/test_failures.py
@@ -228,3 +228,14 @@
         reasons = " ".join(scheduler.explain("service/register/9", later_ms))
         self.assertNotIn("of its tasks run at once", reasons)
         self.assertIn("needs", reasons)
+
+    def test_refused_probe_running_elsewhere_does_not_end_the_quarantine(self) -> None:
+        scheduler, now_ms = probed_target()
+        scheduler.task_refused("probe/0", "t0", now_ms)
+        scheduler.upsert_target(a_target(1), False)
+        running = a_task(0, "probe")._replace(
+            state=TaskState.RUNNING, epoch=1, target_id="t1"
+        )
+        scheduler.upsert_task(running, now_ms)
+        scheduler.decide(now_ms + SETTINGS.probe_ms)
+        self.assertEqual({"t0"}, scheduler.site.failures.isolated)
