Soak: say what a job that did not end waits for

Change: the fault line has the job's state, the failed runs of its open tasks and the reasons that the leader gives for their waiting. Wait and check are as before.

Evidence: a unit test of the line.

--- a/packages/foxspring-testing/foxspring_testing/_job_checks.py
+++ b/packages/foxspring-testing/foxspring_testing/_job_checks.py
@@ -56,6 +56,20 @@
     return [job["job_id"] for job in jobs if job["state"] not in ENDED]
 
 
+def describe_unfinished(job: Any) -> str:
+    """Return the state of a job, the failed runs of its open tasks and why it waits.
+
+    ``job`` is the operators' view of one job, as a JSON object.
+    """
+    tasks = [
+        f"{task['task_id']} {task['state']} after {task['attempts']} failed runs"
+        for task in job["tasks"]
+        if task["state"] not in ENDED
+    ]
+    parts = [*tasks, *job["waits_for"]]
+    return f"{job['job_id']} {job['state']} ({'; '.join(parts)})"
+
+
 def _duplicates(ids: list[str]) -> list[str]:
     return sorted({name for name in ids if ids.count(name) > 1})
 
--- a/packages/foxspring-testing/foxspring_testing/_soak.py
+++ b/packages/foxspring-testing/foxspring_testing/_soak.py
@@ -16,14 +16,18 @@
 )
 from foxspring_testing._check_result import CheckResult
 from foxspring_testing._clients import CallerRecord, OperatorClient
-from foxspring_testing._job_checks import check_jobs, unfinished_job_ids
+from foxspring_testing._job_checks import (
+    check_jobs,
+    describe_unfinished,
+    unfinished_job_ids,
+)
 from foxspring_testing._operator_traffic import (
     SERVICE,
     OperatorTraffic,
     SubmittedJob,
     soak_configuration,
 )
-from foxspring_testing._operator_views import service_targets
+from foxspring_testing._operator_views import get_job, service_targets
 from foxspring_testing._revision_watch import RevisionWatch
 from foxspring_testing._schedule import Step
 from foxspring_testing._schedule_runner import ScheduleRunner
@@ -40,6 +44,7 @@
 _LOG = logging.getLogger(__name__)
 _MAX_RECORDS = 100_000
 _JOBS_END_TIMEOUT_S = 90.0
+_MAX_DESCRIBED_JOBS = 10
 SOAK_SIZE = SiteSize(controls=5, entries=4, targets=8, proxied=True)
 SHORT_SIZE = SiteSize(controls=3, entries=2, targets=3, proxied=True)
 
@@ -126,7 +131,11 @@
         )
     except NotReachedError:
         unfinished = unfinished_job_ids(_jobs(operator))
-        return [f"{len(unfinished)} jobs did not end: {' '.join(unfinished[:10])}"]
+        described = [
+            describe_unfinished(get_job(operator, job_id))
+            for job_id in unfinished[:_MAX_DESCRIBED_JOBS]
+        ]
+        return [f"{len(unfinished)} jobs did not end: {', '.join(described)}"]
     return []
 
 
--- a/packages/foxspring-testing/foxspring_testing/tests/test_checks.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_checks.py
@@ -22,7 +22,7 @@
 )
 from foxspring_testing._check_result import CheckResult
 from foxspring_testing._events import RunEvent
-from foxspring_testing._job_checks import check_jobs
+from foxspring_testing._job_checks import check_jobs, describe_unfinished
 from foxspring_testing._operator_traffic import SubmittedJob
 from foxspring_testing._target_checks import (
     check_capacity,
@@ -226,6 +226,24 @@
                 self.assertTrue(check_jobs(jobs, shown, events).violations)
 
 
+class UnfinishedJobTest(unittest.TestCase):
+    def test_unfinished_job_is_described_with_what_it_waits_for(self) -> None:
+        view = {
+            "job_id": "job-39",
+            "state": "queued",
+            "tasks": [
+                {"task_id": "job-39/0", "state": "failed", "attempts": 8},
+                {"task_id": "job-39/1", "state": "queued", "attempts": 7},
+            ],
+            "waits_for": ["waits 9816 ms more after 7 failed runs"],
+        }
+        self.assertEqual(
+            "job-39 queued (job-39/1 queued after 7 failed runs;"
+            " waits 9816 ms more after 7 failed runs)",
+            describe_unfinished(view),
+        )
+
+
 class ChangeChecksTest(unittest.TestCase):
     def test_revisions(self) -> None:
         submitted = [
