Keep the room of a request that a partition still holds back

Cause: an abandoned request keeps its reservation until a report later than a fence no longer lists it. The fence was the reading of any renewal sent 300 ms after the request was abandoned. When a partition ends, what it held back on other connections arrives at the same time as the first answered renewal, so that a report just after that renewal did not list requests that then began.

Change: after a renewal without an answer, a reading counts as a fence only if its renewal was sent 300 ms after the first one that was answered again, for abandoned requests and for takeovers.

Evidence: both new tests failed with the former owner (a request was sent and a takeover ended too early) and pass.

--- a/packages/foxspring-entry/foxspring_entry/_owner_targets.py
+++ b/packages/foxspring-entry/foxspring_entry/_owner_targets.py
@@ -301,6 +301,7 @@
     ) -> None:
         target = pending.target
         target.renewal_in_flight = False
+        target.record_renewal_end(response.status is not None, now_ms)
         if response.status != 200:
             return
         try:
@@ -310,8 +311,11 @@
         reading_ms = renewed["target_ms"]
         target.clock = target.clock.newer(reading_ms, now_ms)
         target.last_contact_ms = now_ms
-        target.ledger.record_reading(pending.requested_ms, reading_ms, SETTLE_TIME_MS)
-        target.fence_takeover(pending.requested_ms, reading_ms)
+        if target.answers_since(pending.requested_ms - SETTLE_TIME_MS):
+            target.ledger.record_reading(
+                pending.requested_ms, reading_ms, SETTLE_TIME_MS
+            )
+            target.fence_takeover(pending.requested_ms, reading_ms)
         for task_id, epoch in renewed["unknown"]:
             target.tasks.record_unknown(str(task_id), int(epoch), reading_ms)
 
--- a/packages/foxspring-entry/foxspring_entry/_target.py
+++ b/packages/foxspring-entry/foxspring_entry/_target.py
@@ -32,7 +32,9 @@
     """State that the owner keeps for one target.
 
     Nothing is admitted until ``takeover`` is ``None``, because work of a
-    previous owner may still be running.
+    previous owner may still be running. ``answering_since_ms`` is when the first
+    of the renewals was answered that were all answered since; it is ``None``
+    after a renewal without an answer.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self.last_contact_ms = now_ms
         self.last_renewal_ms = 0
         self.renewal_in_flight = False
+        self.answering_since_ms: int | None = 0
         self.task_calls_in_flight = 0
         connections = min(CONTROL_CONNECTIONS, owned.info.capacity.connections)
         self.ledger.reserve(
@@ -74,6 +77,22 @@
             exclusive_from_ms = min(exclusive_from_ms, self.takeover.exclusive_from_ms)
             self.takeover = self.takeover._replace(exclusive_from_ms=exclusive_from_ms)
 
+    def record_renewal_end(self, answered: bool, now_ms: int) -> None:
+        """Record whether a renewal was answered."""
+        if not answered:
+            self.answering_since_ms = None
+        elif self.answering_since_ms is None:
+            self.answering_since_ms = now_ms
+
+    def answers_since(self, since_ms: int) -> bool:
+        """Return whether all renewals were answered from ``since_ms`` on.
+
+        After a renewal without an answer, earlier calls may still be on the way and
+        arrive together with the first one that is answered.
+        """
+        answering_since_ms = self.answering_since_ms
+        return answering_since_ms is not None and answering_since_ms <= since_ms
+
     def fence_takeover(self, requested_ms: int, reading_ms: int) -> None:
         """Record the first clock reading requested after ``exclusive_from_ms``."""
         takeover = self.takeover
--- a/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
+++ b/packages/foxspring-entry/foxspring_entry/tests/test_owner.py
@@ -25,7 +25,11 @@
     SendRequest,
 )
 from foxspring_entry._owner_requests import OwnerRequests, TargetOutcome
-from foxspring_entry._owner_targets import CallResponse, OwnerTargets
+from foxspring_entry._owner_targets import (
+    SETTLE_TIME_MS,
+    CallResponse,
+    OwnerTargets,
+)
 from foxspring_entry._ownership import TargetChange
 from foxspring_entry.tests import builders
 
@@ -74,6 +78,15 @@
                 effect.call_id, CallResponse(200, body), self.now_ms
             )
 
+    def renew_unanswered(self) -> None:
+        """Let all renewals that are due end without an answer, after 500 ms."""
+        calls = self.targets.tick(_FAR_FUTURE_MS, self.now_ms)
+        assert calls
+        self.now_ms += 500
+        for effect in calls:
+            assert isinstance(effect, CallTarget)
+            self.targets.on_call_done(effect.call_id, CallResponse(None), self.now_ms)
+
     def make_available(self, *names: str, slots: int = 8) -> None:
         """Assign targets and complete their takeovers."""
         self.assign(*names, slots=slots)
@@ -147,6 +160,41 @@
         assert isinstance(sent, SendRequest)
         self.assertEqual(sent.reservation_id, "r-1")
 
+    def test_request_held_back_on_the_way_keeps_its_slot_until_it_arrives(self) -> None:
+        self.make_available("t-1", slots=1)
+        self.send(builders.relay("r-0"))
+        self.now_ms += 1_000
+        self.requests.tick(self.now_ms)
+        self.send(builders.relay("r-1", remaining_ms=9_000))
+        self.now_ms += 500
+        self.renew_unanswered()
+        # The path works again: the renewal may overtake what was sent before it.
+        self.renew()
+        self.report("t-1")
+        self.assertEqual(self.requests.dispatch_queued("register", self.now_ms), [])
+        self.now_ms += SETTLE_TIME_MS
+        self.report("t-1", running=("r-0",))
+        self.renew()
+        self.report("t-1", running=("r-0",))
+        self.assertEqual(self.requests.dispatch_queued("register", self.now_ms), [])
+        self.report("t-1")
+        (sent,) = self.requests.dispatch_queued("register", self.now_ms)
+        assert isinstance(sent, SendRequest)
+        self.assertEqual(sent.reservation_id, "r-1")
+
+    def test_takeover_waits_until_work_held_back_on_the_way_has_arrived(self) -> None:
+        self.assign("t-1", epoch=2)
+        self.now_ms += 500
+        self.renew_unanswered()
+        self.renew()
+        self.report("t-1")
+        self.assertIsNotNone(self.targets.targets["t-1"].takeover)
+        self.now_ms += SETTLE_TIME_MS
+        self.renew()
+        self.report("t-1", running=("old-1",))
+        target = self.targets.targets["t-1"]
+        self.assertEqual((target.takeover, target.ledger.reserved.slots), (None, 1))
+
     def test_duplicate_relay_is_sent_once(self) -> None:
         self.make_available("t-1")
         violated = sum(INVARIANT_CHECKS.violated.values())
