Fault network: share the look-ups of connections' sources

Cause: while any fault is set, a new connection waits until the process at its other end is known. Each one queued a look-up of its own (a scan of /proc), and a look-up covers all connections known so far, so with connections arriving faster than look-ups end the queue grew and the early ones waited for those of all later ones. After the faults were over, new connections passed those that still waited, so that requests arrived seconds after calls that were sent later.

Change: waiting connections share the look-up in progress and need a second one at the most that begins after they have arrived.

--- a/packages/foxspring-testing/foxspring_testing/_fault_network.py
+++ b/packages/foxspring-testing/foxspring_testing/_fault_network.py
@@ -80,6 +80,7 @@
         self._faults: dict[tuple[str, str], Fault] = {}
         self._connections: set[_ProxiedConnection] = set()
         self._servers: list[asyncio.Server] = []
+        self._lookup: asyncio.Future[None] | None = None
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, name="fault-network", daemon=True
@@ -260,14 +261,24 @@
         self, connection: _ProxiedConnection, forward: bool
     ) -> Fault:
         while self._faults:
-            if connection.source is _UNRESOLVED:
-                await self._loop.run_in_executor(None, self._resolve_sources)
+            await self._wait_resolved(connection)
             fault = self._fault_between(connection, forward)
             if not fault.held:
                 return fault
             await asyncio.sleep(_HELD_POLL_S)
         return NO_FAULT
 
+    async def _wait_resolved(self, connection: _ProxiedConnection) -> None:
+        """Wait for the source of a connection; waiting connections share lookups.
+
+        A lookup for each of them would delay early connections by those of all
+        later ones, and let connections overtake each other by seconds.
+        """
+        while connection.source is _UNRESOLVED:
+            if self._lookup is None or self._lookup.done():
+                self._lookup = self._loop.run_in_executor(None, self._resolve_sources)
+            await asyncio.shield(self._lookup)
+
     def _fault_between(self, connection: _ProxiedConnection, forward: bool) -> Fault:
         ends = (connection.source or "", connection.destination)
         source, destination = ends if forward else ends[::-1]
--- a/packages/foxspring-testing/foxspring_testing/tests/test_fault_network.py
+++ b/packages/foxspring-testing/foxspring_testing/tests/test_fault_network.py
@@ -1,6 +1,8 @@
 import os
 import socket
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from foxspring_testing._fault_network import ANY_PROCESS, Fault, FaultNetwork
 from foxspring_testing._http_server import HttpReply, HttpRequest, HttpServer
@@ -8,6 +10,8 @@
 
 HEAD = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
 BODY = b"whole answer"
+LOOKUP_S = 0.05
+CONNECTIONS = 300
 
 
 def serve(_: HttpRequest) -> HttpReply:
@@ -90,3 +94,43 @@
         owners = owners_of_ports({port}, [("me", os.getpid())])
         self.assertEqual({port: "me"}, owners)
         self.assertEqual({}, owners_of_ports({port}, []))
+
+
+class SourceLookupTest(unittest.TestCase):
+    """Connections that arrive faster than their sources can be looked up."""
+
+    def setUp(self) -> None:
+        self.lookups = 0
+        self.server = HttpServer("127.0.0.1:0", serve)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.network = FaultNetwork(self.find_owners)
+        self.addCleanup(self.network.stop)
+        address = self.network.add_proxy("server", self.server.address)
+        host, _, port = address.partition(":")
+        self.address = (host, int(port))
+
+    def find_owners(self, ports: set[int]) -> dict[int, str]:
+        self.lookups += 1
+        time.sleep(LOOKUP_S)
+        return dict.fromkeys(ports, "client")
+
+    def lookups_while_answered(self) -> int:
+        """Return how many lookups began while one connection was answered."""
+        before = self.lookups
+        with socket.create_connection(self.address, timeout=30) as connection:
+            connection.sendall(HEAD)
+            answer = b""
+            while not answer.endswith(BODY):
+                answer += connection.recv(4_096)
+        return self.lookups - before
+
+    def test_connection_does_not_wait_for_the_lookups_of_later_ones(self) -> None:
+        self.network.set_fault("other", "server", Fault(held=True))
+        with ThreadPoolExecutor(CONNECTIONS) as pool:
+            answered = []
+            for _ in range(CONNECTIONS):
+                answered.append(pool.submit(self.lookups_while_answered))
+                time.sleep(LOOKUP_S / 10)
+            most = max(each.result() for each in answered)
+        self.assertLess(most, 10)
