--- a/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_dispatch.py
@@ -52,9 +52,15 @@
             self._serve(lane)
 
     def requeue(self, record: TaskRecord, now_ms: int) -> None:
-        """Release what a placement or claim holds and queue the task again."""
+        """Release what a placement or claim holds and queue the task again.
+
+        If the placement was a target's probe, the target may be probed again.
+        """
+        target_id = record.target_id
         self._site.task_table.release(record)
         self._site.task_table.waiting.add(record, now_ms)
+        if target_id in self._site.failures.isolated:
+            self._site.sync_quarantine(target_id)
 
     def quota_refusal(self, group: TaskGroup) -> str:
         """Return why the team's quota blocks a task of ``group``, or ``""``."""
@@ -138,11 +144,7 @@
         return True
 
     def _is_blocked(self, group: TaskGroup) -> bool:
-        if self.quota_refusal(group):
-            return True
-        if not self._site.failures.is_unproven(group.shape.job_id):
-            return False
-        return group.placed >= self._site.settings.tasks_per_unproven_job
+        return bool(self.quota_refusal(group) or self._site.is_held_back(group))
 
     def _find_target(self, record: TaskRecord, size: Resources) -> str:
         self._searches_left -= 1
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -130,26 +130,41 @@
         return Eviction(record.task_id, record.epoch, reason)
 
     def end_reason(self, record: TaskRecord) -> str:
-        """Return why a queued task is to be ended as failed, or ``""``."""
-        settings, failures = self.settings, self.failures
-        if not record.attempts:
-            if failures.is_job_at_fault(record.group.shape.job_id):
-                return self._job_fault_reason(record.group.shape.job_id)
+        """Return why a queued task is to be ended as failed, or ``""``.
+
+        A replica is never ended, since its service needs it.
+        """
+        if record.group.service:
             return ""
-        target_caused = len(record.failed_targets) - failures.job_caused_failures(
-            record.failed_targets
+        if record.attempts:
+            return self.tries_used_reason(record.attempts, record.failed_targets)
+        if self.failures.is_job_at_fault(record.group.shape.job_id):
+            return self._job_fault_reason(record.group.shape.job_id)
+        return ""
+
+    def tries_used_reason(self, attempts: int, failed_targets: tuple[str, ...]) -> str:
+        """Return why a task gets no run after ``attempts`` failed ones, or ``""``."""
+        settings, failures = self.settings, self.failures
+        target_caused = len(failed_targets) - failures.job_caused_failures(
+            failed_targets
         )
-        job_caused = record.attempts - target_caused
-        if (
-            job_caused < settings.tries_per_task
-            and record.attempts < settings.runs_per_task
-        ):
+        job_caused = attempts - target_caused
+        if job_caused < settings.tries_per_task and attempts < settings.runs_per_task:
             return ""
         return (
-            f"failed {record.attempts} times, {job_caused} of them not caused by the"
+            f"failed {attempts} times, {job_caused} of them not caused by the"
             " targets; fix the job and submit it again"
         )
 
+    def is_held_back(self, group: TaskGroup) -> bool:
+        """Return whether as many tasks are placed as an unproven job may run.
+
+        A service is not held back: its replicas never count as a success.
+        """
+        if group.service or not self.failures.is_unproven(group.shape.job_id):
+            return False
+        return group.placed >= self.settings.tasks_per_unproven_job
+
     def begin_probe(self, record: TaskRecord) -> None:
         """Make a task that was placed on an isolated target its probe."""
         target = self.failures.targets[record.target_id]
@@ -172,7 +187,9 @@
             record = self.task_table.records.get(
                 self.failures.targets[target_id].probe_task_id
             )
-            if record is None or record.state is not TaskState.RUNNING:
+            if record is None or record.target_id != target_id:
+                continue
+            if record.state is not TaskState.RUNNING:
                 continue
             if now_ms - record.since_ms >= self.settings.probe_ms:
                 self.failures.record_success(record.group.shape.job_id, target_id)
