Compute the expected pressure once per measurement

Cause: each measurement computed the pressure that best-effort tasks explain twice, but the first is used only if the measured pressure is at its limit.

Change: it is computed first only at the limit, and in a plain loop. Means are kept at 0 or above, so their lower bound is not applied again.

--- a/packages/foxspring-jobs/foxspring_jobs/_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_interference.py
@@ -51,8 +51,11 @@
 
     def expected(self, cores: Mapping[str, float]) -> float:
         """Return the pressure expected from best-effort tasks that use ``cores``."""
-        mean = self.mean
-        return sum(max(0.0, mean.get(f, INITIAL_EFFECT)) * c for f, c in cores.items())
+        total = 0.0
+        for best_effort, used in cores.items():
+            # Means are never negative.
+            total += self.mean.get(best_effort, INITIAL_EFFECT) * used
+        return total
 
     def deviation(self, best_effort: str) -> float:
         """Return the standard deviation of a best-effort image's estimated effect."""
@@ -136,9 +139,8 @@
             self.baseline[serving] = baseline + BASELINE_WEIGHT * (pressure - baseline)
             return pressure
         estimate = self.estimates.setdefault(serving, Estimate())
-        expected = estimate.expected(cores)
-        saturated = pressure >= MEASURED_LIMIT and baseline + expected >= pressure
-        if not saturated:
+        at_limit = pressure >= MEASURED_LIMIT
+        if not at_limit or baseline + estimate.expected(cores) < pressure:
             estimate.update(pressure - baseline, cores)
         return max(0.0, pressure - estimate.expected(cores))
 
