Hold a target only for a restart that has waited long; overdue after 4 s

A target is now held only after 10 s, one in a hundred at a time, and a restart is overdue after 4 s. The tests pass with their bounds.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -321,7 +321,11 @@
         allowed = self._allowed(waiting)
         candidates = self.poller.candidates()
         planner = Planner(
-            self.context.draft, candidates, self.context.interference, allowed
+            self.context.draft,
+            candidates,
+            self.context.interference,
+            allowed,
+            self.restarts.holding(now_ms),
         )
         interrupted = self.interrupted_log.before_plan(waiting, planner)
         starts = planner.plan(waiting)
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -6,7 +6,7 @@
 they lengthen no serving task's tail latency.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Set
 
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
 from foxspring_jobs._commands import RunKey, RunStart, TargetIncarnation, TaskKey
@@ -19,7 +19,7 @@
 BUSY_FREE_PERCENT = 50
 SUSPECT_FAILURES = 2
 ROOM_TO_USE_RESERVE = 2
-MAX_HELD_PERCENT = 2
+MAX_HELD_PERCENT = 1
 Allowed = Mapping[StepKey, frozenset[str]]
 
 
@@ -27,7 +27,7 @@
     """Plans starts once over the candidate targets.
 
     ``allowed`` maps each step of a queue that needs advice to the ids of the targets on
-    which it may start.
+    which it may start. A target may be held for the steps in ``holding``.
     """
 
     def __init__(
@@ -36,6 +36,7 @@
         candidates: Iterable[Candidate],
         interference: Interference,
         allowed: Allowed | None = None,
+        holding: Set[StepKey] = frozenset(),
     ) -> None:
         self.state = state
         self.candidates = list(candidates)
@@ -43,6 +44,7 @@
         self.allowed = allowed or {}
         self.busy = _is_busy(self.candidates)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
+        self.holding = holding
         self.held_count = 0
 
     def plan(self, steps: Iterable[WaitingStep]) -> list[RunStart]:
@@ -65,7 +67,7 @@
             else:
                 planned = self._plan_tasks(job, waiting, step, candidates)
             starts += planned
-            if not planned and waiting.precedence is Precedence.OVERDUE_RESTART:
+            if not planned and waiting.step_key() in self.holding:
                 self._hold_target(job, waiting, candidates)
             bounded = step.max_per_target or step.gang or step.best_effort
             if not planned and candidates is self.candidates and not bounded:
@@ -212,7 +214,7 @@
     def _hold_target(
         self, job: JobState, waiting: WaitingStep, candidates: list[Candidate]
     ) -> None:
-        """Let one target run empty for an overdue restart that fits nowhere.
+        """Let one target run empty for a restart that has fitted nowhere for long.
 
         Load pattern: short tasks that are smaller than the restart take each part of a
         target as it becomes free. The target with the most free cores is held; as its
--- a/packages/foxspring-jobs/foxspring_jobs/_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_restarts.py
@@ -7,7 +7,8 @@
 from foxspring_jobs._state import JobState, State
 from foxspring_jobs._waiting import is_interrupted
 
-OVERDUE_MS = 3_000
+OVERDUE_MS = 4_000
+HOLD_AFTER_MS = 10_000
 
 
 class Restarts:
@@ -36,12 +37,20 @@
         since_ms = self.since_ms.get(step_key, {})
         return now_ms - min(since_ms.values(), default=now_ms)
 
-    def overdue(self, now_ms: int) -> frozenset[StepKey]:
-        """Return the steps with a task that was interrupted ``OVERDUE_MS`` ago."""
+    def interrupted_for(self, duration_ms: int, now_ms: int) -> frozenset[StepKey]:
+        """Return the steps with a task that was interrupted that long ago."""
         return frozenset(
-            key for key in self.since_ms if self.longest_ms(key, now_ms) >= OVERDUE_MS
+            key for key in self.since_ms if self.longest_ms(key, now_ms) >= duration_ms
         )
 
+    def overdue(self, now_ms: int) -> frozenset[StepKey]:
+        """Return the steps whose restart goes before everything."""
+        return self.interrupted_for(OVERDUE_MS, now_ms)
+
+    def holding(self, now_ms: int) -> frozenset[StepKey]:
+        """Return the steps for which a target may be held."""
+        return self.interrupted_for(HOLD_AFTER_MS, now_ms)
+
 
 def _interrupted_tasks(job: JobState) -> Iterator[TaskKey]:
     for occurrence, steps in job.occurrences.items():
