Delete log segments so that a power loss leaves no gap

Cause: a compaction deleted several segments and synced the folder once. A power loss in between may undo each deletion by itself, so the second of three segments could be back while its neighbours were gone. The member then refused its folder as damaged and had to be replaced.

Change: the folder is synced after each deletion, oldest first.

--- a/packages/foxspring-control/foxspring_control/raft/_segments.py
+++ b/packages/foxspring-control/foxspring_control/raft/_segments.py
@@ -264,9 +264,11 @@
         first_kept_segment = self._first_needed_segment(first_kept)
         for number in range(self._oldest_segment, first_kept_segment):
             self._path(number).unlink(missing_ok=True)
+            # A power loss may undo deletions that are not synced, each by itself;
+            # one sync for all could leave a gap between the segments.
+            sync_folder(self.folder)
             self._sizes.pop(number, None)
         if first_kept_segment > self._oldest_segment:
-            sync_folder(self.folder)
             self._oldest_segment = first_kept_segment
             self._frame_index.drop_segments_below(first_kept_segment)
 
