--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -268,6 +268,8 @@
         incoming = self.folder / _INCOMING_FILE
         self._sync_file(incoming)
         os.replace(incoming, path)
+        # The name must be durable before the record that refers to it.
+        sync_folder(self.folder)
         self.record_snapshot(snapshot)
         return path
 
