Sync the log that an earlier process left before relying on it

Cause: a process that is killed between writing a frame and syncing it leaves the frame in the page cache. The next process read its term, vote and entries and acted on them without writing them again, so a power loss could take back a vote or an entry that was acknowledged after the restart.

Change: the newest segment is synced once it is loaded. Earlier segments are complete and were synced before their successor was opened.

Test: PowerLossTest.test_power_loss_after_a_killed_process_has_restarted failed before.

--- a/packages/foxspring-control/foxspring_control/raft/_segments.py
+++ b/packages/foxspring-control/foxspring_control/raft/_segments.py
@@ -116,6 +116,8 @@
     def load(self, on_frame: Callable[[Frame], None]) -> None:
         """Read all frames in order, truncate a torn end and open for writing.
 
+        All frames that were read are durable afterwards.
+
         Raises:
             DamagedLogError: data before the torn end is missing or damaged.
         """
@@ -130,6 +132,8 @@
         self._oldest_segment = numbers[0] if numbers else 1
         newest = numbers[-1] if numbers else 1
         self.retrier.run(lambda: self._open(newest), "segment")
+        # An earlier process may have ended between a write and its sync.
+        self.sync()
 
     def _check_numbers(self, numbers: list[int]) -> None:
         for before, after in zip(numbers, numbers[1:], strict=False):
