Power-loss tests: keep the numbers of deleted files, crash while opening

The recorder keeps a link to each file now.

Opening the folder syncs since the last commit, so the simulation's injected crash can hit a restart; it counts as a crash of that member.

--- a/packages/foxspring-control/foxspring_control/raft/tests/power_loss.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/power_loss.py
@@ -34,6 +34,8 @@
         self.on_sync = on_sync
         self.synced: dict[int, bytes] = {}
         self.names: Names = {}
+        self.links = folder.parent / "links"
+        self.links.mkdir()
 
     def sync(self, descriptor: int) -> None:
         """Make a file's content durable, and its name if the file is new."""
@@ -54,7 +56,13 @@
             self.names = self._current_names()
 
     def _current_names(self) -> Names:
-        return {path.name: path.stat().st_ino for path in self.folder.iterdir()}
+        names = {path.name: path.stat().st_ino for path in self.folder.iterdir()}
+        for name, file in names.items():
+            link = self.links / str(file)
+            if not link.exists():
+                # The system would reuse the number of a deleted file.
+                link.hardlink_to(self.folder / name)
+        return names
 
     def possible_contents(self) -> Iterator[dict[str, bytes]]:
         """Yield each content that the folder may have after a power loss now."""
--- a/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
@@ -119,7 +119,12 @@
             node.disk.folder, name, 4_096, values.log_cache_bytes, node.disk.sync
         )
         node.storage = storage
-        state = RaftState(values, storage.open(), node.clock.monotonic_ms())
+        try:
+            stored = storage.open()
+        except InjectedCrashError:
+            self.crash(name)
+            return
+        state = RaftState(values, stored, node.clock.monotonic_ms())
         node.disk.record_sizes()
         node.runtime = Runtime(
             state,
