Leave whole targets free of long-running tasks

Long-running tasks take 84% of the cores in the first seconds, and each target keeps 7% for short tasks, so what is free lies in parts that none of them fits in.

Change: while the demand of the long-running tasks leaves whole targets (88% of the cores at most), they fill the targets that they are on, by images first, then without a remainder, and targets without any are spared once they hold less than 15% of the cores. Beyond that demand each target keeps its reserve, as before. Equal targets are ordered independently of failure domain and rack.

--- a/packages/foxspring-jobs/foxspring_jobs/_candidates.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidates.py
@@ -56,6 +56,7 @@
         self.best_effort_cores = dict(target.best_effort_cores)
         self.total_best_effort_cores = sum(self.best_effort_cores.values())
         self.serving_cores = target.serving_cores
+        self.long_running_count = target.long_running_count
         self.runs_per_step: dict[StepKey, int] = {}
         for image, cores in (paced or {}).items():
             self.best_effort_cores[image] = self.best_effort_cores.get(image, 0) - cores
@@ -73,6 +74,7 @@
             self.free = self.free.minus(reserved)
         else:
             self.free = self.free.plus(reserved)
+        self.long_running_count += sign * step.long_running
         cores = sign * step.resources.cores_milli
         if step.latency_target_ms:
             key = (step.image, step.latency_target_ms)
@@ -147,6 +149,15 @@
             )
         return self._images
 
+    def effect_of_adding(self, effects: "Effects", image: str) -> tuple[int, float]:
+        """Return the number of serving images with one more, and what it adds.
+
+        The second value is the added sensitivity to best-effort tasks.
+        """
+        images = self.serving_images()
+        more = images | {image}
+        return len(more), effects.sensitivity(more) - effects.sensitivity(images)
+
     def run_count(self, step_key: StepKey) -> int:
         """Return the number of runs of a step on this target."""
         return self.target.runs_per_step.get(step_key, 0) + self.runs_per_step.get(
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -1,15 +1,21 @@
 """Decide which waiting tasks start now and on which targets, as functions of the state.
 
 Load pattern: a wave of wide steps arrives together with short urgent steps and
-long-running services. Serving tasks (tasks with a latency target) are packed by image.
-Best-effort tasks (``StepSpec.best_effort``) go to targets with unused CPU time where
-they lengthen no serving task's tail latency.
+long-running services. Serving tasks (tasks with a latency target) are packed by image,
+and long-running tasks leave capacity for short ones, see
+:mod:`foxspring_jobs._compaction`. Best-effort tasks (``StepSpec.best_effort``) go to
+targets with unused CPU time where they lengthen no serving task's tail latency.
 """
 
-from collections.abc import Iterable, Iterator, Mapping, Set
+from collections.abc import Callable, Iterable, Iterator, Mapping, Set
 
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
 from foxspring_jobs._commands import RunKey, RunStart, TargetIncarnation, TaskKey
+from foxspring_jobs._compaction import (
+    compact_services,
+    compaction_score,
+    free_targets_are_scarce,
+)
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._ranking import Ranking, Score
 from foxspring_jobs._specs import StepSpec
@@ -43,6 +49,7 @@
         self.effects = Effects(interference)
         self.allowed = allowed or {}
         self.busy = _is_busy(self.candidates)
+        self.compact_services = compact_services(state, self.candidates)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
         self.holding = holding
         self.held_count = 0
@@ -277,6 +284,9 @@
                 *self._score(candidate, step),
             )
 
+        if self._is_compacted(step, service):
+            score_compact = self._compact_score(step, service)
+            return Ranking(candidates, accepts, score_compact)
         if step.long_running:
             return Ranking(candidates, accepts, score_long_running)
         if step.best_effort and can_wait:
@@ -348,6 +358,30 @@
             )
         return (on_probation, off_rack, -unused)
 
+    def _is_compacted(self, step: StepSpec, service: str) -> bool:
+        """Return whether a step's tasks leave whole targets free for short tasks."""
+        compact = service in self.compact_services
+        return compact and step.long_running and not step.best_effort
+
+    def _compact_score(
+        self, step: StepSpec, service: str
+    ) -> Callable[[Candidate], Score]:
+        """Return the score of a target for long-running tasks that are compacted.
+
+        Its first part is that of other long-running tasks: no reserve is required.
+        """
+        spare_free_targets = free_targets_are_scarce(self.candidates, service)
+
+        def score(candidate: Candidate) -> Score:
+            return (
+                False,
+                candidate.on_probation,
+                bool(step.latency_target_ms) and self._exceeds_limit(candidate, step),
+                *compaction_score(candidate, step, self.effects, spare_free_targets),
+            )
+
+        return score
+
     def _exceeds_limit(self, candidate: Candidate, step: StepSpec) -> bool:
         effects = self.effects
         expected = effects.baseline(step.image)
@@ -356,12 +390,8 @@
         return expected > effects.limit(step.image, step.latency_target_ms)
 
     def _packing_score(self, candidate: Candidate, step: StepSpec) -> Score:
-        images = candidate.serving_images()
-        more = images | {step.image}
-        added_sensitivity = self.effects.sensitivity(more) - self.effects.sensitivity(
-            images
-        )
-        return len(more), added_sensitivity, -candidate.used_percent()
+        images, added_sensitivity = candidate.effect_of_adding(self.effects, step.image)
+        return images, added_sensitivity, -candidate.used_percent()
 
 
 def startable_tasks(state: StepState, step: StepSpec) -> list[tuple[int, TaskState]]:
--- a/packages/foxspring-jobs/foxspring_jobs/_ranking.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_ranking.py
@@ -7,10 +7,11 @@
 
 import heapq
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from foxspring_jobs._candidates import Candidate
 
-Score = tuple[float, ...]
+Score = tuple[Any, ...]
 ScoreOf = Callable[[Candidate], Score]
 Accepts = Callable[[Candidate], bool]
 
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -1,5 +1,6 @@
 """The replicated state: configuration, targets, jobs and their tasks."""
 
+import hashlib
 from collections.abc import Iterator
 from enum import StrEnum
 from typing import Any, NamedTuple
@@ -134,15 +135,25 @@
         return all(steps[n].unfinished == 0 for n in self.spec.steps[step].after)
 
 
+SHUFFLE_KEY_BYTES = 8
+
+
+def shuffle_key(target_id: str) -> bytes:
+    """Return a key that sorts targets independently of failure domain and rack."""
+    return hashlib.blake2b(target_id.encode(), digest_size=SHUFFLE_KEY_BYTES).digest()
+
+
 class TargetState:
     """One incarnation of a target and the runs that may be on it."""
 
     def __init__(self, registered: RegisterTarget) -> None:
         self.registered = registered
+        self.shuffle_key = shuffle_key(registered.incarnation.target_id)
         self.runs: dict[RunKey, StepSpec] = {}
         self.used = NO_RESOURCES
         self.serving: dict[tuple[str, int], int] = {}
         self.serving_cores = 0
+        self.long_running_count = 0
         self.best_effort_cores: dict[str, int] = {}
         self.runs_per_step: dict[tuple[str, int, int], int] = {}
         self.speculative_count = 0
@@ -174,6 +185,7 @@
             _add(self.best_effort_cores, step.image, cores)
         _add(self.runs_per_step, run.task[:3], sign)
         self.speculative_count += sign * step.speculative
+        self.long_running_count += sign * step.long_running
 
     def free(self) -> Resources:
         """Return the capacity that no run reserves."""
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
@@ -0,0 +1,215 @@
+"""Replays a load on the planner in virtual time, without targets and calls.
+
+Every task runs for exactly its estimated duration, and each start is committed at once,
+so that only the decisions on order and placement make jobs late.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from foxspring_model import Resources
+
+from foxspring_jobs._candidates import Candidate
+from foxspring_jobs._commands import (
+    Advance,
+    RegisterTarget,
+    RunEnd,
+    RunStart,
+    SubmitJob,
+)
+from foxspring_jobs._interference import Interference
+from foxspring_jobs._placement import Planner
+from foxspring_jobs._specs import JobSpec, Queue, StepSpec
+from foxspring_jobs._state import EndKind, JobPhase, JobState
+from foxspring_jobs._waiting import waiting_steps
+from foxspring_jobs.tests.builders import QUEUE, registered, state_with
+
+PLAN_INTERVAL_MS = 50
+TARGETS_PER_RACK = 8
+FAILURE_DOMAINS = 6
+MEMORY_PER_CORE_MB = 4_000
+SHORT_QUEUE = QUEUE._replace(name="short")
+LONG_QUEUE = QUEUE._replace(name="long", latency_target_ms=2_500)
+
+
+class Arrival(NamedTuple):
+    """A job to submit at a time."""
+
+    at_ms: int
+    queue: Queue
+    spec: JobSpec
+
+
+class Replay:
+    """A site that is planned every ``PLAN_INTERVAL_MS`` of virtual time."""
+
+    def __init__(self, targets: Iterable[RegisterTarget]) -> None:
+        self.state = state_with(*targets)
+        self.now_ms = 0
+        self.interference = Interference()
+        self._ends: list[tuple[int, int, RunEnd]] = []
+        self._numbers = itertools.count()
+
+    def run(self, arrivals: Iterable[Arrival], duration_ms: int) -> None:
+        """Submit the arrivals in time and plan until ``duration_ms`` have passed."""
+        pending = sorted(arrivals, key=lambda arrival: arrival.at_ms, reverse=True)
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            self.now_ms += PLAN_INTERVAL_MS
+            while pending and pending[-1].at_ms <= self.now_ms:
+                self._submit(pending.pop())
+            self._end_due_runs()
+            self._plan()
+
+    def _submit(self, arrival: Arrival) -> None:
+        job_id = f"{next(self._numbers):016x}"
+        self.state.apply(SubmitJob(job_id, arrival.queue, arrival.spec), arrival.at_ms)
+
+    def _end_due_runs(self) -> None:
+        ends = []
+        while self._ends and self._ends[0][0] <= self.now_ms:
+            ends.append(heapq.heappop(self._ends)[2])
+        self.state.apply(Advance(ends=tuple(ends)), self.now_ms)
+
+    def _plan(self) -> None:
+        candidates = [Candidate(target) for target in self.state.targets.values()]
+        planner = Planner(self.state, candidates, self.interference)
+        starts = planner.plan(waiting_steps(self.state, self.now_ms))
+        self.state.apply(Advance(starts=tuple(starts)), self.now_ms)
+        for start in starts:
+            self._schedule_end(start)
+
+    def _schedule_end(self, start: RunStart) -> None:
+        task = start.run.task
+        step = self.state.jobs[task.job_id].spec.steps[task.step]
+        if step.long_running:
+            return
+        end = RunEnd(start.run, start.incarnation, EndKind.DONE)
+        due_ms = self.now_ms + step.estimated_ms
+        heapq.heappush(self._ends, (due_ms, next(self._numbers), end))
+
+    def lose_failure_domain(self, name: str) -> None:
+        """Lose all targets of a failure domain; what ran there waits again."""
+        lost = [
+            target.incarnation
+            for target in self.state.targets.values()
+            if target.registered.failure_domain == name
+        ]
+        self.state.apply(Advance(lost_targets=tuple(lost)), self.now_ms)
+
+    def jobs_of(self, queue: Queue) -> list[JobState]:
+        """Return the jobs of a queue, in the order of their arrival."""
+        return [job for job in self.state.jobs.values() if job.queue.name == queue.name]
+
+    def long_running_cores(self) -> int:
+        """Return the cores that long-running tasks hold."""
+        return sum(
+            step.resources.cores_milli // 1_000
+            for target in self.state.targets.values()
+            for step in target.runs.values()
+            if step.long_running
+        )
+
+
+def in_time(job: JobState) -> bool:
+    """Return whether a job was completed within its objective."""
+    completed = job.phase is JobPhase.COMPLETED
+    return completed and job.ended_ms - job.submitted_ms <= job.completion_objective_ms
+
+
+def share_in_time(jobs: Iterable[JobState]) -> float:
+    """Return the share of jobs that were completed within their objective."""
+    results = [in_time(job) for job in jobs]
+    return sum(results) / len(results)
+
+
+def largest(jobs: Iterable[JobState], share: float) -> list[JobState]:
+    """Return the jobs with the most work, that share of them."""
+    ranked = sorted(jobs, key=work_of, reverse=True)
+    return ranked[: max(1, round(len(ranked) * share))]
+
+
+def work_of(job: JobState) -> int:
+    """Return the core-milliseconds of a job."""
+    return sum(
+        step.task_count * step.resources.cores_milli * step.estimated_ms
+        for step in job.spec.steps
+    )
+
+
+def site(count: int, cores: Iterable[int] = (64, 64, 96)) -> list[RegisterTarget]:
+    """Return targets of these sizes in turn, one failure domain after another."""
+    sizes = itertools.cycle(cores)
+    return [
+        _target(number, number * FAILURE_DOMAINS // count, next(sizes))
+        for number in range(count)
+    ]
+
+
+def _target(number: int, domain: int, cores: int) -> RegisterTarget:
+    rack = number // TARGETS_PER_RACK
+    target = registered(f"t{number:03}", cores=cores * 1_000)
+    return target._replace(
+        failure_domain=f"fd-{domain}",
+        rack=f"r{domain}-{rack}",
+        capacity=_size(cores),
+    )
+
+
+def cores_of(targets: Iterable[RegisterTarget]) -> int:
+    """Return the cores of the targets together."""
+    return sum(target.capacity.cores_milli // 1_000 for target in targets)
+
+
+def _size(cores: int) -> Resources:
+    return Resources(cores_milli=cores * 1_000, memory_mb=cores * MEMORY_PER_CORE_MB)
+
+
+def _half_memory(cores: int) -> Resources:
+    size = _size(cores)
+    return size._replace(memory_mb=size.memory_mb // 2)
+
+
+def long_running_jobs(rng: random.Random, cores: int) -> list[Arrival]:
+    """Return services that arrive first and ask for ``cores`` together."""
+    arrivals = []
+    asked = 0
+    while asked < cores:
+        tasks, size = rng.randint(12, 48), rng.randint(10, 16)
+        step = StepSpec(
+            tasks,
+            _half_memory(size),
+            estimated_ms=500,
+            long_running=True,
+            image=f"service-{rng.randrange(16)}",
+            latency_target_ms=50,
+        )
+        arrivals.append(Arrival(0, LONG_QUEUE, JobSpec("", (step,))))
+        asked += tasks * size
+    return arrivals
+
+
+ShortSize = Callable[[random.Random], int]
+
+
+def short_jobs(
+    rng: random.Random,
+    cores_in_use: int,
+    from_ms: int,
+    until_ms: int,
+    size_of: ShortSize = lambda rng: rng.randint(12, 40),
+) -> list[Arrival]:
+    """Return jobs of one or two steps that would use ``cores_in_use`` on average."""
+    arrivals = []
+    at_ms = float(from_ms)
+    while at_ms < until_ms:
+        size, duration_ms = size_of(rng), rng.randint(300, 1_000)
+        step = StepSpec(rng.randint(2, 18), _half_memory(size), duration_ms)
+        steps = (step, step._replace(after=(0,)))[: rng.randint(1, 2)]
+        arrivals.append(Arrival(int(at_ms), SHORT_QUEUE, JobSpec("", steps)))
+        work = sum(s.task_count * size * duration_ms for s in steps)
+        at_ms += rng.expovariate(1.0) * work / cores_in_use
+    return arrivals
