Treat a former leader's starts as uncertain after a takeover

Cause: a new leader sends committed starts again that no target lists. If a target declined such a start (unhealthy, no room, late), the run ended as never begun. A copy sent by the former leader could still arrive; only the target's check of the fencing token kept it from starting a run that had been given up.

Change: these runs are uncertain from the start, so a declined one is stopped before it is given up, and the target rejects later copies.

Test: NoFencingTest, with targets that obey any token: the second test failed (two runs of one task at one target), the first passed as it was.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
@@ -160,12 +160,17 @@
         self.context.pending_ends.append(PendingEnd(session, 0, end))
 
     def resend_unlisted(self, session: TargetSession, listed: set[RunKey]) -> None:
-        """Send starts again that an earlier leader committed and may not have sent."""
+        """Send starts again that an earlier leader committed and may not have sent.
+
+        A copy that it did send may arrive later than this one and must not start a run
+        that was given up, also where a target does not check tokens.
+        """
         target = self.context.draft.target(session.incarnation)
         if target is None:
             return
         for run in target.runs:
             if run not in listed and run not in session.sent:
+                session.uncertain.add(run)
                 self.send_start(session, run)
 
     def send_committed_start(self, start: RunStart) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -58,6 +58,8 @@
         self.alive = True
         self.receives = True
         self.replies = True
+        self.healthy = True
+        self.checks_tokens = True
         self.stalls = False
         self.tickets: set[str] = set()
         self.measurements: dict[RunKey, int] = {}
@@ -84,7 +86,7 @@
 
     def poll(self, request: PollRequest) -> TargetResult:
         """Answer a poll."""
-        if request.token < self.token:
+        if self._is_fenced(request.token):
             return TargetResult(ResultKind.FENCED, self.now())
         self.token = request.token
         if request.lease_until is not None:
@@ -99,6 +101,9 @@
             ResultKind.OK, self.now(), TargetView(self.now(), rows, tuple(kept))
         )
 
+    def _is_fenced(self, token: int) -> bool:
+        return self.checks_tokens and token < self.token
+
     def _percent(self, run: RunKey) -> int:
         """Return the progress of a run; a long-running one is always at 100."""
         work_ms = self._work_ms(run)
@@ -112,8 +117,10 @@
 
     def order(self, order: Order, token: int, lease_until: int) -> TargetResult:
         """Carry out an order."""
-        if token < self.token:
+        if self._is_fenced(token):
             return TargetResult(ResultKind.FENCED, self.now())
+        if not self.healthy:
+            return TargetResult(ResultKind.UNHEALTHY, self.now())
         self.token = token
         if isinstance(order, StartOrder):
             self.tickets.add(order.ticket)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -111,6 +111,46 @@
                 self.assertIs(cluster.phase(), JobPhase.COMPLETED)
 
 
+class NoFencingTest(LeaderCase):
+    """Leader changes with targets that obey orders with any token."""
+
+    def unfenced_cluster(self) -> FakeCluster:
+        cluster = self.cluster()
+        for target in cluster.targets.values():
+            target.checks_tokens = False
+        return cluster
+
+    def test_late_orders_of_an_earlier_leader_do_not_run_twice(self) -> None:
+        for delay_ms in (100, 700, 2_000, 3_500):
+            for change_at_ms in (25, 50, 200, 600):
+                with self.subTest(delay_ms=delay_ms, change_at_ms=change_at_ms):
+                    cluster = self.unfenced_cluster()
+                    cluster.ports.order_delay_ms = delay_ms
+                    cluster.submit(spec(step(4), step(2, after=(0,))))
+                    cluster.run(change_at_ms)
+                    cluster.change_leader(pause_ms=200)
+                    if JOB not in cluster.committed.jobs:
+                        cluster.submit(spec(step(4), step(2, after=(0,))))
+                    cluster.run(9_000)
+                    self.assertIs(cluster.phase(), JobPhase.COMPLETED)
+
+    def test_start_that_an_earlier_leader_sent_may_still_arrive(self) -> None:
+        cluster = self.unfenced_cluster()
+        for target in cluster.targets.values():
+            target.work_ms = 3_000
+        cluster.ports.order_delay_ms = 1_500
+        cluster.submit(spec(step(1)))
+        cluster.run(60)
+        cluster.change_leader()
+        for target in cluster.targets.values():
+            target.healthy = False
+        cluster.run(300)
+        for target in cluster.targets.values():
+            target.healthy = True
+        cluster.run(9_000)
+        self.assertIs(cluster.phase(), JobPhase.COMPLETED)
+
+
 class TargetFaultTest(LeaderCase):
     def test_tasks_of_a_lost_target_restart_only_after_its_lease(self) -> None:
         cluster = self.cluster()
