--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Callable, Iterable, Iterator, Mapping, Set
 
+from foxspring_model import Resources
+
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
 from foxspring_jobs._commands import RunKey, RunStart, TargetIncarnation, TaskKey
 from foxspring_jobs._compaction import (
@@ -18,7 +20,8 @@
 )
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._ranking import Ranking, Score
-from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._room_index import RoomIndex
+from foxspring_jobs._specs import Queue, StepSpec
 from foxspring_jobs._state import JobState, State, StepState, TaskState
 from foxspring_jobs._waiting import Precedence, WaitingStep
 
@@ -29,6 +32,34 @@
 Allowed = Mapping[StepKey, frozenset[str]]
 
 
+class TooLargeSizes:
+    """The sizes of short tasks for which a plan found no target.
+
+    Load pattern: hundreds of steps of different sizes wait while little is free. What
+    is free only shrinks during a plan, so a task that is as large as one that found no
+    target finds none either. Long-running and best-effort tasks have more conditions.
+    """
+
+    def __init__(self) -> None:
+        self.sizes: dict[str, list[Resources]] = {}
+
+    def add(self, queue: Queue, step: StepSpec) -> None:
+        """Record that no target accepts a task of a step."""
+        if _needs_only_capacity(queue, step) and not step.required_label:
+            self.sizes.setdefault(queue.service, []).append(step.resources)
+
+    def includes(self, queue: Queue, step: StepSpec) -> bool:
+        """Return whether it is certain that no target accepts a task of a step."""
+        sizes = self.sizes.get(queue.service)
+        if not sizes or not _needs_only_capacity(queue, step):
+            return False
+        return any(size.fits_in(step.resources) for size in sizes)
+
+
+def _needs_only_capacity(queue: Queue, step: StepSpec) -> bool:
+    return not (step.long_running or step.best_effort or queue.needs_advice())
+
+
 class Planner:
     """Plans starts once over the candidate targets.
 
@@ -48,6 +79,7 @@
         self.candidates = list(candidates)
         self.effects = Effects(interference)
         self.allowed = allowed or {}
+        self.room_index = RoomIndex(self.candidates)
         self.busy = _is_busy(self.candidates)
         self.compact_services = compact_services(state, self.candidates)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
@@ -58,6 +90,7 @@
         """Return the starts to commit now, considering the steps in the given order."""
         starts: list[RunStart] = []
         blocked: set[tuple[Precedence, str, StepSpec]] = set()
+        too_large = TooLargeSizes()
         for waiting in steps:
             job = self.state.active[waiting.job_id]
             step = job.spec.steps[waiting.step]
@@ -66,7 +99,7 @@
                 job.queue.service,
                 step._replace(task_count=0, after=()),
             )
-            if kind in blocked:
+            if kind in blocked or too_large.includes(job.queue, step):
                 continue
             candidates = self._usable_candidates(job, waiting)
             if step.gang:
@@ -79,6 +112,10 @@
             bounded = step.max_per_target or step.gang or step.best_effort
             if not planned and candidates is self.candidates and not bounded:
                 blocked.add(kind)
+                if startable_tasks(
+                    job.occurrences[waiting.occurrence][waiting.step], step
+                ):
+                    too_large.add(job.queue, step)
         return starts
 
     def plan_speculative_runs(self, overdue: Iterable[RunKey]) -> list[RunStart]:
@@ -264,6 +301,9 @@
         """Rank targets for a step; with ``can_wait``, all its tasks can wait."""
         reserved = step.reserved()
         service = job.queue.service
+        ranked: Iterable[Candidate] = candidates
+        if candidates is self.candidates:
+            ranked = self.room_index.with_cores(reserved.cores_milli)
 
         def accepts(candidate: Candidate) -> bool:
             return candidate.accepts(step_key, step, reserved, service)
@@ -286,12 +326,12 @@
 
         if self._is_compacted(step, service):
             score_compact = self._compact_score(step, service)
-            return Ranking(candidates, accepts, score_compact)
+            return Ranking(ranked, accepts, score_compact)
         if step.long_running:
-            return Ranking(candidates, accepts, score_long_running)
+            return Ranking(ranked, accepts, score_long_running)
         if step.best_effort and can_wait:
-            return Ranking(candidates, accepts, score_if_uncrowded)
-        return Ranking(candidates, accepts, score)
+            return Ranking(ranked, accepts, score_if_uncrowded)
+        return Ranking(ranked, accepts, score)
 
     def _room_to_use_reserve(self, waiting: WaitingStep) -> int:
         """Return how many tasks must fit for one to use the reserve for short tasks.
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_ranking.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_ranking.py
@@ -6,6 +6,7 @@
 from foxspring_jobs._candidates import Candidate
 from foxspring_jobs._commands import TaskKey
 from foxspring_jobs._ranking import Ranking
+from foxspring_jobs._room_index import RoomIndex
 from foxspring_jobs._state import TargetState
 from foxspring_jobs.tests.builders import JOB, registered, step
 
@@ -81,5 +82,22 @@
         self.assertEqual(ranking.candidates(), [])
 
 
+class RoomIndexTest(unittest.TestCase):
+    def test_candidates_with_room_in_their_order(self) -> None:
+        available = candidates(50)
+        index = RoomIndex(available)
+        for cores in (0, 2_000, 2_001, 3_000, 4_000, 4_001):
+            with self.subTest(cores=cores):
+                expected = [c for c in available if c.free.cores_milli >= cores]
+                self.assertEqual(list(index.with_cores(cores)), expected)
+
+    def test_candidate_that_lost_room_is_still_found(self) -> None:
+        available = candidates(3)
+        index = RoomIndex(available)
+        size = available[0].free.cores_milli
+        available[0].reserve(TaskKey(*STEP_KEY, 0), step(1))
+        self.assertIn(available[0], index.with_cores(size))
+
+
 if __name__ == "__main__":
     unittest.main()
