Commit that a target has left before acknowledging it

Cause: a deregistration only marked the leader's session with the target. A target that had not reported that it drains before was usable again for the next leader until its polls failed.

Change: it is committed as draining, and the deregistration is acknowledged after that. Draining is never taken back within an incarnation.

Test: test_target_that_has_left_gets_nothing_after_a_leader_change; before, the new leader started both tasks on the target that had left.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_reports.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_reports.py
@@ -114,13 +114,22 @@
     def target_leaving(
         self, target_id: str, incarnation_ms: int, answer: Respond
     ) -> None:
-        """Record that a target is shutting down; it gets no more work."""
+        """Record that a target is shutting down; it gets no more work.
+
+        It is acknowledged once that is committed, since a later leader has to know it.
+        """
         session = self.context.sessions.get(target_id)
-        if session is not None and incarnation_ms in (
+        if session is None or incarnation_ms not in (
             0,
             session.incarnation.incarnation_ms,
         ):
-            session.draining = True
-            session.leaving = True
-            _LOG.info("event=target_left target=%s", target_id)
-        answer(Answer(Outcome.OK))
+            answer(Answer(Outcome.OK))
+            return
+        session.draining = True
+        session.leaving = True
+        _LOG.info("event=target_left target=%s", target_id)
+        target = self.context.draft.target(session.incarnation)
+        if target is None or target.registered.draining:
+            answer(Answer(Outcome.OK))
+        else:
+            self.register(target.registered._replace(draining=True), answer)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader.py
@@ -83,6 +83,17 @@
                 self.assertEqual(cluster.violations, [])
                 self.assertIs(cluster.phase(), JobPhase.COMPLETED)
 
+    def test_target_that_has_left_gets_nothing_after_a_leader_change(self) -> None:
+        cluster = self.cluster("t1")
+        target = cluster.targets["t1.example:80"]
+        cluster.leader.target_leaving("t1", 1, cluster.answers.append)
+        cluster.run(100)
+        self.assertIs(cluster.answers[-1].outcome, Outcome.OK)
+        cluster.change_leader()
+        cluster.submit(spec(step(2)))
+        cluster.run(3_000)
+        self.assertEqual(target.started, [])
+
     def test_new_leader_resets_paces_of_best_effort_tasks(self) -> None:
         cluster = self.cluster("t1")
         target = cluster.targets["t1.example:80"]
