Measure leases by a clock that counts suspension

Cause: SystemClock read the steady clock, which stands still while a VM is suspended. A leader that was suspended for seconds took its lease for valid when it woke, and could answer a read from a state that a newer leader had changed, or renew leases at targets, until its next heartbeat round.

Change: the boot-time clock, which counts suspension; it never jumps back.

Test: SystemClockTest failed before (0 of 5,000 ms passed).

--- a/packages/foxspring-link/foxspring_link/_clock.py
+++ b/packages/foxspring-link/foxspring_link/_clock.py
@@ -9,8 +9,12 @@
     """Reads the clocks of the operating system in milliseconds."""
 
     def monotonic_ms(self) -> int:
-        """Return the monotonic time in milliseconds."""
-        return time.monotonic_ns() // _NS_PER_MS
+        """Return the monotonic time in milliseconds.
+
+        It includes the time in which the VM was suspended, so that leases that ended
+        meanwhile are not taken for valid.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
--- /dev/null
+++ b/packages/foxspring-link/foxspring_link/tests/test_clock.py
@@ -0,0 +1,28 @@
+"""The clock by which leases are measured."""
+
+import time
+import unittest
+from unittest import mock
+
+from foxspring_link import SystemClock
+
+SUSPENDED_NS = 5_000_000_000
+
+
+class SystemClockTest(unittest.TestCase):
+    def test_time_in_which_the_vm_was_suspended_counts(self) -> None:
+        clock = SystemClock()
+        before_ms = clock.monotonic_ms()
+        read = time.clock_gettime_ns
+
+        def after_suspension(clock_id: int) -> int:
+            suspended = clock_id == time.CLOCK_BOOTTIME
+            return read(clock_id) + (SUSPENDED_NS if suspended else 0)
+
+        with mock.patch("time.clock_gettime_ns", after_suspension):
+            passed_ms = clock.monotonic_ms() - before_ms
+        self.assertGreaterEqual(passed_ms, SUSPENDED_NS // 1_000_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
