make bench BENCH=leader: a real member against many stand-in targets

A control member in a process of its own, stand-in targets in another, the large site's mix scaled to 100, 250, 450 and 900 targets, at the usual load and at one and a half times of it: starts a second, processor by part (decisions, calls, log), plan p50 and p99, first start p50 and p95, memory.

--- a/packages/foxspring-testing/foxspring_testing/bench.py
+++ b/packages/foxspring-testing/foxspring_testing/bench.py
@@ -19,6 +19,7 @@
     "foxspring_entry._bench",
     "foxspring_testing._site_bench",
     "foxspring_testing._capacity_bench",
+    "foxspring_platform.tests.leader_bench.bench",
 )
 _COLUMNS = ("module", "name", "bound", "figure", "unit", "baseline")
 
