--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -200,7 +200,6 @@
     progress.probing = False
     if reply.log_index > progress.match_index:
         progress.match_index = reply.log_index
-        progress.advanced_ms = now_ms
     progress.next_index = max(progress.next_index, progress.match_index + 1)
     commit_if_quorum(state)
 
--- a/packages/foxspring-control/foxspring_control/raft/_election.py
+++ b/packages/foxspring-control/foxspring_control/raft/_election.py
@@ -174,7 +174,7 @@
     state.transfer_target = ""
     next_index = state.log.last_index + 1
     state.progress = {
-        member.member_id: Progress(next_index, now_ms)
+        member.member_id: Progress(next_index)
         for member in state.membership.members
         if member.member_id != state.member_id
     }
--- a/packages/foxspring-control/foxspring_control/raft/_proposals.py
+++ b/packages/foxspring-control/foxspring_control/raft/_proposals.py
@@ -39,7 +39,7 @@
         del state.progress[member_id]
     for member_id in known - {state.member_id}:
         if member_id not in state.progress:
-            state.progress[member_id] = Progress(log_index, now_ms)
+            state.progress[member_id] = Progress(log_index)
     return log_index
 
 
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -64,7 +64,7 @@
 
     MAX_IN_FLIGHT = 8
 
-    def __init__(self, next_index: int, now_ms: int) -> None:
+    def __init__(self, next_index: int) -> None:
         self.next_index = next_index
         self.match_index = 0
         self.probing = True
@@ -72,7 +72,6 @@
         self.in_flight = 0
         self.acked_sent_ms = 0
         self.last_sent_ms = 0
-        self.advanced_ms = now_ms
         self.chunk_offset = -1
         self.chunk_snapshot_index = 0
         self.chunk_sent_ms = 0
--- a/packages/foxspring-entry/foxspring_entry/_connections.py
+++ b/packages/foxspring-entry/foxspring_entry/_connections.py
@@ -1,7 +1,6 @@
 """Pool of connections to targets with a short idle limit."""
 
 import threading
-from collections.abc import Callable
 from typing import NamedTuple
 
 from foxspring_model import Clock
@@ -66,23 +65,11 @@
         for idle in kept:
             idle.connection.close()
 
-    def close_expired(self) -> None:
-        """Close connections that have been idle too long."""
-        now_ms = self._clock.monotonic_ms()
-        self._close_where(lambda idle: not self._is_within_idle_limit(idle, now_ms))
-
     def close(self) -> None:
         """Close all idle connections."""
-        self._close_where(lambda idle: True)
-
-    def _close_where(self, matches: Callable[[_IdleConnection], bool]) -> None:
-        closing: list[_IdleConnection] = []
         with self._lock:
-            for address, kept in list(self._idle.items()):
-                closing.extend(idle for idle in kept if matches(idle))
-                kept[:] = [idle for idle in kept if not matches(idle)]
-                if not kept:
-                    del self._idle[address]
+            closing = [idle for kept in self._idle.values() for idle in kept]
+            self._idle.clear()
         for idle in closing:
             idle.connection.close()
 
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -7,59 +7,26 @@
 targets with unused CPU time where they lengthen no serving task's tail latency.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Mapping, Set
-
-from foxspring_model import Resources
+from collections.abc import Iterable, Iterator, Mapping, Set
 
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
 from foxspring_jobs._commands import RunKey, RunStart, TargetIncarnation, TaskKey
-from foxspring_jobs._compaction import (
-    compact_services,
-    compaction_score,
-    free_targets_are_scarce,
-)
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._ranking import Ranking, Score
 from foxspring_jobs._room_index import RoomIndex
-from foxspring_jobs._specs import Queue, StepSpec
-from foxspring_jobs._state import JobState, State, StepState, TaskState
+from foxspring_jobs._scores import TargetScores
+from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._startable import startable_tasks
+from foxspring_jobs._state import JobState, State
+from foxspring_jobs._too_large import TooLargeSizes
 from foxspring_jobs._waiting import Precedence, WaitingStep
 
 BUSY_FREE_PERCENT = 50
-SUSPECT_FAILURES = 2
 ROOM_TO_USE_RESERVE = 2
 MAX_HELD_PERCENT = 1
 Allowed = Mapping[StepKey, frozenset[str]]
 
 
-class TooLargeSizes:
-    """The sizes of short tasks for which a plan found no target.
-
-    Load pattern: hundreds of steps of different sizes wait while little is free. What
-    is free only shrinks during a plan, so a task that is as large as one that found no
-    target finds none either. Long-running and best-effort tasks have more conditions.
-    """
-
-    def __init__(self) -> None:
-        self.sizes: dict[str, list[Resources]] = {}
-
-    def add(self, queue: Queue, step: StepSpec) -> None:
-        """Record that no target accepts a task of a step."""
-        if _needs_only_capacity(queue, step) and not step.required_label:
-            self.sizes.setdefault(queue.service, []).append(step.resources)
-
-    def includes(self, queue: Queue, step: StepSpec) -> bool:
-        """Return whether it is certain that no target accepts a task of a step."""
-        sizes = self.sizes.get(queue.service)
-        if not sizes or not _needs_only_capacity(queue, step):
-            return False
-        return any(size.fits_in(step.resources) for size in sizes)
-
-
-def _needs_only_capacity(queue: Queue, step: StepSpec) -> bool:
-    return not (step.long_running or step.best_effort or queue.needs_advice())
-
-
 class Planner:
     """Plans starts once over the candidate targets.
 
@@ -81,7 +48,7 @@
         self.allowed = allowed or {}
         self.room_index = RoomIndex(self.candidates)
         self.busy = _is_busy(self.candidates)
-        self.compact_services = compact_services(state, self.candidates)
+        self.scores = TargetScores(state, self.candidates, self.effects)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
         self.holding = holding
         self.held_count = 0
@@ -150,7 +117,7 @@
         reserved = step.reserved()
         service = job.queue.service
         scored = [
-            (self._score(candidate, step), candidate.target.incarnation)
+            (self.scores.score(candidate, step), candidate.target.incarnation)
             for candidate in self.candidates
             if candidate.accepts(waiting.step_key(), step, reserved, service)
         ]
@@ -309,23 +276,23 @@
             return candidate.accepts(step_key, step, reserved, service)
 
         def score(candidate: Candidate) -> Score:
-            return self._score(candidate, step)
+            return self.scores.score(candidate, step)
 
         def score_if_uncrowded(candidate: Candidate) -> Score:
             # The task waits if a crowded target is the best, whatever its risk is,
             # and while capacity is scarce most targets are crowded.
             if candidate.is_crowded(step):
                 return (candidate.on_probation, True, True)
-            return self._score(candidate, step)
+            return self.scores.score(candidate, step)
 
         def score_long_running(candidate: Candidate) -> Score:
             return (
                 not candidate.leaves_short_task_reserve(reserved),
-                *self._score(candidate, step),
+                *self.scores.score(candidate, step),
             )
 
-        if self._is_compacted(step, service):
-            score_compact = self._compact_score(step, service)
+        if self.scores.is_compacted(step, service):
+            score_compact = self.scores.compact_score(step, service)
             return Ranking(ranked, accepts, score_compact)
         if step.long_running:
             return Ranking(ranked, accepts, score_long_running)
@@ -370,91 +337,6 @@
             return None if too_risky or crowded else candidate
         return candidate
 
-    def _score(self, candidate: Candidate, step: StepSpec) -> Score:
-        rack = candidate.target.registered.rack
-        off_rack = bool(step.data_rack) and rack != step.data_rack
-        on_probation = candidate.on_probation
-        cores = step.resources.cores_milli
-        unused = candidate.unused_cores()
-        if step.latency_target_ms:
-            return (
-                on_probation,
-                self._exceeds_limit(candidate, step),
-                *self._packing_score(candidate, step),
-            )
-        if step.best_effort:
-            risk = candidate.risk(self.effects, step.image, cores)
-            # Harmless images prefer sensitive targets and leave the tolerant
-            # ones to others.
-            sensitivity = self.effects.sensitivity(candidate.serving_images())
-            return (
-                on_probation,
-                risk > 1,
-                candidate.is_crowded(step),
-                off_rack,
-                risk > 0,
-                -sensitivity,
-                -unused,
-            )
-        return (on_probation, off_rack, -unused)
-
-    def _is_compacted(self, step: StepSpec, service: str) -> bool:
-        """Return whether a step's tasks leave whole targets free for short tasks."""
-        compact = service in self.compact_services
-        return compact and step.long_running and not step.best_effort
-
-    def _compact_score(
-        self, step: StepSpec, service: str
-    ) -> Callable[[Candidate], Score]:
-        """Return the score of a target for long-running tasks that are compacted.
-
-        Its first part is that of other long-running tasks: no reserve is required.
-        """
-        spare_free_targets = free_targets_are_scarce(self.candidates, service)
-
-        def score(candidate: Candidate) -> Score:
-            return (
-                False,
-                candidate.on_probation,
-                bool(step.latency_target_ms) and self._exceeds_limit(candidate, step),
-                *compaction_score(candidate, step, self.effects, spare_free_targets),
-            )
-
-        return score
-
-    def _exceeds_limit(self, candidate: Candidate, step: StepSpec) -> bool:
-        effects = self.effects
-        expected = effects.baseline(step.image)
-        for best_effort, cores in candidate.best_effort_cores.items():
-            expected += effects.per_millicore(step.image, best_effort) * cores
-        return expected > effects.limit(step.image, step.latency_target_ms)
-
-    def _packing_score(self, candidate: Candidate, step: StepSpec) -> Score:
-        images, added_sensitivity = candidate.effect_of_adding(self.effects, step.image)
-        return images, added_sensitivity, -candidate.used_percent()
-
-
-def startable_tasks(state: StepState, step: StepSpec) -> list[tuple[int, TaskState]]:
-    """Return the tasks of a step that may start now, with their indexes.
-
-    Load pattern: some jobs, among them wide ones, can never succeed. Once
-    ``SUSPECT_FAILURES`` tasks of a step have failed and none is done, only one task is
-    tried at a time, starting with the one closest to its attempt limit, until a task is
-    done or the job has failed.
-    """
-    idle = [
-        (index, task)
-        for index, task in enumerate(state.tasks)
-        if not task.done and not task.runs
-    ]
-    failed = sum(task.attempts > 0 for task in state.tasks)
-    done = state.unfinished < len(state.tasks)
-    if step.long_running or done or failed < SUSPECT_FAILURES or not idle:
-        return idle
-    if state.running:
-        return []
-    return [max(idle, key=lambda numbered: numbered[1].attempts)]
-
 
 def _is_busy(candidates: list[Candidate]) -> bool:
     capacity = sum(r.target.registered.capacity.cores_milli for r in candidates)
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_scores.py
@@ -0,0 +1,88 @@
+"""Scores targets for the tasks of a step; the lowest score is the best."""
+
+from collections.abc import Callable, Iterable
+
+from foxspring_jobs._candidates import Candidate, Effects
+from foxspring_jobs._compaction import (
+    compact_services,
+    compaction_score,
+    free_targets_are_scarce,
+)
+from foxspring_jobs._ranking import Score
+from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._state import State
+
+
+class TargetScores:
+    """The scores of one plan over its candidates."""
+
+    def __init__(
+        self, state: State, candidates: Iterable[Candidate], effects: Effects
+    ) -> None:
+        self.candidates = list(candidates)
+        self.effects = effects
+        self.compact_services = compact_services(state, self.candidates)
+
+    def score(self, candidate: Candidate, step: StepSpec) -> Score:
+        """Return the score of a target for a task of a step."""
+        rack = candidate.target.registered.rack
+        off_rack = bool(step.data_rack) and rack != step.data_rack
+        on_probation = candidate.on_probation
+        cores = step.resources.cores_milli
+        unused = candidate.unused_cores()
+        if step.latency_target_ms:
+            return (
+                on_probation,
+                self._exceeds_limit(candidate, step),
+                *self._packing_score(candidate, step),
+            )
+        if step.best_effort:
+            risk = candidate.risk(self.effects, step.image, cores)
+            # Harmless images prefer sensitive targets and leave the tolerant
+            # ones to others.
+            sensitivity = self.effects.sensitivity(candidate.serving_images())
+            return (
+                on_probation,
+                risk > 1,
+                candidate.is_crowded(step),
+                off_rack,
+                risk > 0,
+                -sensitivity,
+                -unused,
+            )
+        return (on_probation, off_rack, -unused)
+
+    def is_compacted(self, step: StepSpec, service: str) -> bool:
+        """Return whether a step's tasks leave whole targets free for short tasks."""
+        compact = service in self.compact_services
+        return compact and step.long_running and not step.best_effort
+
+    def compact_score(
+        self, step: StepSpec, service: str
+    ) -> Callable[[Candidate], Score]:
+        """Return the score of a target for long-running tasks that are compacted.
+
+        Its first part is that of other long-running tasks: no reserve is required.
+        """
+        spare_free_targets = free_targets_are_scarce(self.candidates, service)
+
+        def score(candidate: Candidate) -> Score:
+            return (
+                False,
+                candidate.on_probation,
+                bool(step.latency_target_ms) and self._exceeds_limit(candidate, step),
+                *compaction_score(candidate, step, self.effects, spare_free_targets),
+            )
+
+        return score
+
+    def _exceeds_limit(self, candidate: Candidate, step: StepSpec) -> bool:
+        effects = self.effects
+        expected = effects.baseline(step.image)
+        for best_effort, cores in candidate.best_effort_cores.items():
+            expected += effects.per_millicore(step.image, best_effort) * cores
+        return expected > effects.limit(step.image, step.latency_target_ms)
+
+    def _packing_score(self, candidate: Candidate, step: StepSpec) -> Score:
+        images, added_sensitivity = candidate.effect_of_adding(self.effects, step.image)
+        return images, added_sensitivity, -candidate.used_percent()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -6,8 +6,9 @@
 from foxspring_jobs._candidates import Candidate, StepKey
 from foxspring_jobs._commands import Advance, RunStart, TaskKey
 from foxspring_jobs._interference import Interference
-from foxspring_jobs._placement import Planner, startable_tasks
+from foxspring_jobs._placement import Planner
 from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._startable import startable_tasks
 from foxspring_jobs._state import EndKind, JobPhase, State, StepState, TaskState
 from foxspring_jobs._waiting import Precedence, Rank, WaitingStep, waiting_steps
 from foxspring_jobs.tests.builders import (
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_planning_pace.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_planning_pace.py
@@ -7,7 +7,8 @@
 from foxspring_model import Resources
 
 from foxspring_jobs._commands import RunKey, RunStart, TaskKey
-from foxspring_jobs._placement import Planner, TooLargeSizes
+from foxspring_jobs._placement import Planner
+from foxspring_jobs._too_large import TooLargeSizes
 from foxspring_jobs._waiting import WaitingStep
 from foxspring_jobs.tests.builders import QUEUE, registered, spec, step
 from foxspring_jobs.tests.fake_cluster import FakeCluster
--- a/packages/foxspring-model/foxspring_model/scheduling/_site.py
+++ b/packages/foxspring-model/foxspring_model/scheduling/_site.py
@@ -38,7 +38,6 @@
     __slots__ = (
         "history",
         "levels",
-        "pressures",
         "resend",
         "state",
         "trials",
@@ -49,7 +48,6 @@
         self.history = SampleHistory(remembered_samples)
         self.state = PressureState()
         self.levels: dict[str, int] = {}
-        self.pressures: dict[str, float] = {}
         self.resend = 0
         self.trials = TrialLimits()
         self.windows: dict[str, LatencyWindow] = {}
