Read the clock that counts suspension 100 times a second at most

Change: the steady clock is read each time, the other once in 10 ms, so a process that wakes takes a lease for valid for 10 ms at most.

--- a/packages/foxspring-link/foxspring_link/_clock.py
+++ b/packages/foxspring-link/foxspring_link/_clock.py
@@ -3,10 +3,19 @@
 import time
 
 _NS_PER_MS = 1_000_000
+SUSPENSION_CHECK_NS = 10 * _NS_PER_MS
 
 
 class SystemClock:
-    """Reads the clocks of the operating system in milliseconds."""
+    """Reads the clocks of the operating system in milliseconds.
+
+    ``suspended_ns`` is for how long the VM has been suspended. The clock that counts
+    this is slow to read, so it is read once in ``SUSPENSION_CHECK_NS``.
+    """
+
+    def __init__(self) -> None:
+        self.suspended_ns = 0
+        self.checked_ns = 0
 
     def monotonic_ms(self) -> int:
         """Return the monotonic time in milliseconds.
@@ -14,7 +23,14 @@
         It includes the time in which the VM was suspended, so that leases that ended
         meanwhile are not taken for valid.
         """
-        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
+        now_ns = time.monotonic_ns()
+        if now_ns - self.checked_ns >= SUSPENSION_CHECK_NS:
+            self.checked_ns = now_ns
+            suspended_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME) - now_ns
+            # Differences of less come from reading two clocks.
+            if suspended_ns - self.suspended_ns > _NS_PER_MS:
+                self.suspended_ns = suspended_ns
+        return (now_ns + self.suspended_ns) // _NS_PER_MS
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
--- a/packages/foxspring-link/foxspring_link/tests/test_clock.py
+++ b/packages/foxspring-link/foxspring_link/tests/test_clock.py
@@ -7,6 +7,7 @@
 from foxspring_link import SystemClock
 
 SUSPENDED_NS = 5_000_000_000
+SUSPENSION_CHECK_S = 0.011
 
 
 class SystemClockTest(unittest.TestCase):
@@ -20,8 +21,15 @@
             return read(clock_id) + (SUSPENDED_NS if suspended else 0)
 
         with mock.patch("time.clock_gettime_ns", after_suspension):
+            time.sleep(SUSPENSION_CHECK_S)
             passed_ms = clock.monotonic_ms() - before_ms
         self.assertGreaterEqual(passed_ms, SUSPENDED_NS // 1_000_000)
+        self.assertGreaterEqual(clock.monotonic_ms() - before_ms, passed_ms)
+
+    def test_readings_never_go_back(self) -> None:
+        clock = SystemClock()
+        readings = [clock.monotonic_ms() for _ in range(100_000)]
+        self.assertEqual(readings, sorted(readings))
 
 
 if __name__ == "__main__":
