Take back the second pace of planning

By construction two paces may take two thirds of the interpreter for planning, one takes a third.

Change: one pace again, as before.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -67,7 +67,7 @@
 REPLAN_INTERVAL_MS = 200
 RETENTION_PERCENT = 150
 SLOW_PLAN_MS = 100
-# The next plan of a kind waits this many times as long as the last one took, so that
+# The next plan waits this many times as long as the last one took, so that
 # planning does not starve the handling of target replies of CPU time.
 PLAN_PAUSE_FACTOR = 2
 
@@ -99,8 +99,6 @@
         self.started_ms = clock.monotonic_ms()
         self.planned_ms = self.started_ms
         self.plan_after_ms = self.started_ms
-        self.best_effort_due = True
-        self.best_effort_after_ms = self.started_ms
         self.swept_ms = self.started_ms
         self.load_logged_ms = self.started_ms
         self.opened: tuple[tuple[str, int], ...] = ()
@@ -296,62 +294,27 @@
             self.metrics.observe_ms(FIRST_START_SECONDS, max(0, waited_ms))
 
     def _plan(self) -> tuple[RunStart, ...]:
-        """Plan starts if that is due, with best-effort tasks if their pause is over.
-
-        Load pattern: hundreds of best-effort steps wait, and considering them takes
-        many times as long as the rest. Short tasks do not wait for that: they are
-        planned in between.
-        """
         now_ms = self.context.clock.monotonic_ms()
-        with_best_effort = now_ms >= self.best_effort_after_ms
-        due = self.context.plan_due or (self.best_effort_due and with_best_effort)
-        if not due or now_ms < self.plan_after_ms:
+        if not self.context.plan_due or now_ms < self.plan_after_ms:
             return ()
         self.context.plan_due = False
         self.planned_ms = now_ms
-        starts = self._plan_starts(with_best_effort)
+        starts = self._plan_starts()
         took_ms = self.context.clock.monotonic_ms() - now_ms
-        self._pause_planning(now_ms, took_ms, with_best_effort)
+        self.plan_after_ms = now_ms + took_ms * (1 + PLAN_PAUSE_FACTOR)
         self.metrics.observe_ms(PLAN_SECONDS, took_ms)
         if took_ms >= SLOW_PLAN_MS:
-            _LOG.info(
-                "event=slow_plan took_ms=%d starts=%d best_effort=%s",
-                took_ms,
-                len(starts),
-                with_best_effort,
-            )
+            _LOG.info("event=slow_plan took_ms=%d starts=%d", took_ms, len(starts))
         return starts
 
-    def _pause_planning(
-        self, began_ms: int, took_ms: int, with_best_effort: bool
-    ) -> None:
-        resume_ms = began_ms + took_ms * (1 + PLAN_PAUSE_FACTOR)
-        if with_best_effort:
-            self.best_effort_after_ms = resume_ms
-        else:
-            self.plan_after_ms = resume_ms
-
-    def _waiting_steps(self, now_ms: int, with_best_effort: bool) -> list[WaitingStep]:
+    def _plan_starts(self) -> tuple[RunStart, ...]:
+        now_ms = self.context.clock.monotonic_ms()
+        self.restarts.update(self.context.draft, now_ms)
         waiting = waiting_steps(
             self.context.draft,
             self.context.clock.wall_ms(),
             self.restarts.overdue(now_ms),
         )
-        if with_best_effort:
-            self.best_effort_due = False
-            return waiting
-        others = [step for step in waiting if not self._is_best_effort(step)]
-        self.best_effort_due = len(others) < len(waiting)
-        return others
-
-    def _is_best_effort(self, waiting: WaitingStep) -> bool:
-        job = self.context.draft.active[waiting.job_id]
-        return job.spec.steps[waiting.step].best_effort
-
-    def _plan_starts(self, with_best_effort: bool) -> tuple[RunStart, ...]:
-        now_ms = self.context.clock.monotonic_ms()
-        self.restarts.update(self.context.draft, now_ms)
-        waiting = self._waiting_steps(now_ms, with_best_effort)
         overdue = self.poller.overdue_runs()
         if not waiting and not overdue:
             return ()
