--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -21,6 +21,7 @@
     SubmitJob,
 )
 from foxspring_jobs._interrupted_log import InterruptedLog
+from foxspring_jobs._job_log import JobLog
 from foxspring_jobs._leader_context import (
     LeaderContext,
     LeaderSettings,
@@ -48,7 +49,7 @@
 from foxspring_jobs._restarts import Restarts
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import JobSpec, Queue
-from foxspring_jobs._state import State
+from foxspring_jobs._state import JobState, State
 from foxspring_jobs._target_orders import TargetOrders
 from foxspring_jobs._target_poller import TargetPoller
 from foxspring_jobs._target_reports import TargetReports
@@ -95,6 +96,7 @@
         )
         self.restarts = Restarts()
         self.interrupted_log = InterruptedLog(self.context, self.restarts)
+        self.job_log = JobLog(self.context)
         self.in_flight = 0
         self.started_ms = clock.monotonic_ms()
         self.planned_ms = self.started_ms
@@ -175,6 +177,9 @@
                 len(self.context.draft.active),
             )
             log_steps(job_id, spec)
+            job = self.context.draft.jobs.get(job_id)
+            if committed and job is not None:
+                self.job_log.note_submitted(job)
             answer(committed_answer(committed))
             self.context.plan_due = True
             self.decide()
@@ -183,9 +188,11 @@
 
     def cancel(self, job_id: str, answer: Respond) -> None:
         """Cancel a job; an unknown job is answered with ``GONE``."""
-        if job_id not in self.context.draft.jobs:
+        job = self.context.draft.jobs.get(job_id)
+        if job is None:
             answer(Answer(Outcome.GONE, "no such job"))
             return
+        active = not job.has_ended()
 
         def done(committed: bool) -> None:
             _LOG.info(
@@ -194,6 +201,8 @@
                 committed,
                 len(self.context.draft.active),
             )
+            if committed and active:
+                self.job_log.job_ended(job)
             answer(committed_answer(committed))
             self.decide()
 
@@ -243,12 +252,13 @@
         lost_targets, self.context.lost_targets = tuple(self.context.lost_targets), []
         opened, self.opened = self.opened, ()
         purged, self.purged = self.purged, ()
+        ended_jobs: list[JobState] = []
         settled = Advance(
             tuple(pending.end for pending in ends), lost_targets, opened, (), purged
         )
         if any(settled):
             self.context.plan_due = True
-            self.context.draft.apply(settled, self.context.clock.wall_ms())
+            ended_jobs = self._settle(settled)
         obsolete_runs, self.context.draft.obsolete_runs = (
             self.context.draft.obsolete_runs,
             [],
@@ -260,9 +270,20 @@
         self.context.draft.apply(Advance(starts=starts), self.context.clock.wall_ms())
         for start in starts:
             self.poller.note_start(start)
-        self._commit(settled._replace(starts=starts), ends)
-
-    def _commit(self, advance: Advance, ends: list[PendingEnd]) -> None:
+        self.job_log.note_starts(starts)
+        self._commit(settled._replace(starts=starts), ends, ended_jobs)
+
+    def _settle(self, settled: Advance) -> list[JobState]:
+        """Apply ends and other changes to the draft; return the jobs that they end."""
+        draft = self.context.draft
+        job_ids = dict.fromkeys(end.run.task.job_id for end in settled.ends)
+        jobs = [draft.active[job_id] for job_id in job_ids if job_id in draft.active]
+        draft.apply(settled, self.context.clock.wall_ms())
+        return [job for job in jobs if job.has_ended()]
+
+    def _commit(
+        self, advance: Advance, ends: list[PendingEnd], ended_jobs: list[JobState]
+    ) -> None:
         self.in_flight += 1
         proposed_ms = self.context.clock.monotonic_ms()
 
@@ -272,6 +293,8 @@
             if not committed:
                 self.context.deposed = True
                 return
+            for job in ended_jobs:
+                self.job_log.job_ended(job)
             for start in advance.starts:
                 self._measure_start(start)
                 self.orders.send_committed_start(start)
@@ -328,7 +351,9 @@
             self.restarts.holding(now_ms),
         )
         interrupted = self.interrupted_log.before_plan(waiting, planner)
+        self.job_log.before_plan(candidates)
         starts = planner.plan(waiting)
+        self.job_log.after_plan(waiting, starts)
         self.interrupted_log.after_plan(interrupted, planner)
         self._request_advice(waiting, planner)
         return (*starts, *planner.plan_speculative_runs(overdue))
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -46,6 +46,13 @@
 PLAN_SECONDS = Metric(
     "job_plan_seconds", "seconds", (), "Deciding which waiting tasks start."
 )
+JOBS_ENDED = Metric(
+    "jobs_ended_total",
+    "events",
+    ("size", "outcome"),
+    "Jobs that ended, by their work (large: twice the mean of their queue or more) "
+    "and how they compare with their completion objective.",
+)
 ENDS = Metric("job_ends_total", "events", ("kind",), "Runs that ended, by how.")
 ORDERS = Metric(
     "job_orders_total", "events", ("order", "result"), "Orders, by the answer."
@@ -74,6 +81,7 @@
     STARTS,
     FIRST_START_SECONDS,
     PLAN_SECONDS,
+    JOBS_ENDED,
     ENDS,
     ORDERS,
     POLLS,
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_job_log.py
@@ -0,0 +1,98 @@
+"""The log says of each job how it ended and why its tasks waited."""
+
+import unittest
+
+from foxspring_model import Resources
+
+from foxspring_jobs._job_log import Outcome, WaitReason, outcome_of, wait_reason
+from foxspring_jobs._specs import JobSpec
+from foxspring_jobs._state import JobPhase, JobState
+from foxspring_jobs.tests.builders import (
+    JOB,
+    OTHER_JOB,
+    QUEUE,
+    registered,
+    spec,
+    step,
+)
+from foxspring_jobs.tests.fake_cluster import FakeCluster
+
+LOGGER = "foxspring_jobs._job_log"
+
+
+def size(cores: int, memory: int) -> Resources:
+    return Resources(cores_milli=cores, memory_mb=memory)
+
+
+class WaitReasonTest(unittest.TestCase):
+    def test_reason_is_what_no_target_has_enough_of(self) -> None:
+        free = [size(4_000, 100), size(1_000, 9_000)]
+        for needed, expected in (
+            (size(5_000, 50), WaitReason.CORES),
+            (size(2_000, 200), WaitReason.MEMORY),
+            (size(2_000, 100), WaitReason.BEHIND),
+            (size(1_000, 9_000), WaitReason.BEHIND),
+        ):
+            with self.subTest(needed=needed):
+                self.assertEqual(wait_reason(needed, free), expected)
+
+    def test_nothing_is_free(self) -> None:
+        self.assertEqual(wait_reason(size(1, 1), []), WaitReason.CORES)
+
+
+class OutcomeTest(unittest.TestCase):
+    def test_outcome_follows_from_phase_and_objective(self) -> None:
+        objective_ms = 1_000  # 1.5 times 500 ms of work, and 250 ms
+        for phase, age_ms, expected in (
+            (JobPhase.COMPLETED, objective_ms, Outcome.IN_TIME),
+            (JobPhase.COMPLETED, objective_ms + 1, Outcome.LATE),
+            (JobPhase.COMPLETED, 3 * objective_ms, Outcome.LATE),
+            (JobPhase.COMPLETED, 3 * objective_ms + 1, Outcome.TOO_LATE),
+            (JobPhase.FAILED, 1, Outcome.FAILED),
+            (JobPhase.CANCELLED, 1, Outcome.CANCELLED),
+        ):
+            with self.subTest(phase=phase, age_ms=age_ms):
+                job = JobState(JOB, QUEUE, spec(), 100)
+                job.phase = phase
+                job.ended_ms = 100 + age_ms
+                self.assertEqual(outcome_of(job), expected)
+
+
+class JobEndedTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = FakeCluster(registered("t1", cores=4_000))
+        self.cluster.run(1_500)
+
+    def ended(self, job: JobSpec, job_id: str = JOB, run_ms: int = 3_000) -> str:
+        with self.assertLogs(LOGGER, "INFO") as logged:
+            self.cluster.submit(job, job_id)
+            self.cluster.run(run_ms)
+        lines = [line for line in logged.output if f"job={job_id}" in line]
+        self.assertEqual(len(lines), 1)
+        return lines[0]
+
+    def test_job_that_starts_at_once_waits_for_nothing(self) -> None:
+        line = self.ended(spec(step(2, estimated_ms=500)))
+        self.assertIn("outcome=in_time", line)
+        self.assertIn("tasks=2 cores_milli=1000", line)
+        self.assertIn("cores_wait_ms=0 memory_wait_ms=0 behind_wait_ms=0", line)
+
+    def test_job_that_no_target_has_room_for_waits_for_cores(self) -> None:
+        self.cluster.submit(spec(step(4, estimated_ms=1_500)), OTHER_JOB)
+        self.cluster.run(200)
+        line = self.ended(spec(step(4, estimated_ms=500)))
+        self.assertNotIn("cores_wait_ms=0", line)
+        self.assertIn("behind_wait_ms=0", line)
+
+    def test_cancelled_job_is_logged_once(self) -> None:
+        self.cluster.submit(spec(step(1, estimated_ms=60_000)))
+        self.cluster.run(500)
+        with self.assertLogs(LOGGER, "INFO") as logged:
+            self.cluster.cancel()
+            self.cluster.run(1_000)
+        self.assertEqual(len(logged.output), 1)
+        self.assertIn("outcome=cancelled", logged.output[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
