Reproduce SHORT: large short jobs starve beside long-running ones (red)

Replays the planner alone on two sites whose long-running tasks ask for 110% of the cores while short jobs of spread sizes ask for 6%.

--- a/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
@@ -6,8 +6,9 @@
 
 import heapq
 import itertools
+import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from foxspring_model import Resources
@@ -20,17 +21,18 @@
     RunStart,
     SubmitJob,
 )
-from foxspring_jobs._interference import Interference
+from foxspring_jobs._interference import MILLICORES_PER_CORE, Interference
 from foxspring_jobs._placement import Planner
 from foxspring_jobs._specs import JobSpec, Queue, StepSpec
 from foxspring_jobs._state import EndKind, JobPhase, JobState
-from foxspring_jobs._waiting import waiting_steps
+from foxspring_jobs._waiting import LATE_FACTOR, waiting_steps
 from foxspring_jobs.tests.builders import QUEUE, registered, state_with
 
 PLAN_INTERVAL_MS = 50
 TARGETS_PER_RACK = 8
 FAILURE_DOMAINS = 6
 MEMORY_PER_CORE_MB = 4_000
+MS_PER_S = 1_000
 SHORT_QUEUE = QUEUE._replace(name="short")
 LONG_QUEUE = QUEUE._replace(name="long", latency_target_ms=2_500)
 
@@ -120,6 +122,18 @@
     return completed and job.ended_ms - job.submitted_ms <= job.completion_objective_ms
 
 
+def is_served(job: JobState) -> bool:
+    """Return whether a job was completed within ``LATE_FACTOR`` times its objective."""
+    completed = job.phase is JobPhase.COMPLETED
+    limit_ms = LATE_FACTOR * job.completion_objective_ms
+    return completed and job.ended_ms - job.submitted_ms <= limit_ms
+
+
+def share_served(jobs: Sequence[JobState]) -> float:
+    """Return the share of jobs that were served."""
+    return sum(map(is_served, jobs)) / len(jobs)
+
+
 def share_in_time(jobs: Iterable[JobState]) -> float:
     """Return the share of jobs that were completed within their objective."""
     results = [in_time(job) for job in jobs]
@@ -132,6 +146,12 @@
     return ranked[: max(1, round(len(ranked) * share))]
 
 
+def next_largest_fifth(jobs: Iterable[JobState]) -> list[JobState]:
+    """Return the fifth of the jobs with the most work below the largest tenth."""
+    ranked = sorted(jobs, key=work_of, reverse=True)
+    return ranked[len(ranked) // 10 : len(ranked) * 3 // 10]
+
+
 def work_of(job: JobState) -> int:
     """Return the core-milliseconds of a job."""
     return sum(
@@ -173,12 +193,17 @@
     return size._replace(memory_mb=size.memory_mb // 2)
 
 
-def long_running_jobs(rng: random.Random, cores: int) -> list[Arrival]:
-    """Return services that arrive first and ask for ``cores`` together."""
+def long_running_jobs(
+    rng: random.Random, cores: int, sizes: tuple[int, int] = (10, 16)
+) -> list[Arrival]:
+    """Return services that arrive first and ask for ``cores`` together.
+
+    ``sizes`` are the fewest and most cores of a task.
+    """
     arrivals = []
     asked = 0
     while asked < cores:
-        tasks, size = rng.randint(12, 48), rng.randint(10, 16)
+        tasks, size = rng.randint(12, 48), rng.randint(*sizes)
         step = StepSpec(
             tasks,
             _half_memory(size),
@@ -213,3 +238,53 @@
         work = sum(s.task_count * size * duration_ms for s in steps)
         at_ms += rng.expovariate(1.0) * work / cores_in_use
     return arrivals
+
+
+class Spread(NamedTuple):
+    """A log-normal distribution; ``variation`` is its deviation over its mean."""
+
+    mean: float
+    variation: float
+    highest: float
+
+    def draw(self, rng: random.Random) -> float:
+        """Return a value of at most ``highest``."""
+        sigma = math.sqrt(math.log(1 + self.variation**2))
+        mu = math.log(self.mean) - sigma**2 / 2
+        return min(self.highest, rng.lognormvariate(mu, sigma))
+
+
+class JobMix(NamedTuple):
+    """Jobs of equal steps; ``cores`` are of one task, ``duration_ms`` of one step."""
+
+    steps: Spread
+    tasks: Spread
+    cores: Spread
+    duration_ms: Spread
+
+    def job(self, rng: random.Random) -> JobSpec:
+        """Return a job with sizes drawn independently of each other."""
+        cores = self.cores.draw(rng)
+        step = StepSpec(
+            max(1, round(self.tasks.draw(rng))),
+            Resources(
+                cores_milli=round(cores * MILLICORES_PER_CORE),
+                memory_mb=round(cores * MEMORY_PER_CORE_MB / 2),
+            ),
+            round(self.duration_ms.draw(rng)),
+        )
+        count = max(1, round(self.steps.draw(rng)))
+        later = (step._replace(after=(number,)) for number in range(count - 1))
+        return JobSpec("", (step, *later))
+
+
+def steady(
+    rng: random.Random, mix: JobMix, jobs_per_s: float, from_ms: int, until_ms: int
+) -> list[Arrival]:
+    """Return short jobs of a mix that arrive at a steady rate."""
+    arrivals = []
+    at_ms = float(from_ms)
+    while at_ms < until_ms:
+        arrivals.append(Arrival(int(at_ms), SHORT_QUEUE, mix.job(rng)))
+        at_ms += rng.expovariate(jobs_per_s) * MS_PER_S
+    return arrivals
