Reserve whole targets for short tasks beside long-running ones

Cause: where long-running tasks ask for more than 88% of a service, each target kept 7% free, and any waiting long-running task took a hole as soon as two fitted. So what was free lay in parts of 2 to 5 cores, and each larger hole that short tasks left was taken for good by a task that does not end. Class of fault: starvation by fragmentation; work that stays takes what is kept for work that comes and goes.

Now the targets with the fewest long-running tasks, 7% of a service's cores, are left to short tasks by new long-running ones while short tasks have arrived within 60 s, whatever the demand. Restarts may use them as before, since they continue admitted work, and the reserve forms again as tasks end. Where one target is more than about 8% of a service each target keeps its part as before. Steps that only reserved targets can run are not held back.

--- a/packages/foxspring-jobs/foxspring_jobs/_compaction.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_compaction.py
@@ -2,9 +2,10 @@
 
 Load pattern: long-running tasks take most of a site and stay; short tasks that ask for
 a large part of a target keep arriving. If each target keeps a small reserve, the free
-capacity is spread in parts that none of these short tasks fits in. While the demand of
-the long-running tasks allows it, they therefore fill the targets that they are on, and
-some targets stay free of them. Beyond that, each target keeps a reserve.
+capacity is spread in parts that none of these short tasks fits in. Long-running tasks
+therefore fill the targets that they are on, and while short tasks keep arriving, a
+reserve of whole targets stays free of them. Where one target is a large part of a
+service, each target keeps a reserve instead.
 """
 
 from collections.abc import Iterable
@@ -16,12 +17,12 @@
     Candidate,
     Effects,
 )
+from foxspring_jobs._commands import TargetIncarnation
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs._state import JobState, State
 
-# What remains unused on targets that are filled with tasks of different sizes.
-PACKING_LOSS_PERCENT = 5
 FREE_TARGETS_PERCENT = 15
+# The most that a reserve of whole targets may take of a service.
+MAX_WHOLE_RESERVE_PERCENT = 15
 
 
 class CompactionScore(NamedTuple):
@@ -38,50 +39,39 @@
     shuffle_key: bytes
 
 
-def compact_services(state: State, candidates: Iterable[Candidate]) -> frozenset[str]:
-    """Return the services whose long-running tasks leave whole targets free."""
-    available_percent = PERCENT - SHORT_TASK_RESERVE_PERCENT - PACKING_LOSS_PERCENT
-    capacity: dict[str, int] = {}
-    for candidate in candidates:
-        registered = candidate.target.registered
-        cores = registered.capacity.cores_milli
-        capacity[registered.service] = capacity.get(registered.service, 0) + cores
-    demand = _long_running_demand(state)
-    return frozenset(
-        service
-        for service, cores in capacity.items()
-        if demand.get(service, 0) * PERCENT <= cores * available_percent
-    )
-
-
-def _long_running_demand(state: State) -> dict[str, int]:
-    """Return, by service, the millicores of all long-running tasks of active jobs."""
-    demand: dict[str, int] = {}
-    for job in state.active.values():
-        if job.spec.is_long_running():
-            service = job.queue.service
-            demand[service] = demand.get(service, 0) + _demand_of(job)
-    return demand
-
+def whole_reserve(
+    candidates: Iterable[Candidate], service: str
+) -> frozenset[TargetIncarnation]:
+    """Return the targets of a service that new long-running tasks leave alone.
 
-def _demand_of(job: JobState) -> int:
-    return sum(
-        state.unfinished * spec.reserved().cores_milli
-        for steps in job.occurrences.values()
-        for spec, state in zip(job.spec.steps, steps, strict=True)
-        if spec.long_running
-    )
+    They are those with the fewest long-running tasks, so that a reserve which restarts
+    had to use becomes free again as tasks end. The result is empty where one target is
+    too large a part of the service.
+    """
+    targets = [c for c in candidates if c.target.registered.service == service]
+    total = sum(map(_cores_of, targets))
+    largest = max(map(_cores_of, targets), default=0)
+    needed = total * SHORT_TASK_RESERVE_PERCENT // PERCENT
+    if (needed + largest) * PERCENT > total * MAX_WHOLE_RESERVE_PERCENT:
+        return frozenset()
+    targets.sort(key=lambda c: (c.long_running_count, c.target.shuffle_key))
+    reserve = []
+    for candidate in targets:
+        if needed <= 0:
+            break
+        reserve.append(candidate.target.incarnation)
+        needed -= _cores_of(candidate)
+    return frozenset(reserve)
 
 
 def free_targets_are_scarce(candidates: Iterable[Candidate], service: str) -> bool:
     """Return whether few of a service's cores are on targets for short tasks only."""
     total = free = 0
     for candidate in candidates:
-        registered = candidate.target.registered
-        if registered.service == service:
-            total += registered.capacity.cores_milli
+        if candidate.target.registered.service == service:
+            total += _cores_of(candidate)
             if not candidate.long_running_count:
-                free += registered.capacity.cores_milli
+                free += _cores_of(candidate)
     return free * PERCENT <= total * FREE_TARGETS_PERCENT
 
 
@@ -107,3 +97,7 @@
         free,
         candidate.target.shuffle_key,
     )
+
+
+def _cores_of(candidate: Candidate) -> int:
+    return candidate.target.registered.capacity.cores_milli
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -48,6 +48,7 @@
 from foxspring_jobs._placement import Allowed, Planner
 from foxspring_jobs._restarts import Restarts
 from foxspring_jobs._session import TargetSession
+from foxspring_jobs._short_work import ShortWork
 from foxspring_jobs._specs import JobSpec, Queue
 from foxspring_jobs._state import JobState, State
 from foxspring_jobs._target_orders import TargetOrders
@@ -99,6 +100,7 @@
         self.job_log = JobLog(self.context)
         self.in_flight = 0
         self.started_ms = clock.monotonic_ms()
+        self.short_work = ShortWork(self.started_ms)
         self.planned_ms = self.started_ms
         self.plan_after_ms = self.started_ms
         self.swept_ms = self.started_ms
@@ -180,6 +182,8 @@
             job = self.context.draft.jobs.get(job_id)
             if committed and job is not None:
                 self.job_log.note_submitted(job)
+                now_ms = self.context.clock.monotonic_ms()
+                self.short_work.note_arrival(spec, now_ms)
             answer(committed_answer(committed))
             self.context.plan_due = True
             self.decide()
@@ -239,6 +243,9 @@
             wall_ms = self.context.clock.wall_ms()
             keep_ms = self.context.settings.keep_ended_ms * RETENTION_PERCENT // 100
             self.opened = due_occurrences(self.context.draft, wall_ms)
+            for job_id, _ in self.opened:
+                spec = self.context.draft.active[job_id].spec
+                self.short_work.note_arrival(spec, now_ms)
             self.purged = expired_jobs(self.context.draft, wall_ms - keep_ms)
         if now_ms >= self.planned_ms + REPLAN_INTERVAL_MS:
             self.context.plan_due = True
@@ -349,6 +356,7 @@
             self.context.interference,
             allowed,
             self.restarts.holding(now_ms),
+            self.short_work.is_expected(now_ms),
         )
         interrupted = self.interrupted_log.before_plan(waiting, planner)
         self.job_log.before_plan(candidates)
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -19,7 +19,7 @@
 from foxspring_jobs._startable import startable_tasks
 from foxspring_jobs._state import JobState, State
 from foxspring_jobs._too_large import TooLargeSizes
-from foxspring_jobs._waiting import Precedence, WaitingStep
+from foxspring_jobs._waiting import Precedence, Rank, WaitingStep
 
 BUSY_FREE_PERCENT = 50
 ROOM_TO_USE_RESERVE = 2
@@ -31,7 +31,8 @@
     """Plans starts once over the candidate targets.
 
     ``allowed`` maps each step of a queue that needs advice to the ids of the targets on
-    which it may start. A target may be held for the steps in ``holding``.
+    which it may start. A target may be held for the steps in ``holding``. While
+    ``short_tasks_expected``, new long-running tasks leave a reserve for them.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         interference: Interference,
         allowed: Allowed | None = None,
         holding: Set[StepKey] = frozenset(),
+        short_tasks_expected: bool = True,
     ) -> None:
         self.state = state
         self.candidates = list(candidates)
@@ -48,9 +50,10 @@
         self.allowed = allowed or {}
         self.room_index = RoomIndex(self.candidates)
         self.busy = _is_busy(self.candidates)
-        self.scores = TargetScores(state, self.candidates, self.effects)
+        self.scores = TargetScores(self.candidates, self.effects)
         self.blocked_best_effort: dict[tuple[str, str], int] = {}
         self.holding = holding
+        self.short_tasks_expected = short_tasks_expected
         self.held_count = 0
 
     def plan(self, steps: Iterable[WaitingStep]) -> list[RunStart]:
@@ -169,7 +172,7 @@
         ):
             return []
         running = any(s.running for s in steps)
-        room_to_use_reserve = self._room_to_use_reserve(waiting)
+        room_to_use_reserve = self._room_to_use_reserve(waiting, step)
         ranking = self._rank(
             waiting.step_key(), step, job, candidates, self.busy or running
         )
@@ -300,13 +303,30 @@
             return Ranking(ranked, accepts, score_if_uncrowded)
         return Ranking(ranked, accepts, score)
 
-    def _room_to_use_reserve(self, waiting: WaitingStep) -> int:
+    def _room_to_use_reserve(self, waiting: WaitingStep, step: StepSpec) -> int | None:
         """Return how many tasks must fit for one to use the reserve for short tasks.
 
-        Overdue restarts use it wherever they fit.
+        Overdue restarts use it wherever they fit. New long-running tasks never use a
+        reserve of whole targets, which they would not give back, while short tasks are
+        expected.
         """
-        overdue = waiting.precedence is Precedence.OVERDUE_RESTART
-        return 1 if overdue else ROOM_TO_USE_RESERVE
+        if waiting.precedence is Precedence.OVERDUE_RESTART:
+            return 1
+        job = self.state.active[waiting.job_id]
+        if waiting.rank is Rank.RESTART or not self._can_leave_reserve(job, step):
+            return ROOM_TO_USE_RESERVE
+        return None if self.short_tasks_expected else 1
+
+    def _can_leave_reserve(self, job: JobState, step: StepSpec) -> bool:
+        """Return whether a step can run without the targets that are the reserve."""
+        service = job.queue.service
+        if not self.scores.is_compacted(step, service):
+            return False
+        if step.required_label or job.queue.needs_advice():
+            return False
+        others = len(self.candidates) - len(self.scores.reserve(service))
+        bound = step.max_per_target
+        return not bound or step.task_count <= bound * others
 
     def _pick(
         self,
@@ -314,19 +334,22 @@
         step_key: StepKey,
         step: StepSpec,
         can_wait: bool,
-        room_to_use_reserve: int = ROOM_TO_USE_RESERVE,
+        room_to_use_reserve: int | None = ROOM_TO_USE_RESERVE,
     ) -> Candidate | None:
         """Return the target for one more task of a step, or None if it should wait.
 
         A long-running task leaves a reserve for short tasks, unless it would stay idle
-        although ``room_to_use_reserve`` tasks of its step would fit. A best-effort task
-        with ``can_wait`` waits for a target that is neither too risky nor too crowded.
+        although ``room_to_use_reserve`` tasks of its step would fit; with None it
+        always leaves the reserve. A best-effort task with ``can_wait`` waits for a
+        target that is neither too risky nor too crowded.
         """
         best = ranking.best()
         if best is None:
             return None
         candidate, score = best
         if step.long_running and score[0]:
+            if room_to_use_reserve is None:
+                return None
             reserved = step.reserved()
             fitting_tasks = sum(
                 r.fitting_tasks(step_key, step, reserved) for r in ranking.candidates()
--- a/packages/foxspring-jobs/foxspring_jobs/_scores.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_scores.py
@@ -3,25 +3,23 @@
 from collections.abc import Callable, Iterable
 
 from foxspring_jobs._candidates import Candidate, Effects
+from foxspring_jobs._commands import TargetIncarnation
 from foxspring_jobs._compaction import (
-    compact_services,
     compaction_score,
     free_targets_are_scarce,
+    whole_reserve,
 )
 from foxspring_jobs._ranking import Score
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs._state import State
 
 
 class TargetScores:
     """The scores of one plan over its candidates."""
 
-    def __init__(
-        self, state: State, candidates: Iterable[Candidate], effects: Effects
-    ) -> None:
+    def __init__(self, candidates: Iterable[Candidate], effects: Effects) -> None:
         self.candidates = list(candidates)
         self.effects = effects
-        self.compact_services = compact_services(state, self.candidates)
+        self._reserves: dict[str, frozenset[TargetIncarnation]] = {}
 
     def score(self, candidate: Candidate, step: StepSpec) -> Score:
         """Return the score of a target for a task of a step."""
@@ -52,23 +50,28 @@
             )
         return (on_probation, off_rack, -unused)
 
+    def reserve(self, service: str) -> frozenset[TargetIncarnation]:
+        """Return the targets that new long-running tasks of a service leave alone."""
+        if service not in self._reserves:
+            self._reserves[service] = whole_reserve(self.candidates, service)
+        return self._reserves[service]
+
     def is_compacted(self, step: StepSpec, service: str) -> bool:
         """Return whether a step's tasks leave whole targets free for short tasks."""
-        compact = service in self.compact_services
-        return compact and step.long_running and not step.best_effort
+        if not step.long_running or step.best_effort:
+            return False
+        return bool(self.reserve(service))
 
     def compact_score(
         self, step: StepSpec, service: str
     ) -> Callable[[Candidate], Score]:
-        """Return the score of a target for long-running tasks that are compacted.
-
-        Its first part is that of other long-running tasks: no reserve is required.
-        """
+        """Return the score of a target for long-running tasks that are compacted."""
         spare_free_targets = free_targets_are_scarce(self.candidates, service)
+        reserve = self.reserve(service)
 
         def score(candidate: Candidate) -> Score:
             return (
-                False,
+                candidate.target.incarnation in reserve,
                 candidate.on_probation,
                 bool(step.latency_target_ms) and self._exceeds_limit(candidate, step),
                 *compaction_score(candidate, step, self.effects, spare_free_targets),
