Finish jobs that have begun before smaller new ones

What callers saw: under a load beyond the capacity the largest jobs of a kind were served less than half as often as the kind (SHORT).

Cause: jobs that can be on time were ordered by least remaining work alone. A wide job of which part ran was overtaken by each smaller job that arrived, until its slack was gone and it fell behind all that could still be on time. What had been spent on it was lost. Class of fault: starvation by size.

Now the job with the largest share of its work running or done goes first, and least remaining work decides among equals, as before among new jobs.

--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -1,10 +1,12 @@
 """Finds waiting steps in scheduling order, due occurrences and expired jobs.
 
 Load pattern: more work arrives than fits. Within a priority, occurrences that can still
-meet their completion objective go first, those with the least remaining work before
-others, so that most jobs are on time. Ordered by least slack, all would wait for the
-oldest one and be late together. Late occurrences, and after them hopelessly late ones,
-wait for these and are ordered by slack.
+meet their completion objective go first. Among them, those of whose work the largest
+share is running or done go first, so that a wide job which has begun is not held up by
+each smaller one that arrives; then those with the least remaining work, so that most
+jobs are on time. Ordered by least slack, all would wait for the oldest one and be late
+together. Late occurrences, and after them hopelessly late ones, wait for these and are
+ordered by slack.
 
 Load pattern: targets are lost while short jobs fill all capacity. Interrupted
 long-running tasks start again after the jobs that can be on time and before other
@@ -16,7 +18,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from foxspring_jobs._candidates import StepKey
+from foxspring_jobs._candidates import PERCENT, StepKey
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import JobState, State, StepState, TaskState
 
@@ -53,13 +55,15 @@
     """A step with tasks to start; instances sort in scheduling order.
 
     With ``Rank.RESTART`` only its interrupted tasks are meant, otherwise only the
-    others. ``order_key`` is the remaining work in core-seconds for ``Rank.IN_TIME``,
-    otherwise the slack in milliseconds.
+    others. For ``Rank.IN_TIME``, ``idle_percent`` is the share of the occurrence's work
+    that is neither running nor done, and ``order_key`` the remaining work in
+    core-seconds. For other ranks ``order_key`` is the slack in milliseconds.
     """
 
     precedence: Precedence
     priority: int
     rank: Rank
+    idle_percent: int
     order_key: int
     job_id: str
     occurrence: int
@@ -99,6 +103,16 @@
     return work // MILLICORE_MS_PER_CORE_SECOND
 
 
+def idle_percent(job: JobState, occurrence: int) -> int:
+    """Return the share of an occurrence's estimated work that is not placed yet."""
+    total = idle = 0
+    for spec, step in zip(job.spec.steps, job.occurrences[occurrence], strict=True):
+        task_work = spec.estimated_ms * spec.resources.cores_milli
+        total += spec.task_count * task_work
+        idle += step.idle * task_work
+    return idle * PERCENT // total if total else PERCENT
+
+
 def release_time_ms(job: JobState, occurrence: int) -> int:
     """Return the wall time from which an occurrence's objective is measured."""
     if job.spec.is_timed():
@@ -139,6 +153,7 @@
                 Precedence.NORMAL,
                 job.queue.priority,
                 rank,
+                idle_percent(job, occurrence) if in_time else 0,
                 remaining_work(job, occurrence) if in_time else slack_ms,
                 job.job_id,
                 occurrence,
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_large_jobs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_large_jobs.py
@@ -2,10 +2,14 @@
 
 import random
 import unittest
+from collections.abc import Callable
 from typing import NamedTuple
 
+from foxspring_jobs._job_log import total_work
+from foxspring_jobs._state import JobState
 from foxspring_jobs.tests.load_replay import (
     SHORT_QUEUE,
+    Arrival,
     JobMix,
     Replay,
     Spread,
@@ -72,5 +76,75 @@
                     self.assertGreaterEqual(share_served(next_largest_fifth(jobs)), 0.9)
 
 
+class Overload(NamedTuple):
+    """Jobs that ask for more than a site without long-running tasks has."""
+
+    mix: JobMix
+    change: Callable[[Arrival], Arrival]
+
+
+def best_effort(arrival: Arrival) -> Arrival:
+    """Return the same job as best-effort work with a longer objective."""
+    steps = tuple(
+        step._replace(best_effort=True, image="batch") for step in arrival.spec.steps
+    )
+    queue = arrival.queue._replace(latency_target_ms=1_000, stretch_factor=2.0)
+    return arrival._replace(queue=queue, spec=arrival.spec._replace(steps=steps))
+
+
+OVERLOADS = {
+    "short": Overload(
+        JobMix(STEPS, TASKS, Spread(4.1, 0.45, 12), DURATION_MS),
+        lambda arrival: arrival,
+    ),
+    "best_effort": Overload(
+        JobMix(
+            Spread(2, 0.4, 5),
+            Spread(20, 0.6, 80),
+            Spread(3.5, 0.3, 7),
+            Spread(1_700, 0.5, 4_300),
+        ),
+        best_effort,
+    ),
+}
+OVERLOAD_TARGETS = 24
+OVERLOAD_MS = 25_000
+ASSESSED_MS = 20_000
+FINISH_MS = 10_000
+
+
+def mean_work(mix: JobMix) -> float:
+    """Return the mean core-seconds of jobs of a mix."""
+    works = [total_work(mix.job(random.Random(seed))) for seed in range(500)]
+    return sum(works) / len(works) / 1e6
+
+
+def overloaded(overload: Overload, seed: int) -> list[JobState]:
+    """Return the jobs of a load of 1.4 times the capacity that could have ended."""
+    rng = random.Random(seed)
+    targets = site(OVERLOAD_TARGETS, (32, 32, 48))
+    jobs_per_s = 1.4 * cores_of(targets) / mean_work(overload.mix)
+    arrivals = steady(rng, overload.mix, jobs_per_s, 0, OVERLOAD_MS)
+    replay = Replay(targets)
+    replay.run(map(overload.change, arrivals), OVERLOAD_MS + FINISH_MS)
+    jobs = replay.jobs_of(SHORT_QUEUE)
+    return [job for job in jobs if job.submitted_ms < ASSESSED_MS]
+
+
+class OverloadTest(unittest.TestCase):
+    """The users' bound: a group of sizes is served half as often as all, or more."""
+
+    def test_large_jobs_do_not_starve_behind_small_ones_under_overload(self) -> None:
+        for kind, overload in OVERLOADS.items():
+            for seed in SEEDS:
+                with self.subTest(kind=kind, seed=seed):
+                    jobs = overloaded(overload, seed)
+                    bound = share_served(jobs) / 2
+                    self.assertGreaterEqual(share_served(largest(jobs, 0.1)), bound)
+                    self.assertGreaterEqual(
+                        share_served(next_largest_fifth(jobs)), bound
+                    )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -68,6 +68,15 @@
         starts = plan(state)
         self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
 
+    def test_job_that_has_begun_goes_before_a_smaller_new_one(self) -> None:
+        state = state_with(registered("t1"))
+        submit(state, spec(step(8)))
+        for index in range(4):
+            start(state, run_key(index), "t1")
+        submit(state, spec(step(1)), OTHER_JOB)
+        end(state, run_key(0))
+        self.assertEqual([s.run.task.job_id for s in plan(state)], [JOB])
+
     def test_late_jobs_are_ordered_by_slack(self) -> None:
         state = state_with(registered(cores=1_000))
         submit(state, spec(step(1, estimated_ms=5_000)), JOB)
@@ -252,7 +261,7 @@
             state = state_with()
             submit(state, spec(wanted), JOB)
             planner = Planner(state, self.random_candidates(rng), interference)
-            waiting = WaitingStep(Precedence.NORMAL, 0, Rank.IN_TIME, 0, JOB, 0, 0)
+            waiting = WaitingStep(Precedence.NORMAL, 0, Rank.IN_TIME, 0, 0, JOB, 0, 0)
             expected = self.best_of_all(planner, waiting, wanted)
             planner.try_place(TaskKey(JOB, 0, 0, 0), wanted, state.jobs[JOB])
             chosen = [
