Give JobSpec its total work; outcome of timed jobs

total_work stood in _job_log and in the load replay. A timed job was compared with the objective of one occurrence from its submission on; it is counted as completed now (test_timed_job_is_not_measured_from_its_submission failed before).

--- a/packages/foxspring-jobs/foxspring_jobs/_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_job_log.py
@@ -17,7 +17,7 @@
 from foxspring_jobs._interference import MILLICORES_PER_CORE
 from foxspring_jobs._leader_context import LeaderContext
 from foxspring_jobs._metrics import JOBS_ENDED
-from foxspring_jobs._specs import JobSpec, StepSpec
+from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import JobPhase, JobState
 from foxspring_jobs._waiting import LATE_FACTOR, WaitingStep
 
@@ -43,8 +43,12 @@
 
 
 class Outcome(StrEnum):
-    """How a job ended, by its completion objective."""
+    """How a job ended, by its completion objective.
 
+    ``COMPLETED`` is for timed jobs, whose occurrences have objectives of their own.
+    """
+
+    COMPLETED = "completed"
     IN_TIME = "in_time"
     LATE = "late"
     TOO_LATE = "too_late"
@@ -105,7 +109,7 @@
     def note_submitted(self, job: JobState) -> None:
         """Count a job towards the mean work of its queue."""
         count, work = self.queue_work.get(job.queue.name, (0, 0))
-        total = (count + 1, work + total_work(job.spec))
+        total = (count + 1, work + job.spec.total_work())
         self.queue_work[job.queue.name] = total
 
     def note_starts(self, starts: Iterable[RunStart]) -> None:
@@ -134,7 +138,7 @@
             job.queue.name,
             outcome,
             size,
-            total_work(job.spec) // MILLICORES_PER_CORE,
+            job.spec.total_work() // MILLICORES_PER_CORE,
             len(steps),
             max(step.task_count for step in steps),
             max(step.resources.cores_milli for step in steps),
@@ -148,7 +152,7 @@
 
     def _size_of(self, job: JobState) -> str:
         count, work = self.queue_work.get(job.queue.name, (0, 0))
-        large = total_work(job.spec) * count >= LARGE_FACTOR * work
+        large = job.spec.total_work() * count >= LARGE_FACTOR * work
         return "large" if large else "other"
 
 
@@ -170,6 +174,8 @@
         return Outcome.FAILED
     if job.phase is JobPhase.CANCELLED:
         return Outcome.CANCELLED
+    if job.spec.is_timed():
+        return Outcome.COMPLETED
     age_ms = job.ended_ms - job.submitted_ms
     if age_ms <= job.completion_objective_ms:
         return Outcome.IN_TIME
@@ -177,14 +183,6 @@
     return Outcome.LATE if late else Outcome.TOO_LATE
 
 
-def total_work(spec: JobSpec) -> int:
-    """Return the estimated millicore-milliseconds of all tasks of one occurrence."""
-    return sum(
-        step.task_count * step.resources.cores_milli * step.estimated_ms
-        for step in spec.steps
-    )
-
-
 def _failed_runs(job: JobState) -> int:
     return sum(
         task.attempts
--- a/packages/foxspring-jobs/foxspring_jobs/_specs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_specs.py
@@ -71,6 +71,13 @@
             lengths.append(before + step.estimated_ms)
         return max(lengths)
 
+    def total_work(self) -> int:
+        """Return the estimated millicore-milliseconds of one occurrence."""
+        return sum(
+            step.task_count * step.resources.cores_milli * step.estimated_ms
+            for step in self.steps
+        )
+
     def is_long_running(self) -> bool:
         """Return whether the job ends only when it is cancelled."""
         return any(step.long_running for step in self.steps)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
@@ -22,7 +22,6 @@
     SubmitJob,
 )
 from foxspring_jobs._interference import MILLICORES_PER_CORE, Interference
-from foxspring_jobs._job_log import total_work
 from foxspring_jobs._placement import Planner
 from foxspring_jobs._specs import JobSpec, Queue, StepSpec
 from foxspring_jobs._state import EndKind, JobPhase, JobState
@@ -155,7 +154,7 @@
 
 def work_of(job: JobState) -> int:
     """Return the millicore-milliseconds of a job."""
-    return total_work(job.spec)
+    return job.spec.total_work()
 
 
 def site(count: int, cores: Iterable[int] = (64, 64, 96)) -> list[RegisterTarget]:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_job_log.py
@@ -57,6 +57,12 @@
                 job.ended_ms = 100 + age_ms
                 self.assertEqual(outcome_of(job), expected)
 
+    def test_timed_job_is_not_measured_from_its_submission(self) -> None:
+        job = JobState(JOB, QUEUE, spec(repetitions=2, interval_ms=60_000), 0)
+        job.phase = JobPhase.COMPLETED
+        job.ended_ms = 61_000
+        self.assertEqual(outcome_of(job), Outcome.COMPLETED)
+
 
 class JobEndedTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_large_jobs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_large_jobs.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from foxspring_jobs._job_log import total_work
 from foxspring_jobs._state import JobState
 from foxspring_jobs.tests.load_replay import (
     SHORT_QUEUE,
@@ -115,7 +114,7 @@
 
 def mean_work(mix: JobMix) -> float:
     """Return the mean core-seconds of jobs of a mix."""
-    works = [total_work(mix.job(random.Random(seed))) for seed in range(500)]
+    works = [mix.job(random.Random(seed)).total_work() for seed in range(500)]
     return sum(works) / len(works) / 1e6
 
 
