--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -11,7 +11,7 @@
 from foxspring_model import Clock
 
 from foxspring_jobs._advice import AdviceCall
-from foxspring_jobs._candidates import StepKey
+from foxspring_jobs._advice_calls import AdviceCalls
 from foxspring_jobs._commands import (
     Advance,
     CancelJob,
@@ -45,7 +45,7 @@
     committed_answer,
 )
 from foxspring_jobs._orders import Order, TargetResult
-from foxspring_jobs._placement import Allowed, Planner
+from foxspring_jobs._placement import Planner
 from foxspring_jobs._restarts import Restarts
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._short_work import ShortWork
@@ -55,7 +55,6 @@
 from foxspring_jobs._target_poller import TargetPoller
 from foxspring_jobs._target_reports import TargetReports
 from foxspring_jobs._waiting import (
-    WaitingStep,
     due_occurrences,
     expired_jobs,
     waiting_steps,
@@ -98,6 +97,7 @@
         self.restarts = Restarts()
         self.interrupted_log = InterruptedLog(self.context, self.restarts)
         self.job_log = JobLog(self.context)
+        self.advice_calls = AdviceCalls(self.context)
         self.in_flight = 0
         self.started_ms = clock.monotonic_ms()
         self.short_work = ShortWork(self.started_ms)
@@ -348,7 +348,7 @@
         overdue = self.poller.overdue_runs()
         if not waiting and not overdue:
             return ()
-        allowed = self._allowed(waiting)
+        allowed = self.advice_calls.allowed(waiting)
         candidates = self.poller.candidates()
         planner = Planner(
             self.context.draft,
@@ -363,51 +363,11 @@
         starts = planner.plan(waiting)
         self.job_log.after_plan(waiting, starts)
         self.interrupted_log.after_plan(interrupted, planner)
-        self._request_advice(waiting, planner)
+        self.advice_calls.request(waiting, planner)
         return (*starts, *planner.plan_speculative_runs(overdue))
 
-    # Placement advice.
-
-    def _allowed(self, waiting: list[WaitingStep]) -> Allowed:
-        now_ms = self.context.clock.monotonic_ms()
-        allowed: dict[StepKey, frozenset[str]] = {}
-        for step in waiting:
-            if self.context.draft.active[step.job_id].queue.needs_advice():
-                tickets = self.context.advice.valid_tickets(step.step_key(), now_ms)
-                allowed[step.step_key()] = frozenset(tickets)
-        return allowed
-
-    def _request_advice(self, waiting: list[WaitingStep], planner: Planner) -> None:
-        steps_to_advise = []
-        for step in waiting:
-            job = self.context.draft.active[step.job_id]
-            if job.queue.needs_advice():
-                steps_to_advise.append(
-                    (step.step_key(), planner.ranked_targets(job, step))
-                )
-        call = self.context.advice.next_call(
-            steps_to_advise, self.context.clock.monotonic_ms()
-        )
-        if call is not None:
-            self.context.ports.advise(call)
-
     def on_advice(
         self, call: AdviceCall, allowed: tuple[tuple[str, str], ...] | None
     ) -> None:
         """Handle the placement service's answer."""
-        if self.context.deposed:
-            return
-        job = self.context.draft.jobs.get(call.job_id)
-        _LOG.info(
-            "event=advice_taken job=%s step=%d.%d asked=%d allowed=%s",
-            *call.step_key(),
-            len(call.targets),
-            "-" if allowed is None else len(allowed),
-        )
-        if job is None:
-            self.context.advice.pending_call = None
-            return
-        now_ms = self.context.clock.monotonic_ms()
-        self.context.advice.record_answer(call, job.queue, allowed, now_ms)
-        self.context.plan_due = True
-        self.decide()
+        self.advice_calls.on_answer(call, allowed)
