Count only a service's own targets as room outside its reserve

A step with a bound of tasks per target is held from the reserve only if the other targets can take it. Targets of other services counted as such, so on a site of several services a wide long-running step could have waited for ever while short tasks arrive.

test_targets_of_other_services_do_not_count_as_room_for_a_wide_step failed before.

--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -324,7 +324,12 @@
             return False
         if step.required_label or job.queue.needs_advice():
             return False
-        others = len(self.candidates) - len(self.scores.reserve(service))
+        reserve = self.scores.reserve(service)
+        others = sum(
+            candidate.target.registered.service == service
+            and candidate.target.incarnation not in reserve
+            for candidate in self.candidates
+        )
         bound = step.max_per_target
         return not bound or step.task_count <= bound * others
 
--- a/packages/foxspring-jobs/foxspring_jobs/_scores.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_scores.py
@@ -65,7 +65,10 @@
     def compact_score(
         self, step: StepSpec, service: str
     ) -> Callable[[Candidate], Score]:
-        """Return the score of a target for long-running tasks that are compacted."""
+        """Return the score of a target for long-running tasks that are compacted.
+
+        Its first part tells whether the target belongs to the reserve.
+        """
         spare_free_targets = free_targets_are_scarce(self.candidates, service)
         reserve = self.reserve(service)
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_compaction.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_compaction.py
@@ -220,6 +220,15 @@
         submit(self.state, spec(long_running(40, max_per_target=1)))
         self.assertTrue(self.planned() & self.reserve())
 
+    def test_targets_of_other_services_do_not_count_as_room_for_a_wide_step(
+        self,
+    ) -> None:
+        for number in range(40):
+            other = registered(f"o{number:02}")._replace(service="other")
+            self.state.apply(other, 0)
+        submit(self.state, spec(long_running(40, max_per_target=1)))
+        self.assertTrue(self.planned() & self.reserve())
+
 
 class ReplayTest(unittest.TestCase):
     def test_arrivals_are_submitted_in_time(self) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_large_jobs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_large_jobs.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from foxspring_jobs._interference import MILLICORES_PER_CORE
 from foxspring_jobs._state import JobState
 from foxspring_jobs.tests.load_replay import (
+    MS_PER_S,
     SHORT_QUEUE,
     Arrival,
     JobMix,
@@ -107,6 +109,7 @@
     ),
 }
 OVERLOAD_TARGETS = 24
+OVERLOAD_FACTOR = 1.4
 OVERLOAD_MS = 25_000
 ASSESSED_MS = 20_000
 FINISH_MS = 10_000
@@ -115,14 +118,14 @@
 def mean_work(mix: JobMix) -> float:
     """Return the mean core-seconds of jobs of a mix."""
     works = [mix.job(random.Random(seed)).total_work() for seed in range(500)]
-    return sum(works) / len(works) / 1e6
+    return sum(works) / len(works) / (MILLICORES_PER_CORE * MS_PER_S)
 
 
 def overloaded(overload: Overload, seed: int) -> list[JobState]:
-    """Return the jobs of a load of 1.4 times the capacity that could have ended."""
+    """Return the jobs of an overload that could have ended."""
     rng = random.Random(seed)
     targets = site(OVERLOAD_TARGETS, (32, 32, 48))
-    jobs_per_s = 1.4 * cores_of(targets) / mean_work(overload.mix)
+    jobs_per_s = OVERLOAD_FACTOR * cores_of(targets) / mean_work(overload.mix)
     arrivals = steady(rng, overload.mix, jobs_per_s, 0, OVERLOAD_MS)
     replay = Replay(targets)
     replay.run(map(overload.change, arrivals), OVERLOAD_MS + FINISH_MS)
