Do not count jobs without estimated work as large

Long-running jobs have no estimate, and job_ended and jobs_ended_total called each of them large (seen in the log of anvcm late-orders). Log and metric only. test_job_is_large_if_it_has_over_twice_the_mean_work failed before.

--- a/packages/foxspring-jobs/foxspring_jobs/_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_job_log.py
@@ -152,7 +152,7 @@
 
     def _size_of(self, job: JobState) -> str:
         count, work = self.queue_work.get(job.queue.name, (0, 0))
-        large = job.spec.total_work() * count >= LARGE_FACTOR * work
+        large = job.spec.total_work() * count > LARGE_FACTOR * work
         return "large" if large else "other"
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -50,7 +50,7 @@
     "jobs_ended_total",
     "events",
     ("size", "outcome"),
-    "Jobs that ended, by their work (large: twice the mean of their queue or more) "
+    "Jobs that ended, by their work (large: over twice the mean of their queue) "
     "and how they compare with their completion objective.",
 )
 ENDS = Metric("job_ends_total", "events", ("kind",), "Runs that ended, by how.")
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_job_log.py
@@ -90,6 +90,17 @@
         self.assertNotIn("cores_wait_ms=0", line)
         self.assertIn("behind_wait_ms=0", line)
 
+    def test_job_is_large_if_it_has_over_twice_the_mean_work(self) -> None:
+        for job_id, estimated_ms, expected in (
+            (JOB, 0, "other"),
+            ("00000000000000c3", 500, "other"),
+            ("00000000000000d4", 500, "other"),
+            (OTHER_JOB, 5_000, "large"),
+        ):
+            with self.subTest(estimated_ms=estimated_ms):
+                line = self.ended(spec(step(1, estimated_ms=estimated_ms)), job_id)
+                self.assertIn(f"size={expected}", line)
+
     def test_cancelled_job_is_logged_once(self) -> None:
         self.cluster.submit(spec(step(1, estimated_ms=60_000)))
         self.cluster.run(500)
