Do not send an unanswered start again to a target that drains

Cause: a start without an answer was repeated every 150 ms until answered, also after the target had reported that it drains; a new leader sent unlisted starts to it too. In the log: StartOrder to i-ef56489702 unanswered at 8.8 and 11.8 s, its drain acknowledged at 8.34 s, the start answered ok at 12.3 s.

Now such a start is withdrawn by a stop, after which the target rejects late copies, and the task starts elsewhere once the stop is settled. A run that the target has listed or acknowledged is left alone.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
@@ -37,6 +37,9 @@
         if job.has_ended() or task.done:
             self.send_stop(session, run)
             return
+        if session.draining:
+            self._withdraw_start(session, run)
+            return
         ticket = self.context.advice.ticket(run.task[:3], session.incarnation)
         order = StartOrder(run, job.spec.payload, task.checkpoint, ticket)
         self.order(session, order)
@@ -48,6 +51,14 @@
         session.stopping.add(run)
         self.order(session, StopOrder(run))
 
+    def _withdraw_start(self, session: TargetSession, run: RunKey) -> None:
+        """Stop a run that a draining target may not have started, unless it runs.
+
+        The target rejects a copy of the start that arrives after the stop.
+        """
+        if run not in session.progress:
+            self.send_stop(session, run)
+
     def order(self, session: TargetSession, order: Order) -> None:
         """Send an order, unless the session is closed or fenced."""
         if session.closed or session.fenced or self.context.deposed:
@@ -96,6 +107,9 @@
                 return
             if isinstance(order, StartOrder) and order.run in session.stopping:
                 return
+            if isinstance(order, StartOrder) and session.draining:
+                self._withdraw_start(session, order.run)
+                return
             if isinstance(order, StartOrder) and session.failed_polls:
                 # An unresponsive target may have restarted; polls detect that.
                 self.context.ports.call_later(RETRY_ORDER_MS, resend)
