Measure and log the stages of the way of a start

Each second a leader logs count, sum, median, 95 of 100 and longest of: queue (an action waits for its thread), plan, ready (a step waits for its first start), commit, order; job_stage_seconds has the same.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -50,6 +50,7 @@
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._short_work import ShortWork
 from foxspring_jobs._specs import JobSpec, Queue
+from foxspring_jobs._stage_times import Stage
 from foxspring_jobs._state import JobState, State
 from foxspring_jobs._target_orders import TargetOrders
 from foxspring_jobs._target_poller import TargetPoller
@@ -112,6 +113,10 @@
         """Return whether this leadership may make no more decisions."""
         return self.context.deposed
 
+    def note_queue_time(self, waited_ms: int) -> None:
+        """Note how long an action was queued for the leader's thread."""
+        self.context.stage_times.observe(Stage.QUEUE, waited_ms)
+
     def on_poll_result(
         self, session: TargetSession, target_result: TargetResult
     ) -> None:
@@ -182,6 +187,7 @@
             job = self.context.draft.jobs.get(job_id)
             if committed and job is not None:
                 self.job_log.note_submitted(job)
+                self.context.stage_times.note_ready(job)
                 now_ms = self.context.clock.monotonic_ms()
                 self.short_work.note_arrival(spec, now_ms)
             answer(committed_answer(committed))
@@ -207,6 +213,7 @@
             )
             if committed and active:
                 self.job_log.job_ended(job)
+                self.context.stage_times.job_ended(job)
             answer(committed_answer(committed))
             self.decide()
 
@@ -235,6 +242,7 @@
         for session in list(self.context.sessions.values()):
             if session.failed_polls and session.clock.all_leases_expired(now_ms):
                 self.poller.declare_lost(session.incarnation, "lease_lapsed")
+        self.context.stage_times.log_if_due()
         if now_ms >= self.load_logged_ms + LOAD_LOG_INTERVAL_MS:
             self.load_logged_ms = now_ms
             log_load(self.context, self.poller.candidates())
@@ -278,6 +286,7 @@
         for start in starts:
             self.poller.note_start(start)
         self.job_log.note_starts(starts)
+        self.context.stage_times.note_starts(starts)
         self._commit(settled._replace(starts=starts), ends, ended_jobs)
 
     def _settle(self, settled: Advance) -> list[JobState]:
@@ -286,7 +295,16 @@
         job_ids = dict.fromkeys(end.run.task.job_id for end in settled.ends)
         jobs = [draft.active[job_id] for job_id in job_ids if job_id in draft.active]
         draft.apply(settled, self.context.clock.wall_ms())
-        return [job for job in jobs if job.has_ended()]
+        ended = [job for job in jobs if job.has_ended()]
+        for job in jobs:
+            self._note_stages(job)
+        return ended
+
+    def _note_stages(self, job: JobState) -> None:
+        if job.has_ended():
+            self.context.stage_times.job_ended(job)
+        else:
+            self.context.stage_times.note_ready(job)
 
     def _commit(
         self, advance: Advance, ends: list[PendingEnd], ended_jobs: list[JobState]
@@ -314,6 +332,7 @@
         took_ms = self.context.clock.monotonic_ms() - proposed_ms
         self.metrics.count(COMMITS, "applied" if committed else "unknown")
         self.metrics.observe_ms(COMMIT_SECONDS, took_ms)
+        self.context.stage_times.observe(Stage.COMMIT, took_ms)
 
     def _measure_start(self, start: RunStart) -> None:
         self.metrics.count(STARTS)
@@ -333,6 +352,7 @@
         took_ms = self.context.clock.monotonic_ms() - now_ms
         self.plan_after_ms = now_ms + took_ms * (1 + PLAN_PAUSE_FACTOR)
         self.metrics.observe_ms(PLAN_SECONDS, took_ms)
+        self.context.stage_times.observe(Stage.PLAN, took_ms)
         if took_ms >= SLOW_PLAN_MS:
             _LOG.info("event=slow_plan took_ms=%d starts=%d", took_ms, len(starts))
         return starts
--- a/packages/foxspring-jobs/foxspring_jobs/_leader_context.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader_context.py
@@ -12,6 +12,7 @@
 from foxspring_jobs._operations import Answer
 from foxspring_jobs._orders import Order, PollRequest
 from foxspring_jobs._session import TargetSession
+from foxspring_jobs._stage_times import StageTimes
 from foxspring_jobs._state import State
 
 Respond = Callable[[Answer], None]
@@ -94,6 +95,7 @@
         self.plan_due = True
         self.interference = Interference()
         self.advice = AdviceTickets()
+        self.stage_times = StageTimes(clock, metrics)
         self.decide: Callable[[], None] = lambda: None
         self.register: Callable[[RegisterTarget, Respond], None] = lambda _t, _r: None
         self.declare_lost: Callable[[TargetIncarnation, str], None] = (
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -46,6 +46,13 @@
 PLAN_SECONDS = Metric(
     "job_plan_seconds", "seconds", (), "Deciding which waiting tasks start."
 )
+STAGE_SECONDS = Metric(
+    "job_stage_seconds",
+    "seconds",
+    ("stage",),
+    "Stages of the way of a start: queue (an action waits for the leader), plan, "
+    "ready (a step waits for its first start), commit, order.",
+)
 JOBS_ENDED = Metric(
     "jobs_ended_total",
     "events",
@@ -81,6 +88,7 @@
     STARTS,
     FIRST_START_SECONDS,
     PLAN_SECONDS,
+    STAGE_SECONDS,
     JOBS_ENDED,
     ENDS,
     ORDERS,
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -261,10 +261,13 @@
 
     def _tick(self) -> None:
         while not self._closing.wait(TICK_MS / 1_000):
-            self.post(self._on_tick)
+            queued_ms = self.clock.monotonic_ms()
+            self.post(lambda queued_ms=queued_ms: self._on_tick(queued_ms))  # type: ignore[misc]
 
-    def _on_tick(self) -> None:
+    def _on_tick(self, queued_ms: int) -> None:
         now_ms = self.clock.monotonic_ms()
+        if self.leader is not None:
+            self.leader.note_queue_time(now_ms - queued_ms)
         while self._timers and self._timers[0][0] <= now_ms:
             _, _, action = heapq.heappop(self._timers)
             action()
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -65,7 +65,7 @@
         self.poll_sent_ms = since_ms
         self.cursor = 0
         self.last_seen_end = 0
-        self.sent: set[RunKey] = set()
+        self.sent_ms: dict[RunKey, int] = {}
         self.stopping: set[RunKey] = set()
         self.uncertain: set[RunKey] = set()
         self.unsettled: dict[RunKey, int] = {}
@@ -108,7 +108,7 @@
 
     def remove_run(self, run: RunKey) -> None:
         """Discard the data about a run whose end is committed."""
-        self.sent.discard(run)
+        self.sent_ms.pop(run, None)
         self.stopping.discard(run)
         self.uncertain.discard(run)
         self.unsettled.pop(run, None)
--- a/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_orders.py
@@ -14,6 +14,7 @@
     TargetResult,
 )
 from foxspring_jobs._session import TargetSession
+from foxspring_jobs._stage_times import Stage
 from foxspring_jobs._state import EndKind, JobState
 
 _LOG = logging.getLogger(__name__)
@@ -33,7 +34,7 @@
         task = self.context.draft.task(run.task)
         if job is None or task is None:
             return
-        session.sent.add(run)
+        session.sent_ms.setdefault(run, self.context.clock.monotonic_ms())
         if job.has_ended() or task.done:
             self.send_stop(session, run)
             return
@@ -138,6 +139,8 @@
         )
         if result is ResultKind.OK:
             session.note_started(run, now_ms)
+            sent_ms = session.sent_ms.get(run, now_ms)
+            self.context.stage_times.observe(Stage.ORDER, now_ms - sent_ms)
             return
         if result is ResultKind.NO_TICKET:
             self.context.advice.drop(run.task[:3])
@@ -183,7 +186,7 @@
         if target is None:
             return
         for run in target.runs:
-            if run not in listed and run not in session.sent:
+            if run not in listed and run not in session.sent_ms:
                 session.uncertain.add(run)
                 self.send_start(session, run)
 
@@ -197,7 +200,7 @@
             or target is None
         ):
             return
-        if start.run in target.runs and start.run not in session.sent:
+        if start.run in target.runs and start.run not in session.sent_ms:
             self.send_start(session, start.run)
 
     def stop_obsolete(self, runs: Iterable[RunKey]) -> None:
