--- a/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
@@ -35,6 +35,10 @@
 MS_PER_S = 1_000
 SHORT_QUEUE = QUEUE._replace(name="short")
 LONG_QUEUE = QUEUE._replace(name="long", latency_target_ms=2_500)
+BEST_EFFORT_QUEUE = QUEUE._replace(
+    name="best-effort", latency_target_ms=1_000, stretch_factor=2.0, priority=2
+)
+BEST_EFFORT_IMAGES = 30
 
 
 class Arrival(NamedTuple):
@@ -62,11 +66,12 @@
         while self.now_ms < until_ms:
             self.now_ms += PLAN_INTERVAL_MS
             while pending and pending[-1].at_ms <= self.now_ms:
-                self._submit(pending.pop())
+                self.submit(pending.pop())
             self._end_due_runs()
-            self._plan()
+            self.plan()
 
-    def _submit(self, arrival: Arrival) -> None:
+    def submit(self, arrival: Arrival) -> None:
+        """Accept a job."""
         job_id = f"{next(self._numbers):016x}"
         self.state.apply(SubmitJob(job_id, arrival.queue, arrival.spec), arrival.at_ms)
 
@@ -76,13 +81,15 @@
             ends.append(heapq.heappop(self._ends)[2])
         self.state.apply(Advance(ends=tuple(ends)), self.now_ms)
 
-    def _plan(self) -> None:
+    def plan(self) -> int:
+        """Plan and commit once; return the number of starts."""
         candidates = [Candidate(target) for target in self.state.targets.values()]
         planner = Planner(self.state, candidates, self.interference)
         starts = planner.plan(waiting_steps(self.state, self.now_ms))
         self.state.apply(Advance(starts=tuple(starts)), self.now_ms)
         for start in starts:
             self._schedule_end(start)
+        return len(starts)
 
     def _schedule_end(self, start: RunStart) -> None:
         task = start.run.task
@@ -275,6 +282,18 @@
         return JobSpec("", (step, *later))
 
 
+def as_best_effort(arrival: Arrival, rng: random.Random) -> Arrival:
+    """Return the job of an arrival as best-effort work of one of 30 images."""
+    image = f"batch-{rng.randrange(BEST_EFFORT_IMAGES)}"
+    steps = tuple(
+        step._replace(best_effort=True, checkpoints=True, image=image)
+        for step in arrival.spec.steps
+    )
+    return arrival._replace(
+        queue=BEST_EFFORT_QUEUE, spec=arrival.spec._replace(steps=steps)
+    )
+
+
 def steady(
     rng: random.Random, mix: JobMix, jobs_per_s: float, from_ms: int, until_ms: int
 ) -> list[Arrival]:
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_cost.py
@@ -0,0 +1,78 @@
+"""A plan costs little processor time when hundreds of steps wait for many targets.
+
+The bounds are those stated for 450 targets and 400 waiting steps.
+"""
+
+import random
+import time
+import unittest
+
+from foxspring_jobs._waiting import waiting_steps
+from foxspring_jobs.tests.load_replay import (
+    Arrival,
+    JobMix,
+    Replay,
+    Spread,
+    as_best_effort,
+    cores_of,
+    long_running_jobs,
+    site,
+    steady,
+)
+
+TARGETS = 450
+WAITING_STEPS = 400
+IDLE_PLAN_S = 0.005
+PLANS = 5
+LOAD_MS = 4_000
+SHORT = JobMix(
+    Spread(1.6, 0.4, 4),
+    Spread(9.4, 0.8, 56),
+    Spread(21, 0.45, 64),
+    Spread(640, 0.5, 1_600),
+)
+WIDE = JobMix(
+    Spread(2, 0.4, 5),
+    Spread(39, 0.6, 160),
+    Spread(7, 0.3, 14),
+    Spread(1_700, 0.5, 4_300),
+)
+
+
+def full_site() -> Replay:
+    """Return a site on which ``WAITING_STEPS`` steps wait and none can start."""
+    rng = random.Random(1)
+    targets = site(TARGETS)
+    replay = Replay(targets)
+    replay.run(long_running_jobs(rng, cores_of(targets) * 17 // 20), 1_000)
+    replay.run(_load(rng, replay.now_ms), LOAD_MS)
+    waiting = waiting_steps(replay.state, replay.now_ms)
+    for _ in range(WAITING_STEPS - len(waiting)):
+        replay.submit(next(iter(_load(rng, replay.now_ms))))
+    while replay.plan():
+        pass
+    return replay
+
+
+def _load(rng: random.Random, from_ms: int) -> list[Arrival]:
+    until_ms = from_ms + LOAD_MS
+    wide = steady(rng, WIDE, 18, from_ms, until_ms)
+    short = steady(rng, SHORT, 12, from_ms, until_ms)
+    return [*(as_best_effort(arrival, rng) for arrival in wide), *short]
+
+
+class PlanCostTest(unittest.TestCase):
+    def test_plan_that_can_start_nothing_takes_little_processor_time(self) -> None:
+        replay = full_site()
+        waiting = waiting_steps(replay.state, replay.now_ms)
+        self.assertGreaterEqual(len(waiting), WAITING_STEPS * 9 // 10)
+        took_s = []
+        for _ in range(PLANS):
+            began_s = time.thread_time()
+            self.assertEqual(replay.plan(), 0)
+            took_s.append(time.thread_time() - began_s)
+        self.assertLessEqual(min(took_s), IDLE_PLAN_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
