--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_best_effort.py
@@ -0,0 +1,220 @@
+"""Ranks targets for best-effort tasks that can wait, without scoring all of them.
+
+Load pattern: thousands of best-effort tasks of many images wait while nearly every
+target is crowded or its serving tasks bear no more interference. Which targets are
+crowded does not depend on the image, and how much interference a target bears depends
+on it only through the effects on the target's serving images. Targets are therefore
+grouped by their serving images: the pressure that the targets of a group still bear
+excludes most of them at once, and in a group those with the most unused cores go first.
+"""
+
+import heapq
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+from foxspring_jobs._candidates import Candidate, Effects
+from foxspring_jobs._ranking import Accepts, Score
+from foxspring_jobs._specs import StepSpec
+
+# Covers rounding, so that only targets that are too risky are left out.
+ROUNDING = 1e-9
+
+
+class Entry(NamedTuple):
+    """A candidate of a group; the first in sorted order has the most unused cores."""
+
+    negative_unused: int
+    position: int
+
+
+class Group:
+    """The candidates with the same service, serving images and state of probation.
+
+    ``entries`` are sorted. ``reserves`` has, by serving image and candidate's position,
+    the pressure that the candidate still bears, and ``highest_reserves`` at least the
+    highest of these; both are empty until they are needed.
+    """
+
+    def __init__(
+        self, on_probation: bool, service: str, images: frozenset[str]
+    ) -> None:
+        self.on_probation = on_probation
+        self.service = service
+        self.images = images
+        self.entries: list[Entry] = []
+        self.reserves: dict[str, dict[int, float]] = {}
+        self.highest_reserves: dict[str, float] = {}
+
+    def note_reserve(self, serving: str, position: int, reserve: float) -> None:
+        """Set the pressure that a candidate still bears."""
+        self.reserves.setdefault(serving, {})[position] = reserve
+        highest = self.highest_reserves.get(serving, reserve)
+        self.highest_reserves[serving] = max(highest, reserve)
+
+
+class BestEffortIndex:
+    """The candidates of one plan, grouped; call :meth:`update` when one has changed."""
+
+    def __init__(self, candidates: Sequence[Candidate], effects: Effects) -> None:
+        self.candidates = candidates
+        self.effects = effects
+        self.groups: dict[tuple[bool, str, frozenset[str]], Group] = {}
+        self._locations: list[tuple[Group, Entry]] = []
+        self._positions = {id(c): position for position, c in enumerate(candidates)}
+        for position, candidate in enumerate(candidates):
+            location = self._locate(position, candidate)
+            self._locations.append(location)
+            location[0].entries.append(location[1])
+        for group in self.groups.values():
+            group.entries.sort()
+
+    def _locate(self, position: int, candidate: Candidate) -> tuple[Group, Entry]:
+        images = candidate.serving_images()
+        key = (candidate.on_probation, candidate.target.registered.service, images)
+        group = self.groups.get(key)
+        if group is None:
+            group = self.groups[key] = Group(*key)
+        return group, Entry(-candidate.unused_cores(), position)
+
+    def update(self, candidate: Candidate) -> None:
+        """Move a candidate to its place after its capacity or its tasks changed."""
+        position = self._positions[id(candidate)]
+        group, entry = self._locations[position]
+        del group.entries[bisect_left(group.entries, entry)]
+        group, entry = self._locate(position, candidate)
+        insort(group.entries, entry)
+        if group.highest_reserves:
+            self._note_reserves(group, position)
+        self._locations[position] = (group, entry)
+
+    def entries_with_room(self, group: Group, image: str, cores: int) -> list[Entry]:
+        """Return a group's entries that have ``cores`` unused millicores for an image.
+
+        Most of those whose serving tasks do not bear them are left out.
+        """
+        needed = self._needed_reserves(group, image, cores)
+        if needed is None:
+            return []
+        count = bisect_right(group.entries, (-cores, len(self.candidates)))
+        entries = group.entries[:count]
+        for serving, reserve in needed:
+            reserves = group.reserves[serving]
+            entries = [entry for entry in entries if reserves[entry[1]] >= reserve]
+        return entries
+
+    def _needed_reserves(
+        self, group: Group, image: str, cores: int
+    ) -> list[tuple[str, float]] | None:
+        """Return the reserves that a task needs, or None if no target has them."""
+        if group.images and not group.highest_reserves:
+            self._note_all_reserves(group)
+        needed = []
+        for serving, highest in group.highest_reserves.items():
+            added = self.effects.per_millicore(serving, image) * cores
+            # An image without effect is harmless also beside a task over its limit.
+            if not added:
+                continue
+            if added - ROUNDING > highest:
+                return None
+            needed.append((serving, added - ROUNDING))
+        return needed
+
+    def _note_all_reserves(self, group: Group) -> None:
+        for entry in group.entries:
+            self._note_reserves(group, entry.position)
+
+    def _note_reserves(self, group: Group, position: int) -> None:
+        candidate = self.candidates[position]
+        for serving, reserve in candidate.pressure_reserves(self.effects):
+            group.note_reserve(serving, position, reserve)
+
+    def is_harmful(self, group: Group, image: str) -> bool:
+        """Return whether an image affects any of a group's serving images."""
+        return any(self.effects.per_millicore(s, image) > 0 for s in group.images)
+
+
+class _Key(NamedTuple):
+    """The order in which targets are used."""
+
+    on_probation: bool
+    is_harmful: bool
+    negative_sensitivity: float
+    entry: Entry
+
+
+class BestEffortRanking:
+    """The targets for the tasks of one step that are neither crowded nor too risky.
+
+    It chooses as a :class:`Ranking` of all candidates does in which crowded and too
+    risky ones rank below the others that are on probation or are not.
+    """
+
+    def __init__(
+        self, index: BestEffortIndex, step: StepSpec, service: str, accepts: Accepts
+    ) -> None:
+        self.index = index
+        self.step = step
+        self.service = service
+        self.accepts = accepts
+        self.cores = step.resources.cores_milli
+        self._heap: list[tuple[_Key, Iterator[Entry]]] = []
+        for group in index.groups.values():
+            if group.service == service:
+                self._add_group(group)
+
+    def _add_group(self, group: Group) -> None:
+        image = self.step.image
+        entries = iter(self.index.entries_with_room(group, image, self.cores))
+        first = next(entries, None)
+        if first is not None:
+            sensitivity = self.index.effects.sensitivity(group.images)
+            harmful = self.index.is_harmful(group, image)
+            key = _Key(group.on_probation, harmful, -sensitivity, first)
+            heapq.heappush(self._heap, (key, entries))
+
+    def best(self) -> tuple[Candidate, Score] | None:
+        """Return the best target and the beginning of its score, or None."""
+        while self._heap:
+            key, _ = self._heap[0]
+            candidate = self.index.candidates[key.entry.position]
+            if self._is_suitable(candidate):
+                if key.on_probation and self._any_other_accepts():
+                    return None
+                return candidate, (key.on_probation, False, False)
+            self._drop_best()
+        return None
+
+    def _is_suitable(self, candidate: Candidate) -> bool:
+        effects = self.index.effects
+        risk = candidate.risk(effects, self.step.image, self.cores)
+        return risk <= 1 and self.accepts(candidate)
+
+    def _any_other_accepts(self) -> bool:
+        return any(
+            not candidate.on_probation and self.accepts(candidate)
+            for candidate in self.index.candidates
+        )
+
+    def _drop_best(self) -> _Key:
+        key, entries = self._heap[0]
+        following = next(entries, None)
+        if following is None:
+            heapq.heappop(self._heap)
+        else:
+            replaced = (key._replace(entry=following), entries)
+            heapq.heapreplace(self._heap, replaced)
+        return key
+
+    def rescore_best(self) -> None:
+        """Rank the best target again after a task was reserved on it."""
+        key = self._drop_best()
+        position = key.entry.position
+        unused = self.index.candidates[position].unused_cores()
+        if unused >= self.cores:
+            changed = key._replace(entry=Entry(-unused, position))
+            heapq.heappush(self._heap, (changed, iter(())))
+
+    def candidates(self) -> list[Candidate]:
+        """Return the targets that accept a task, suitable or not."""
+        return [c for c in self.index.candidates if self.accepts(c)]
--- a/packages/foxspring-jobs/foxspring_jobs/_candidates.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidates.py
@@ -201,6 +201,12 @@
                 worst = max(worst, (pressure + added) / limit)
         return worst
 
+    def pressure_reserves(self, effects: "Effects") -> list[tuple[str, float]]:
+        """Return how much more pressure is allowed, by serving image."""
+        if not self.expected:
+            self._compute_expected(effects)
+        return [(image, limit - pressure) for image, pressure, limit in self.expected]
+
     def _compute_expected(self, effects: "Effects") -> None:
         for (serving, target_ms), count in self.serving.items():
             if count <= 0:
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -9,10 +9,11 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Set
 
+from foxspring_jobs._best_effort import BestEffortIndex, BestEffortRanking
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
 from foxspring_jobs._commands import RunKey, RunStart, TargetIncarnation, TaskKey
 from foxspring_jobs._interference import Interference
-from foxspring_jobs._ranking import Ranking, Score
+from foxspring_jobs._ranking import Ranking, RankingOfTargets, Score
 from foxspring_jobs._room_index import RoomIndex
 from foxspring_jobs._scores import TargetScores
 from foxspring_jobs._specs import StepSpec
@@ -55,6 +56,7 @@
         self.holding = holding
         self.short_tasks_expected = short_tasks_expected
         self.held_count = 0
+        self._best_effort_index: BestEffortIndex | None = None
 
     def plan(self, steps: Iterable[WaitingStep]) -> list[RunStart]:
         """Return the starts to commit now, considering the steps in the given order."""
@@ -105,7 +107,7 @@
             step = job.spec.steps[run.task.step]
             candidate = self._choose(run.task, step, job, others, can_wait=True)
             if candidate is not None and not candidate.on_probation:
-                candidate.reserve(run.task, step)
+                self._reserve(candidate, run.task, step)
                 number = task.last_run + 1
                 starts.append(
                     RunStart(RunKey(run.task, number), candidate.target.incarnation)
@@ -141,9 +143,26 @@
         """Reserve a good target for a task and return whether there was one."""
         candidate = self._choose(task, step, job, self.candidates, can_wait=True)
         if candidate is not None:
-            candidate.reserve(task, step)
+            self._reserve(candidate, task, step)
         return candidate is not None
 
+    def best_effort_index(self) -> BestEffortIndex:
+        """Return the index of the candidates for best-effort tasks."""
+        if self._best_effort_index is None:
+            self._best_effort_index = BestEffortIndex(self.candidates, self.effects)
+        return self._best_effort_index
+
+    def _reserve(
+        self, candidate: Candidate, task: TaskKey, step: StepSpec, sign: int = 1
+    ) -> None:
+        """Count a start of this plan, or undo it with ``sign`` -1."""
+        candidate.reserve(task, step, sign)
+        self._note_change(candidate)
+
+    def _note_change(self, candidate: Candidate) -> None:
+        if self._best_effort_index is not None:
+            self._best_effort_index.update(candidate)
+
     def _usable_candidates(
         self, job: JobState, waiting: WaitingStep
     ) -> list[Candidate]:
@@ -190,7 +209,7 @@
                     self.blocked_best_effort[best_effort_kind] = cores
                 break
             key = TaskKey(*waiting.step_key(), index)
-            candidate.reserve(key, step)
+            self._reserve(candidate, key, step)
             ranking.rescore_best()
             starts.append(
                 RunStart(RunKey(key, task.last_run + 1), candidate.target.incarnation)
@@ -215,14 +234,14 @@
                 candidate = self._choose(key, step, job, group, can_wait=False)
                 if candidate is None:
                     break
-                candidate.reserve(key, step)
+                self._reserve(candidate, key, step)
                 placed.append((key, candidate))
             if len(placed) == len(tasks):
                 return [
                     RunStart(RunKey(k, number), r.target.incarnation) for k, r in placed
                 ]
             for key, candidate in placed:
-                candidate.reserve(key, step, sign=-1)
+                self._reserve(candidate, key, step, sign=-1)
         return []
 
     def _hold_target(
@@ -246,7 +265,9 @@
         ]
         if suitable:
             self.held_count += 1
-            max(suitable, key=_free_cores_of).hold(reserved)
+            held = max(suitable, key=_free_cores_of)
+            held.hold(reserved)
+            self._note_change(held)
 
     def _choose(
         self,
@@ -267,7 +288,7 @@
         job: JobState,
         candidates: list[Candidate],
         can_wait: bool,
-    ) -> Ranking:
+    ) -> RankingOfTargets:
         """Rank targets for a step; with ``can_wait``, all its tasks can wait."""
         reserved = step.reserved()
         service = job.queue.service
@@ -278,6 +299,11 @@
         def accepts(candidate: Candidate) -> bool:
             return candidate.accepts(step_key, step, reserved, service)
 
+        indexed = candidates is self.candidates and not step.data_rack
+        if step.best_effort and can_wait and indexed:
+            index = self.best_effort_index()
+            return BestEffortRanking(index, step, service, accepts)
+
         def score(candidate: Candidate) -> Score:
             return self.scores.score(candidate, step)
 
@@ -335,7 +361,7 @@
 
     def _pick(
         self,
-        ranking: Ranking,
+        ranking: RankingOfTargets,
         step_key: StepKey,
         step: StepSpec,
         can_wait: bool,
--- a/packages/foxspring-jobs/foxspring_jobs/_ranking.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_ranking.py
@@ -7,7 +7,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from foxspring_jobs._candidates import Candidate
 
@@ -16,6 +16,19 @@
 Accepts = Callable[[Candidate], bool]
 
 
+class RankingOfTargets(Protocol):
+    """The targets for the identical tasks of one step, best first."""
+
+    def best(self) -> tuple[Candidate, Score] | None:
+        """Return the best target and its score, or None if the tasks must wait."""
+
+    def rescore_best(self) -> None:
+        """Score the best target again after a task was reserved on it."""
+
+    def candidates(self) -> list[Candidate]:
+        """Return all targets that accept a task."""
+
+
 class Ranking:
     """The targets that accept a task of a step, lowest score first.
 
