Learn once from equal serving tasks on one target

The mean of n measurements with a noise variance of one n-th, and n times the drift, teaches the same; test_mean_of_measurements_teaches_what_each_of_them_does compares both.

--- a/packages/foxspring-jobs/foxspring_jobs/_candidates.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidates.py
@@ -229,6 +229,7 @@
         self._per_milli: dict[tuple[str, str], float] = {}
         self._best_effort_images = sorted(interference.best_effort_images())
         self._sensitivity: dict[frozenset[str], float] = {}
+        self._limits: dict[tuple[str, int], float] = {}
 
     def per_millicore(self, serving: str, best_effort: str) -> float:
         """Return the pressure assumed per millicore of a best-effort image."""
@@ -260,7 +261,13 @@
 
     def limit(self, serving: str, target_ms: int) -> float:
         """Return the highest pressure that a plan may expect for a serving image."""
-        return self.interference.pressure(serving, target_ms * RISK_SHARE, target_ms)
+        key = (serving, target_ms)
+        limit = self._limits.get(key)
+        if limit is None:
+            tail_ms = target_ms * RISK_SHARE
+            limit = self.interference.pressure(serving, tail_ms, target_ms)
+            self._limits[key] = limit
+        return limit
 
 
 def _percent_used(free: int, capacity: int) -> int:
--- a/packages/foxspring-jobs/foxspring_jobs/_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_interference.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 INITIAL_BASELINE = 0.45
 BASELINE_WEIGHT = 0.05
@@ -64,15 +64,22 @@
             return INITIAL_DEVIATION
         return math.sqrt(self.covariance[position][position])
 
-    def update(self, pressure: float, cores: Mapping[str, float]) -> None:
-        """Update the estimates from a measured pressure and the cores in use."""
+    def update(
+        self, pressure: float, cores: Mapping[str, float], count: int = 1
+    ) -> None:
+        """Update the estimates from a measured pressure and the cores in use.
+
+        ``pressure`` is the mean of ``count`` independent measurements.
+        """
         for best_effort in cores:
             self._add_image(best_effort)
         used = [(self.positions[f], c) for f, c in cores.items()]
         for position, _ in used:
-            self.covariance[position][position] += DRIFT_VARIANCE
+            self.covariance[position][position] += DRIFT_VARIANCE * count
         cross_covariance = self._cross_covariance(used)
-        variance = NOISE_VARIANCE + sum(cross_covariance[p] * c for p, c in used)
+        variance = NOISE_VARIANCE / count + sum(
+            cross_covariance[p] * c for p, c in used
+        )
         error = pressure - sum(self.mean[f] * c for f, c in cores.items())
         for known, position in self.positions.items():
             if not cross_covariance[position]:
@@ -120,29 +127,66 @@
         target_ms: int,
         best_effort_cores: Mapping[str, int],
     ) -> float:
-        """Learn from one measurement and return the serving task's own pressure.
+        """Learn from the measurement of one task; see :meth:`observe_tasks`."""
+        tails_ms = (tail_ms,)
+        return self.observe_tasks(serving, tails_ms, target_ms, best_effort_cores)[0]
 
-        That is the measured pressure minus the part explained by the best-effort tasks
-        on the same target.
+    def observe_tasks(
+        self,
+        serving: str,
+        tails_ms: Sequence[int],
+        target_ms: int,
+        best_effort_cores: Mapping[str, int],
+    ) -> list[float]:
+        """Learn from equal tasks on one target and return their own pressures.
+
+        The own pressure is the measured one minus the part explained by the best-effort
+        tasks on the same target, which is the same part for all.
         """
-        if tail_ms <= 0:
-            return self.baseline.get(serving, INITIAL_BASELINE)
-        self._update_min_tail(serving, tail_ms, target_ms)
-        pressure = self.pressure(serving, tail_ms, target_ms)
         cores = {
             image: used / MILLICORES_PER_CORE
             for image, used in best_effort_cores.items()
             if used > 0
         }
+        for tail_ms in tails_ms:
+            if tail_ms > 0:
+                self._update_min_tail(serving, tail_ms, target_ms)
+        measured = [
+            self.pressure(serving, tail_ms, target_ms)
+            for tail_ms in tails_ms
+            if tail_ms > 0
+        ]
+        if measured:
+            self._learn(serving, measured, cores)
+        explained = self._explained(serving, cores)
+        unknown = self.baseline.get(serving, INITIAL_BASELINE)
+        return [
+            max(0.0, self.pressure(serving, tail_ms, target_ms) - explained)
+            if tail_ms > 0
+            else unknown
+            for tail_ms in tails_ms
+        ]
+
+    def _explained(self, serving: str, cores: Mapping[str, float]) -> float:
+        estimate = self.estimates.get(serving)
+        return estimate.expected(cores) if estimate is not None and cores else 0.0
+
+    def _learn(
+        self, serving: str, measured: Sequence[float], cores: Mapping[str, float]
+    ) -> None:
         baseline = self.baseline.get(serving, INITIAL_BASELINE)
         if not cores:
-            self.baseline[serving] = baseline + BASELINE_WEIGHT * (pressure - baseline)
-            return pressure
+            for pressure in measured:
+                baseline += BASELINE_WEIGHT * (pressure - baseline)
+            self.baseline[serving] = baseline
+            return
         estimate = self.estimates.setdefault(serving, Estimate())
-        at_limit = pressure >= MEASURED_LIMIT
-        if not at_limit or baseline + estimate.expected(cores) < pressure:
-            estimate.update(pressure - baseline, cores)
-        return max(0.0, pressure - estimate.expected(cores))
+        expected = baseline + estimate.expected(cores)
+        # A pressure at the limit of what can be measured is only a lower bound.
+        usable = [p for p in measured if p < MEASURED_LIMIT or expected < p]
+        if usable:
+            mean = sum(usable) / len(usable)
+            estimate.update(mean - baseline, cores, len(usable))
 
     def _update_min_tail(self, serving: str, tail_ms: int, target_ms: int) -> None:
         previous = self.min_tail_ms.get(serving, target_ms * INITIAL_MIN_TAIL_SHARE)
--- a/packages/foxspring-jobs/foxspring_jobs/_session.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_session.py
@@ -155,23 +155,35 @@
             if progress is not None and step.best_effort:
                 used[step.image] = used.get(step.image, 0) + progress.measurement
         self.own_pressure = {}
+        for (image, target_ms), rows in self._serving_at_work(target).items():
+            tails_ms = [progress.measurement for progress in rows]
+            pressures = interference.observe_tasks(image, tails_ms, target_ms, used)
+            highest = self.own_pressure.get(image, 0.0)
+            self.own_pressure[image] = max(highest, *pressures)
+            for progress, own_pressure in zip(rows, pressures, strict=True):
+                progress.own_pressure = own_pressure
+                self._note_tail(progress, target_ms, now_ms)
+
+    def _serving_at_work(
+        self, target: TargetState
+    ) -> dict[tuple[str, int], list[Progress]]:
+        """Return the serving tasks at work by image and latency target."""
+        found: dict[tuple[str, int], list[Progress]] = {}
         for run, step in target.runs.items():
             progress = self.progress.get(run)
             if progress is None or not step.latency_target_ms:
                 continue
-            if progress.percent != FULL_PERCENT:
-                continue
-            progress.own_pressure = interference.observe(
-                step.image, progress.measurement, step.latency_target_ms, used
-            )
-            over_target = progress.measurement > step.latency_target_ms
-            if over_target and not progress.over_target:
-                progress.over_target_since_ms = now_ms
-            progress.over_target = over_target
-            self.any_over_target = self.any_over_target or over_target
-            self.own_pressure[step.image] = max(
-                self.own_pressure.get(step.image, 0.0), progress.own_pressure
-            )
+            if progress.percent == FULL_PERCENT:
+                key = (step.image, step.latency_target_ms)
+                found.setdefault(key, []).append(progress)
+        return found
+
+    def _note_tail(self, progress: Progress, target_ms: int, now_ms: int) -> None:
+        over_target = progress.measurement > target_ms
+        if over_target and not progress.over_target:
+            progress.over_target_since_ms = now_ms
+        progress.over_target = over_target
+        self.any_over_target = self.any_over_target or over_target
 
     def paced_cores(self, target: TargetState) -> dict[str, int]:
         """Return, by image, the millicores that paced best-effort runs do not use."""
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
@@ -4,6 +4,7 @@
 from foxspring_jobs._commands import RunKey, TaskKey
 from foxspring_jobs._interference import (
     DRIFT_VARIANCE,
+    INITIAL_BASELINE,
     INITIAL_DEVIATION,
     INITIAL_EFFECT,
     NOISE_VARIANCE,
@@ -101,6 +102,31 @@
             interference.observe("web", 400, TARGET_MS, {"calm": 16_000})
         self.assertGreater(interference.effect("web", "calm"), 0.015)
 
+    def test_mean_of_measurements_teaches_what_each_of_them_does(self) -> None:
+        rng = random.Random(6)
+        one_by_one, together = Estimate(), Estimate()
+        for _ in range(200):
+            cores = {image: rng.choice((0.5, 2.0)) for image in TRUE_EFFECTS}
+            mean = 0.1 * sum(cores.values())
+            pressures = [mean + rng.uniform(-0.1, 0.1) for _ in range(4)]
+            for pressure in pressures:
+                one_by_one.update(pressure, cores)
+            together.update(sum(pressures) / 4, cores, count=4)
+        for image in TRUE_EFFECTS:
+            self.assertAlmostEqual(
+                together.mean[image], one_by_one.mean[image], places=3
+            )
+            self.assertAlmostEqual(
+                together.deviation(image), one_by_one.deviation(image), places=3
+            )
+
+    def test_equal_tasks_share_one_update(self) -> None:
+        interference = Interference()
+        pressures = interference.observe_tasks("web", (30, 0), 50, {"calm": 8_000})
+        self.assertEqual(len(interference.estimates), 1)
+        self.assertEqual(pressures[1], INITIAL_BASELINE)
+        self.assertLess(pressures[0], interference.pressure("web", 30, 50))
+
     def test_zero_tail_changes_nothing(self) -> None:
         interference = Interference()
         interference.observe("web", 0, TARGET_MS, {"calm": 8_000})
