--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -75,18 +75,19 @@
         self.unfinished = 0
         self.idle = 0
         self.running = 0
-        self.recount()
+        for task in tasks:
+            self.count(task)
 
-    def recount(self) -> None:
-        """Recompute the counts after a task has changed."""
-        unfinished = idle = running = 0
-        for task in self.tasks:
-            runs = len(task.runs)
-            running += runs
-            if not task.done:
-                unfinished += 1
-                idle += not runs
-        self.unfinished, self.idle, self.running = unfinished, idle, running
+    def count(self, task: TaskState, sign: int = 1) -> None:
+        """Add a task to the counts, or take it out with ``sign`` -1.
+
+        Take a task out before it changes and add it again afterwards.
+        """
+        runs = len(task.runs)
+        self.running += sign * runs
+        if not task.done:
+            self.unfinished += sign
+            self.idle += sign * (not runs)
 
 
 def completion_objective_ms(queue: Queue, spec: JobSpec) -> int:
@@ -359,10 +360,12 @@
             return
         if not _can_place(start, task, target, step):
             return
+        counts = job.occurrences[key.occurrence][key.step]
+        counts.count(task, -1)
         task.last_run = start.run.number
         task.runs[start.run.number] = start.incarnation
+        counts.count(task)
         target.add(start.run, step)
-        job.occurrences[key.occurrence][key.step].recount()
         job.phase = JobPhase.ACTIVE
 
     def _end_run(self, end: RunEnd, at_ms: int) -> None:
@@ -370,23 +373,22 @@
         task = self.task(key)
         if task is None or task.runs.get(end.run.number) != end.incarnation:
             return
+        job = self.jobs[key.job_id]
+        step = job.occurrences[key.occurrence][key.step]
+        step.count(task, -1)
         del task.runs[end.run.number]
+        step.count(task)
         target = self.target(end.incarnation)
         if target is not None:
             target.remove(end.run)
         if end.checkpoint:
             self._keep_checkpoint(end)
-        job = self.jobs[key.job_id]
-        step = job.occurrences[key.occurrence][key.step]
         if job.has_ended():
-            step.recount()
-        elif end.kind == EndKind.DONE:
+            return
+        if end.kind == EndKind.DONE:
             self._complete(job, end.run, at_ms)
         elif end.kind == EndKind.FAILED:
-            step.recount()
             self._count_failure(job, end.run, at_ms)
-        else:
-            step.recount()
 
     def _keep_checkpoint(self, end: RunEnd) -> None:
         key = end.run.task
@@ -402,16 +404,17 @@
         spec = job.spec.steps[run.task.step]
         step = job.occurrences[run.task.occurrence][run.task.step]
         if spec.long_running:
-            step.recount()
             return
-        ended = step.tasks if spec.gang else [step.tasks[run.task.ordinal]]
-        newly_done = [task for task in ended if not task.done]
-        for index, task in enumerate(step.tasks):
-            if task in newly_done:
-                task.done = True
-                key = run.task._replace(ordinal=index)
-                self.obsolete_runs += [RunKey(key, number) for number in task.runs]
-        step.recount()
+        ordinal = run.task.ordinal
+        ended = range(len(step.tasks)) if spec.gang else range(ordinal, ordinal + 1)
+        newly_done = [index for index in ended if not step.tasks[index].done]
+        for index in newly_done:
+            task = step.tasks[index]
+            step.count(task, -1)
+            task.done = True
+            step.count(task)
+            key = run.task._replace(ordinal=index)
+            self.obsolete_runs += [RunKey(key, number) for number in task.runs]
         steps = job.occurrences[run.task.occurrence]
         if newly_done and all(other.unfinished == 0 for other in steps):
             job.finished_occurrences += 1
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -350,14 +350,14 @@
     def startable(
         self, attempts: list[int], done: int = -1, running: int = -1
     ) -> list[int]:
-        state = StepState([TaskState() for _ in attempts])
-        for task, count in zip(state.tasks, attempts, strict=True):
+        tasks = [TaskState() for _ in attempts]
+        for task, count in zip(tasks, attempts, strict=True):
             task.attempts = count
         if done >= 0:
-            state.tasks[done].done = True
+            tasks[done].done = True
         if running >= 0:
-            state.tasks[running].runs[1] = registered().incarnation
-        state.recount()
+            tasks[running].runs[1] = registered().incarnation
+        state = StepState(tasks)
         return [index for index, _ in startable_tasks(state, step(len(attempts)))]
 
     def test_cases(self) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_state.py
@@ -1,8 +1,9 @@
+import random
 import unittest
 
 from foxspring_jobs._commands import Advance, CancelJob, ReplaceTable, RunStart
 from foxspring_jobs._snapshot import decode_state, encode_state
-from foxspring_jobs._state import EndKind, JobPhase
+from foxspring_jobs._state import EndKind, JobPhase, StepState
 from foxspring_jobs.tests.builders import (
     JOB,
     TABLE,
@@ -90,6 +91,33 @@
         self.assertIs(state.jobs[JOB].phase, JobPhase.COMPLETED)
 
 
+class CountsTest(unittest.TestCase):
+    """A step's counts follow each change as if all its tasks were counted again."""
+
+    def test_counts_after_random_starts_and_ends(self) -> None:
+        for seed in range(20):
+            rng = random.Random(seed)
+            state = state_with(registered(cores=100_000))
+            wide = step(
+                6, gang=seed % 5 == 0, long_running=seed % 4 == 0, speculative=True
+            )
+            submit(state, spec(wide))
+            counts = state.jobs[JOB].occurrences[0][0]
+            for number in range(1, 60):
+                run = run_key(rng.randrange(6), number)
+                start(state, run)
+                task = counts.tasks[run.task.ordinal]
+                if task.runs and rng.random() < 0.7:
+                    running = run._replace(number=min(task.runs))
+                    kinds = (EndKind.DONE, EndKind.STOPPED, EndKind.LAPSED)
+                    end(state, running, rng.choice(kinds))
+                again = StepState(counts.tasks)
+                with self.subTest(seed=seed, number=number):
+                    self.assertEqual(counts.idle, again.idle)
+                    self.assertEqual(counts.running, again.running)
+                    self.assertEqual(counts.unfinished, again.unfinished)
+
+
 class PlacementRulesTest(unittest.TestCase):
     def test_start_that_does_not_fit_is_refused(self) -> None:
         state = state_with(registered(cores=1_500))
