Keep candidates from plan to plan

Each plan made a candidate for each target, whether or not anything on it had changed since the plan before.

--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidate_pool.py
@@ -0,0 +1,51 @@
+"""Keeps the candidates of one leadership from plan to plan.
+
+Load pattern: tens of plans a second look at hundreds of targets, of which only those
+with starts, ends or new measurements have changed since the plan before.
+"""
+
+from foxspring_jobs._candidates import Candidate
+from foxspring_jobs._leader_context import LeaderContext
+from foxspring_jobs._session import TargetSession
+from foxspring_jobs._state import TargetState
+
+
+class CandidatePool:
+    """The targets that may start new runs, as candidates for one plan at a time."""
+
+    def __init__(self, context: LeaderContext) -> None:
+        self.context = context
+        self._kept: dict[str, Candidate] = {}
+
+    def candidates(self) -> list[Candidate]:
+        """Return the targets that may start new runs now.
+
+        The candidates returned before must not be used any more.
+        """
+        now_ms = self.context.clock.monotonic_ms()
+        kept, self._kept = self._kept, {}
+        for target_id, session in self.context.sessions.items():
+            target = self.context.draft.target(session.incarnation)
+            if target is None or not session.may_start(now_ms):
+                continue
+            self._kept[target_id] = _candidate_of(session, target, kept.get(target_id))
+        return list(self._kept.values())
+
+
+def _candidate_of(
+    session: TargetSession, target: TargetState, kept: Candidate | None
+) -> Candidate:
+    max_starts = 1 if session.health.quarantine_count else 0
+    on_probation = session.health.on_probation()
+    if kept is None or not _is_current(kept, session, target):
+        paced = session.paced_cores(target)
+        kept = Candidate(target, on_probation, max_starts, session.own_pressure, paced)
+    kept.begin_plan(on_probation, max_starts, session.any_over_target)
+    return kept
+
+
+def _is_current(kept: Candidate, session: TargetSession, target: TargetState) -> bool:
+    """Return whether a candidate is as a new one would be."""
+    same_state = kept.target is target and kept.version == target.version
+    same_pressure = kept.own_pressure is session.own_pressure
+    return same_state and same_pressure and not (session.paces or kept.is_paced)
--- a/packages/foxspring-jobs/foxspring_jobs/_candidates.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidates.py
@@ -19,6 +19,8 @@
 SHORT_TASK_RESERVE_PERCENT = 7
 SERVING_USE_PERCENT = 45
 MIN_LIMIT = 0.01
+# The version of a candidate that differs from its target by starts of a plan.
+CHANGED = -1
 StepKey = tuple[str, int, int]
 
 
@@ -45,8 +47,10 @@
         own_pressure: Mapping[str, float] | None = None,
         paced: Mapping[str, int] | None = None,
     ) -> None:
-        self.own_pressure = own_pressure or {}
+        self.own_pressure = {} if own_pressure is None else own_pressure
         self.target = target
+        self.version = target.version
+        self.is_paced = bool(paced)
         self.free = target.free()
         self.on_probation = on_probation
         self.max_starts = max_starts
@@ -64,8 +68,18 @@
         self.expected: list[tuple[str, float, float]] = []
         self._images: frozenset[str] | None = None
 
+    def begin_plan(
+        self, on_probation: bool, max_starts: int, any_over_target: bool
+    ) -> None:
+        """Set what can change without a change of the target's runs."""
+        self.on_probation = on_probation
+        self.max_starts = max_starts
+        self.any_over_target = any_over_target
+        self.expected = []
+
     def reserve(self, task: TaskKey, step: StepSpec, sign: int = 1) -> None:
         """Count a start of this plan, or undo it with ``sign`` -1."""
+        self.version = CHANGED
         self.started += sign
         self.expected = []
         self._images = None
@@ -118,6 +132,7 @@
 
     def hold(self, reserved: Resources) -> None:
         """Keep capacity from the rest of this plan, also if it is still in use."""
+        self.version = CHANGED
         self.free = self.free.minus(reserved)
 
     def fitting_tasks(
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -12,6 +12,7 @@
 
 from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._advice_calls import AdviceCalls
+from foxspring_jobs._candidate_pool import CandidatePool
 from foxspring_jobs._commands import (
     Advance,
     CancelJob,
@@ -95,6 +96,7 @@
         self.reports = TargetReports(
             self.context, self.poller, self.orders, self._propose
         )
+        self.pool = CandidatePool(self.context)
         self.restarts = Restarts()
         self.interrupted_log = InterruptedLog(self.context, self.restarts)
         self.job_log = JobLog(self.context)
@@ -245,7 +247,7 @@
         self.context.stage_times.log_if_due()
         if now_ms >= self.load_logged_ms + LOAD_LOG_INTERVAL_MS:
             self.load_logged_ms = now_ms
-            log_load(self.context, self.poller.candidates())
+            log_load(self.context, self.pool.candidates())
         if now_ms >= self.swept_ms + SWEEP_INTERVAL_MS:
             self.swept_ms = now_ms
             wall_ms = self.context.clock.wall_ms()
@@ -369,7 +371,7 @@
         if not waiting and not overdue:
             return ()
         allowed = self.advice_calls.allowed(waiting)
-        candidates = self.poller.candidates()
+        candidates = self.pool.candidates()
         planner = Planner(
             self.context.draft,
             candidates,
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -145,10 +145,14 @@
 
 
 class TargetState:
-    """One incarnation of a target and the runs that may be on it."""
+    """One incarnation of a target and the runs that may be on it.
+
+    ``version`` rises with each change of its runs.
+    """
 
     def __init__(self, registered: RegisterTarget) -> None:
         self.registered = registered
+        self.version = 0
         self.shuffle_key = shuffle_key(registered.incarnation.target_id)
         self.runs: dict[RunKey, StepSpec] = {}
         self.used = NO_RESOURCES
@@ -178,6 +182,7 @@
             self._count(run, step, -1)
 
     def _count(self, run: RunKey, step: StepSpec, sign: int) -> None:
+        self.version += 1
         cores = sign * step.resources.cores_milli
         if step.latency_target_ms:
             _add(self.serving, (step.image, step.latency_target_ms), sign)
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Iterable
 
-from foxspring_jobs._candidates import Candidate
+from foxspring_jobs._candidate_pool import CandidatePool
 from foxspring_jobs._commands import (
     RegisterTarget,
     RunEnd,
@@ -70,7 +70,9 @@
         self.context = context
         self.orders = orders
         self.longest_wait_ms = longest_wait_ms(context.settings.lease_ms)
-        self.mitigation = TargetMitigation(context, orders, self.candidates)
+        # A planner of its own reserves capacity for moves on its candidates.
+        move_candidates = CandidatePool(context).candidates
+        self.mitigation = TargetMitigation(context, orders, move_candidates)
         self.speculation_due_ms = 0
 
     def open_session(
@@ -398,21 +400,3 @@
             rows = session.progress_of(target)
             overdue += [row.run for row in rows if needs_speculative_run(row, now_ms)]
         return overdue
-
-    def candidates(self) -> list[Candidate]:
-        """Return the targets that may start new runs now."""
-        now_ms = self.context.clock.monotonic_ms()
-        candidates = []
-        for session in self.context.sessions.values():
-            target = self.context.draft.target(session.incarnation)
-            if target is None or not session.may_start(now_ms):
-                continue
-            max_starts = 1 if session.health.quarantine_count else 0
-            on_probation = session.health.on_probation()
-            paced = session.paced_cores(target)
-            candidate = Candidate(
-                target, on_probation, max_starts, session.own_pressure, paced
-            )
-            candidate.any_over_target = session.any_over_target
-            candidates.append(candidate)
-        return candidates
