Collect old garbage rarely in control members

What callers saw: steps of short jobs that started late on a large site. One cause: the interpreter's garbage collector visits every object of the state after each growth by a quarter, and most young ones hundreds of times a second.

--- a/packages/foxspring-jobs/foxspring_jobs/__init__.py
+++ b/packages/foxspring-jobs/foxspring_jobs/__init__.py
@@ -9,6 +9,7 @@
     TaskKey,
 )
 from foxspring_jobs._entry import JobEntry
+from foxspring_jobs._garbage import limit_garbage_collection
 from foxspring_jobs._http_server import (
     HttpServer,
     RequestHandler,
@@ -107,5 +108,6 @@
     "TargetView",
     "TaskKey",
     "job_codec",
+    "limit_garbage_collection",
     "metrics_page",
 ]
