Note a target's changed registration in kept candidates

A target that reported another capacity kept the free capacity of before in plans until its runs changed. test_target_with_another_capacity_is_seen_with_it failed (4000 != 8000) and passes.

--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -147,7 +147,7 @@
 class TargetState:
     """One incarnation of a target and the runs that may be on it.
 
-    ``version`` rises with each change of its runs.
+    ``version`` rises with each change of its runs or its registration.
     """
 
     def __init__(self, registered: RegisterTarget) -> None:
@@ -323,6 +323,7 @@
         if known.registered.draining and not command.draining:
             return Applied(False, "draining")
         known.registered = command
+        known.version += 1
         return Applied(True)
 
     def _end_incarnation(self, target: TargetState) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_candidate_pool.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_candidate_pool.py
@@ -64,6 +64,14 @@
         first = pool.candidates()
         self.assertIs(pool.candidates()[0], first[0])
 
+    def test_target_with_another_capacity_is_seen_with_it(self) -> None:
+        cluster = FakeCluster(registered("t1", cores=4_000))
+        cluster.run(1_500)
+        pool = CandidatePool(cluster.leader.context)
+        self.assertEqual(pool.candidates()[0].free.cores_milli, 4_000)
+        cluster.leader.context.draft.apply(registered("t1", cores=8_000), 0)
+        self.assertEqual(pool.candidates()[0].free.cores_milli, 8_000)
+
     def test_lost_target_is_no_candidate(self) -> None:
         cluster = FakeCluster(registered("t1"), registered("t2"))
         cluster.run(1_500)
