--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_cost.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_cost.py
@@ -6,7 +6,9 @@
 import random
 import time
 import unittest
+from unittest import mock
 
+from foxspring_jobs._candidates import Candidate
 from foxspring_jobs._waiting import waiting_steps
 from foxspring_jobs.tests.load_replay import (
     Arrival,
@@ -62,6 +64,14 @@
 
 
 class PlanCostTest(unittest.TestCase):
+    def test_plan_does_not_score_all_targets_for_each_waiting_image(self) -> None:
+        replay = full_site()
+        with mock.patch.object(
+            Candidate, "risk", autospec=True, side_effect=Candidate.risk
+        ) as risk:
+            self.assertEqual(replay.plan(), 0)
+        self.assertLessEqual(risk.call_count, TARGETS)
+
     def test_plan_that_can_start_nothing_takes_little_processor_time(self) -> None:
         replay = full_site()
         waiting = waiting_steps(replay.state, replay.now_ms)
