--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -7,11 +7,12 @@
 targets with unused CPU time where they lengthen no serving task's tail latency.
 """
 
-from collections.abc import Iterable, Iterator, Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 
 from foxspring_jobs._best_effort import BestEffortIndex, BestEffortRanking
 from foxspring_jobs._candidates import PERCENT, Candidate, Effects, StepKey, step_key_of
 from foxspring_jobs._commands import RunKey, RunStart, TargetIncarnation, TaskKey
+from foxspring_jobs._gangs import free_cores_of, gang_groups
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._ranking import Ranking, RankingOfTargets, Score
 from foxspring_jobs._room_index import RoomIndex
@@ -74,10 +75,8 @@
             if kind in blocked or too_large.includes(job.queue, step):
                 continue
             candidates = self._usable_candidates(job, waiting)
-            if step.gang:
-                planned = self._plan_gang(job, waiting, step, candidates)
-            else:
-                planned = self._plan_tasks(job, waiting, step, candidates)
+            plan_step = self._plan_gang if step.gang else self._plan_tasks
+            planned = plan_step(job, waiting, step, candidates)
             starts += planned
             if not planned and waiting.step_key() in self.holding:
                 self._hold_target(job, waiting, candidates)
@@ -227,7 +226,7 @@
         if any(task.runs for task in tasks):
             return []
         number = max(task.last_run for task in tasks) + 1
-        for group in _gang_groups(step, candidates):
+        for group in gang_groups(step, candidates):
             placed: list[tuple[TaskKey, Candidate]] = []
             for index in range(len(tasks)):
                 key = TaskKey(waiting.job_id, waiting.occurrence, waiting.step, index)
@@ -265,7 +264,7 @@
         ]
         if suitable:
             self.held_count += 1
-            held = max(suitable, key=_free_cores_of)
+            held = max(suitable, key=free_cores_of)
             held.hold(reserved)
             self._note_change(held)
 
@@ -396,25 +395,3 @@
     capacity = sum(r.target.registered.capacity.cores_milli for r in candidates)
     free = sum(max(0, candidate.free.cores_milli) for candidate in candidates)
     return free * PERCENT < capacity * BUSY_FREE_PERCENT
-
-
-def _gang_groups(
-    step: StepSpec, candidates: list[Candidate]
-) -> Iterator[list[Candidate]]:
-    if step.one_rack:
-        racks: dict[str, list[Candidate]] = {}
-        for candidate in candidates:
-            racks.setdefault(candidate.target.registered.rack, []).append(candidate)
-        preferred = racks.pop(step.data_rack, None)
-        if preferred is not None:
-            yield preferred
-        yield from sorted(racks.values(), key=_free_cores, reverse=True)
-    yield candidates
-
-
-def _free_cores(candidates: list[Candidate]) -> int:
-    return sum(_free_cores_of(candidate) for candidate in candidates)
-
-
-def _free_cores_of(candidate: Candidate) -> int:
-    return candidate.free.cores_milli
