Commit ends although the plan beside them fails

Ends are applied to the leader's draft before the plan. An unexpected error in the plan ended the action before they were proposed: the draft was ahead of the log, the ends were never acknowledged and their jobs never completed until the leader changed. Such an error is now logged (plan_failed), and the ends are committed without starts; the next plan tries again.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -350,7 +350,7 @@
             return ()
         self.context.plan_due = False
         self.planned_ms = now_ms
-        starts = self._plan_starts()
+        starts = self._plan_starts_or_none()
         took_ms = self.context.clock.monotonic_ms() - now_ms
         self.plan_after_ms = now_ms + took_ms * (1 + PLAN_PAUSE_FACTOR)
         self.metrics.observe_ms(PLAN_SECONDS, took_ms)
@@ -359,6 +359,17 @@
             _LOG.info("event=slow_plan took_ms=%d starts=%d", took_ms, len(starts))
         return starts
 
+    def _plan_starts_or_none(self) -> tuple[RunStart, ...]:
+        """Plan starts; after an unexpected error there are none.
+
+        The ends that were applied to the draft have to be committed in any case.
+        """
+        try:
+            return self._plan_starts()
+        except Exception:
+            _LOG.exception("event=plan_failed")
+            return ()
+
     def _plan_starts(self) -> tuple[RunStart, ...]:
         now_ms = self.context.clock.monotonic_ms()
         self.restarts.update(self.context.draft, now_ms)
