--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,75 +1,86 @@
-"""A job whose tasks work for ten minutes on one kind of worker, beside short jobs.
+"""A job that is due once a minute for five years, beside plain jobs.
 
-Checks LOST: ``finish_s`` after the end of the traffic, an accepted job has nothing
-running for 3 s, though its tasks' turn has come, there is capacity for it twice over,
-and under half of the service's capacity is in use.
+Checks LOST: ``finish_s`` after the end of the traffic, the accepted jobs are asked for;
+each must be known and answered in time.
 """
 
 import asyncio
 import sys
+import time
 
-from standins.site import BOUNDS, CaseError, Site, job, new_id, route, run_case, step
+from standins.site import BOUNDS, Site, job, new_id, route, run_case, step
 
-STUDY, CHECK = "/fill-pack/", "/gate-check/"
-WORKERS = 6
-WORKER_CPU = 16_000
-CPU = 2_000
-TASKS = 2
-LABEL = "b"
-OF_LABEL = 0
-LONG_MS = 600_000
-SHORT_MS = 60_000
-CHECKS = 20
-CHECK_PAUSE_S = 0.5
-CHECK_MS = 640
+PREFIX = "/recount/"
+WORKERS = 4
+MINUTE_MS = 60_000
+EACH_MINUTE_FOR_FIVE_YEARS = 5 * 365 * 24 * 60
+FEW = 12
+BEFORE_S, AFTER_S, PAUSE_S = 5.0, 15.0, 0.5
 FINISH_S = 14.0
-IDLE_LIMIT_S = 3.0
-WATCH_S = 25.0
-LOOK_S = 0.1
+ASKED_TIMES = 5
+ASK_PAUSE_S = 2.0
+WORK = {"workMs": 640}
+
+
+async def traffic(site: Site, length_s: float, accepted: list[str]) -> None:
+    """Hand in a plain job each half second without waiting for the answers."""
+    pending = []
+
+    async def hand_in() -> None:
+        path = PREFIX + new_id()
+        answer = await site.submit(path, job(WORK, step(2, 1_000, 640)))
+        if answer.status == 200:
+            accepted.append(path)
+
+    end = time.monotonic() + length_s
+    while time.monotonic() < end:
+        pending.append(asyncio.create_task(hand_in()))
+        await asyncio.sleep(PAUSE_S)
+    await asyncio.gather(*pending)
 
 
 async def play(site: Site, disrupted: bool) -> bool:
     """Play the case and return whether the rule held."""
-    await site.start([route("r-fill", STUDY), route("r-gate", CHECK)])
+    await site.start([route("r-recount", PREFIX)])
     for number in range(WORKERS):
-        label = LABEL if number == OF_LABEL else "a"
-        await site.add_worker(number, (label, f"r1-{number}"), cpu=WORKER_CPU)
+        await site.add_worker(number)
     await asyncio.sleep(2.5)
-    work_ms = LONG_MS if disrupted else SHORT_MS
-    job_id = new_id()
-    study = job({"workMs": work_ms}, step(TASKS, CPU, work_ms, requirements=LABEL))
-    answer = await site.submit(STUDY + job_id, study)
-    if answer.status != 200:
-        raise CaseError("the job was not accepted")
-    site.record("study", job=job_id, tasks=TASKS, work_ms=work_ms)
-    for _ in range(CHECKS):
-        check = job({"workMs": CHECK_MS}, step(2, 1_000, CHECK_MS))
-        await site.submit(CHECK + new_id(), check)
-        await asyncio.sleep(CHECK_PAUSE_S)
-    site.record("traffic_ends")
+    accepted: list[str] = []
+    await traffic(site, BEFORE_S, accepted)
+    scheduled = PREFIX + new_id()
+    repetitions = EACH_MINUTE_FOR_FIVE_YEARS if disrupted else FEW
+    first_ms = time.time_ns() // 1_000_000 + MINUTE_MS
+    answer = await site.submit(
+        scheduled,
+        job(
+            WORK,
+            step(1, 500, 640),
+            repetitions=repetitions,
+            firstRunMs=first_ms,
+            intervalMs=MINUTE_MS,
+        ),
+    )
+    site.record("scheduled", repetitions=repetitions, status=answer.status)
+    await traffic(site, AFTER_S, accepted)
+    site.record("traffic_ends", accepted=len(accepted))
     await asyncio.sleep(FINISH_S)
-    held = await runs_on(site, job_id)
-    ends = {how: n for (ended, how), n in site.ends.items() if ended == job_id}
-    site.record("study_ends", job=job_id, ends=ends)
-    return held
+    return await all_answered(site, accepted[-10:])
 
 
-async def runs_on(site: Site, job_id: str) -> bool:
-    """Return whether the job never has nothing running for 3 s while it is watched."""
-    capacity = WORKERS * WORKER_CPU
-    busy_s = began_s = site.now_s()
-    while site.now_s() < began_s + WATCH_S:
-        state = await site.state(STUDY + job_id)
-        runs = site.runs_of(job_id)
-        used = site.used_cpu(lambda _task: CPU)
-        if state not in ("pending", "active") or runs or used * 2 >= capacity:
-            busy_s = site.now_s()
-        idle_s = round(site.now_s() - busy_s, 2)
-        site.record("look", state=state, runs=len(runs), used_cpu=used, idle_s=idle_s)
-        if idle_s >= IDLE_LIMIT_S:
-            return False
-        await asyncio.sleep(LOOK_S)
-    return True
+async def all_answered(site: Site, paths: list[str]) -> bool:
+    """Ask for each job some times and return whether each was answered once."""
+    unanswered = set(paths)
+    for _ in range(ASKED_TIMES):
+        asked = sorted(unanswered)
+        states = await asyncio.gather(*(site.state(path) for path in asked))
+        for path, state in zip(asked, states, strict=True):
+            if state in ("pending", "active", "completed"):
+                unanswered.discard(path)
+        if not unanswered:
+            break
+        await asyncio.sleep(ASK_PAUSE_S)
+    site.record("asked", jobs=len(paths), unanswered=sorted(unanswered))
+    return not unanswered
 
 
 assert f"finish_s = {FINISH_S:.0f}" in BOUNDS
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,105 +1,62 @@
-"""Urgent jobs wait for one full worker that their queue's policy allows.
+"""A job that can never be done holds up a sound job of the same size.
 
-Checks LOST: ``finish_s`` after the end of the traffic, a job of another queue, which
-other workers may run, has nothing running for 3 s, though its task's turn has come,
-there is capacity for it twice over, and under half of the service's capacity is in use.
+Checks LOST: ``finish_s`` after the end of the traffic, the sound job has nothing
+running for 3 s, though its task's turn has come, there is capacity for it twice over,
+and under half of the service's capacity is in use.
 """
 
 import asyncio
 import sys
 
-from standins.advice import Advice, AdviceTimes
 from standins.site import BOUNDS, CaseError, Site, job, new_id, route, run_case, step
 
-URGENT, PLAN, LONG = "/recount/", "/plan/", "/voicing/"
-LABEL = "b"
-WORKERS = 12
+PREFIX = "/plan/"
+WORKERS = 6
 WORKER_CPU = 16_000
-FULL = 0
-URGENT_JOBS = 12
-URGENT_PAUSE_S = 0.25
-CPU = 1_000
-WORK_MS = 640
-LONG_MS = 90_000
+CPU = 2_000
+TASKS = 2
+WORK_MS = 20_000
+OTHER_JOBS = 20
+OTHER_PAUSE_S = 0.5
+SECOND_TRY_S = 0.5
 FINISH_S = 14.0
 IDLE_LIMIT_S = 3.0
 LOOK_S = 0.1
-# The validity is that of the example of the call.
-TIMES = AdviceTimes(decision_delay_ms=30, per_worker_ms=2, validity_ms=3_000)
+STATES = ("pending", "active", "completed")
 
 
-class Policies:
-    """What the policies of the queues allow: urgent jobs only on the full worker."""
+def plan(fails: bool) -> dict[str, object]:
+    """Return a job of the usual size; its tasks fail if it can never be done."""
+    work = {"workMs": WORK_MS, "fails": fails}
+    return job(work, step(TASKS, CPU, WORK_MS))
 
-    def __init__(self) -> None:
-        self.urgent: set[str] = set()
-        self.advised: set[str] = set()
-        self.full_worker = ""
 
-    def allows(self, task_step: str, worker_id: str) -> bool:
-        """Return whether a step may run on a worker."""
-        is_urgent = task_step.partition(".")[0] in self.urgent
-        return (worker_id == self.full_worker) == is_urgent
+async def other_traffic(site: Site) -> None:
+    """Hand in sound jobs of other sizes."""
+    for number in range(OTHER_JOBS):
+        size = 500 + 10 * number
+        await site.submit(PREFIX + new_id(), job({"workMs": 640}, step(2, size, 640)))
+        await asyncio.sleep(OTHER_PAUSE_S)
 
 
 async def play(site: Site, disrupted: bool) -> bool:
     """Play the case and return whether the rule held."""
-    policies = Policies()
-    advice = Advice(site.advice_address(), TIMES, policies.allows, site.record)
-    await advice.start()
-
-    def check_ticket(ticket: str, task_step: str, worker_id: str) -> bool:
-        needed = task_step.partition(".")[0] in policies.advised
-        return not needed or advice.is_valid(ticket, task_step, worker_id)
-
-    site.check_ticket = check_ticket
-    advised = {"placementAdvice": TIMES.fields()}
-    await site.start(
-        [
-            route("r-recount", URGENT, priority=0, **advised),
-            route("r-plan", PLAN, priority=2, **advised),
-            route("r-voicing", LONG, priority=2),
-        ]
-    )
+    await site.start([route("r-plan", PREFIX, maxAttempts=2)])
     for number in range(WORKERS):
-        label = LABEL if number == FULL else "a"
-        await site.add_worker(number, (label, f"r1-{number}"), cpu=WORKER_CPU)
-    policies.full_worker = site.workers[FULL].worker_id
+        await site.add_worker(number, cpu=WORKER_CPU)
     await asyncio.sleep(2.5)
-    await fill_worker(site)
-    if disrupted:
-        for _ in range(URGENT_JOBS):
-            job_id = new_id()
-            policies.urgent.add(job_id)
-            policies.advised.add(job_id)
-            await hand_in(site, URGENT + job_id)
-            await asyncio.sleep(URGENT_PAUSE_S)
-    job_id = new_id()
-    policies.advised.add(job_id)
-    await hand_in(site, PLAN + job_id)
-    site.record("traffic_ends", job=job_id)
-    await asyncio.sleep(FINISH_S)
-    held = await begins(site, job_id)
-    site.record("advice_calls", job=job_id, calls=advice.asked)
-    advice.server.close()
-    return held
-
-
-async def fill_worker(site: Site) -> None:
-    """Fill one worker with a task that is longer than the case."""
-    job_id = new_id()
-    long_step = step(1, WORKER_CPU, LONG_MS, requirements=LABEL)
-    await site.submit(LONG + job_id, job({"workMs": LONG_MS}, long_step))
-    await asyncio.sleep(2.0)
-    if not site.runs_of(job_id):
-        raise CaseError("the worker is not full")
-
-
-async def hand_in(site: Site, path: str) -> None:
-    """Hand in a job of one step."""
-    answer = await site.submit(path, job({"workMs": WORK_MS}, step(2, CPU, WORK_MS)))
+    first_id, second_id = new_id(), new_id()
+    await site.submit(PREFIX + first_id, plan(fails=disrupted))
+    site.record("first_job", job=first_id, can_be_done=not disrupted)
+    begun_s = site.now_s()
+    await other_traffic(site)
+    await asyncio.sleep(begun_s + WORK_MS / 1_000 + SECOND_TRY_S - site.now_s())
+    answer = await site.submit(PREFIX + second_id, plan(fails=False))
     if answer.status != 200:
-        raise CaseError("a job was not accepted")
+        raise CaseError("the second job was not accepted")
+    site.record("traffic_ends", second_job=second_id)
+    await asyncio.sleep(FINISH_S)
+    return await begins(site, second_id)
 
 
 async def begins(site: Site, job_id: str) -> bool:
@@ -107,9 +64,9 @@
     capacity = WORKERS * WORKER_CPU
     since_s = site.now_s()
     while site.now_s() < since_s + IDLE_LIMIT_S:
-        state = await site.state(PLAN + job_id)
+        state = await site.state(PREFIX + job_id)
+        used = site.used_cpu(lambda _task: CPU)
         runs = site.runs_of(job_id)
-        used = site.used_cpu(lambda _task: WORKER_CPU)
         site.record("look", state=state, runs=runs, used_cpu=used, cpu=capacity)
         idle = state in ("pending", "active") and not runs
         if not idle or used * 2 >= capacity:
