--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from standins.site import BOUNDS, Site, job, new_id, route, run_case, step
+from standin_site import BOUNDS, Site, job, new_id, route, run_case, step
 
 PREFIX = "/recount/"
 WORKERS = 4
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 python3 - <<'PYTHON'
 import pathlib
 
-for path in sorted(pathlib.Path(".").glob("*/*.py")):
+for path in sorted(pathlib.Path(".").glob("**/*.py")):
     compile(path.read_text(encoding="utf-8"), str(path), "exec")
 PYTHON
--- a/review/standins/site.py
+++ b/review/standin_site.py
@@ -19,10 +19,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from standins.http import Response, request
-from standins.worker import Worker, WorkerSettings
+from standin_http import Response, request
+from standin_worker import Worker, WorkerSettings
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 CONTROL_PORT, ENTRY_PORT, READY_PORT, LINK_PORT = 8166, 8161, 8167, 7720
 WORKER_PORT = 8080
 LINK_PORTS = 16
--- a/review/standins/worker.py
+++ b/review/standin_worker.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from standins.http import Request, Response, Server, request
+from standin_http import Request, Response, Server, request
 
 TICK_S = 0.01
 STARTUP_MS = 400
