--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -23,6 +23,7 @@
     SubmitJob,
 )
 from foxspring_jobs._crash_log import CrashLog
+from foxspring_jobs._due_occurrences import due_occurrences
 from foxspring_jobs._interrupted_log import InterruptedLog
 from foxspring_jobs._job_log import JobLog
 from foxspring_jobs._leader_context import (
@@ -59,11 +60,7 @@
 from foxspring_jobs._target_orders import TargetOrders
 from foxspring_jobs._target_poller import TargetPoller
 from foxspring_jobs._target_reports import TargetReports
-from foxspring_jobs._waiting import (
-    WaitingOrder,
-    due_occurrences,
-    expired_jobs,
-)
+from foxspring_jobs._waiting import WaitingOrder, expired_jobs
 
 _LOG = logging.getLogger(__name__)
 
--- a/packages/foxspring-jobs/foxspring_jobs/_snapshot.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_snapshot.py
@@ -140,6 +140,7 @@
     job.occurrences = {
         number: [_step(step) for step in steps] for number, steps in row.occurrences
     }
+    job.opened_count = max(job.occurrences, default=-1) + 1
     return job
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_specs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_specs.py
@@ -63,6 +63,10 @@
         """Return how many times the steps run."""
         return max(1, self.repetitions)
 
+    def tasks_per_occurrence(self) -> int:
+        """Return how many tasks the steps have together."""
+        return sum(step.task_count for step in self.steps)
+
     def critical_path_ms(self) -> int:
         """Return the estimated duration of the longest chain of steps."""
         lengths: list[int] = []
@@ -173,7 +177,7 @@
         problem = _step_problem(number, step)
         if problem:
             return f"step {number}: {problem}"
-    if sum(step.task_count for step in job.steps) > MAX_TASKS_PER_OCCURRENCE:
+    if job.tasks_per_occurrence() > MAX_TASKS_PER_OCCURRENCE:
         return f"more than {MAX_TASKS_PER_OCCURRENCE} tasks"
     return ""
 
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -136,6 +136,7 @@
 
     ``completion_objective_ms`` is how long after its release it should be completed.
     ``version`` rises when an occurrence opens and with each start and end of a run.
+    Occurrences open in the order of their numbers, the first ``opened_count`` so far.
     """
 
     def __init__(
@@ -150,19 +151,21 @@
         self.phase = JobPhase.PENDING
         self.ended_ms = 0
         self.occurrences: dict[int, list[StepState]] = {}
+        self.opened_count = 0
         self.finished_occurrences = 0
         if not spec.is_timed():
             self.open(0)
 
     def open(self, occurrence: int) -> None:
-        """Create the tasks of an occurrence that is due."""
-        if occurrence not in self.occurrences:
-            steps = [
-                StepState([TaskState() for _ in range(step.task_count)])
-                for step in self.spec.steps
-            ]
-            self.occurrences[occurrence] = steps
-            self.version += 1
+        """Create the tasks of a due occurrence, unless it was opened before."""
+        if occurrence < self.opened_count:
+            return
+        self.occurrences[occurrence] = [
+            StepState([TaskState() for _ in range(step.task_count)])
+            for step in self.spec.steps
+        ]
+        self.opened_count = occurrence + 1
+        self.version += 1
 
     def has_ended(self) -> bool:
         """Return whether no run of the job may start again."""
--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -1,4 +1,4 @@
-"""Finds waiting steps in scheduling order, due occurrences and expired jobs.
+"""Finds waiting steps in scheduling order, and expired jobs.
 
 Load pattern: more work arrives than fits. Within a priority, occurrences that can still
 meet their completion objective go first. Among them, those of whose work the largest
@@ -275,20 +275,6 @@
     return [*found, job_rank] if step.idle > interrupted else found
 
 
-def due_occurrences(state: State, wall_ms: int) -> tuple[tuple[str, int], ...]:
-    """Return the occurrences of timed jobs that are due but not opened yet."""
-    due = []
-    for job in state.active.values():
-        if not job.spec.is_timed():
-            continue
-        for number in range(job.spec.repetitions):
-            if number not in job.occurrences and wall_ms >= release_time_ms(
-                job, number
-            ):
-                due.append((job.job_id, number))
-    return tuple(due)
-
-
 def expired_jobs(state: State, limit_ms: int) -> tuple[str, ...]:
     """Return the jobs that ended before ``limit_ms`` and have no run left."""
     return tuple(
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_waiting.py
@@ -97,7 +97,9 @@
     def open(self) -> None:
         for job in list(self.state.active.values()):
             if job.spec.is_timed():
-                self.apply(Advance(opened=((job.job_id, self.rng.randrange(3)),)))
+                last = min(job.opened_count, job.spec.repetitions - 1)
+                opened = (job.job_id, self.rng.randint(0, last))
+                self.apply(Advance(opened=(opened,)))
 
     def cancel(self) -> None:
         for job in list(self.state.active.values())[:1]:
