Drop the finished occurrences of timed jobs

Change: an occurrence of which every task is done and no run is left is dropped from the replicated state. As with jobs that are purged, an end or a run that a target still lists for such a task belongs to nothing and is stopped.

--- a/packages/foxspring-jobs/foxspring_jobs/_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_job_log.py
@@ -147,7 +147,7 @@
             job.completion_objective_ms,
             waited_ms,
             *(waits_ms[reason] for reason in WaitReason),
-            _failed_runs(job),
+            job.failures(),
         )
 
     def _size_of(self, job: JobState) -> str:
@@ -181,12 +181,3 @@
         return Outcome.IN_TIME
     late = age_ms <= LATE_FACTOR * job.completion_objective_ms
     return Outcome.LATE if late else Outcome.TOO_LATE
-
-
-def _failed_runs(job: JobState) -> int:
-    return sum(
-        task.attempts
-        for steps in job.occurrences.values()
-        for step in steps
-        for task in step.tasks
-    )
--- a/packages/foxspring-jobs/foxspring_jobs/_snapshot.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_snapshot.py
@@ -47,6 +47,8 @@
     ended_ms: int
     finished_occurrences: int
     occurrences: tuple[tuple[int, tuple[_StepRow, ...]], ...]
+    opened_count: int = 0
+    dropped_failures: int = 0
 
 
 class _StateRow(NamedTuple):
@@ -113,6 +115,8 @@
         job.ended_ms,
         job.finished_occurrences,
         occurrences,
+        job.opened_count,
+        job.dropped_failures,
     )
 
 
@@ -140,7 +144,9 @@
     job.occurrences = {
         number: [_step(step) for step in steps] for number, steps in row.occurrences
     }
-    job.opened_count = max(job.occurrences, default=-1) + 1
+    # Older snapshots have no count, and all occurrences.
+    job.opened_count = max(row.opened_count, len(row.occurrences))
+    job.dropped_failures = row.dropped_failures
     return job
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -124,6 +124,10 @@
             self.unfinished += sign
             self.idle += sign * (not runs)
 
+    def failures(self) -> int:
+        """Return how many runs of the tasks have failed."""
+        return sum(task.attempts for task in self.tasks)
+
 
 def completion_objective_ms(queue: Queue, spec: JobSpec) -> int:
     """Return how long after its release a job should be completed."""
@@ -137,6 +141,8 @@
     ``completion_objective_ms`` is how long after its release it should be completed.
     ``version`` rises when an occurrence opens and with each start and end of a run.
     Occurrences open in the order of their numbers, the first ``opened_count`` so far.
+    ``occurrences`` are those of them that have not finished; ``dropped_failures`` is
+    how many runs had failed in the others.
     """
 
     def __init__(
@@ -152,6 +158,7 @@
         self.ended_ms = 0
         self.occurrences: dict[int, list[StepState]] = {}
         self.opened_count = 0
+        self.dropped_failures = 0
         self.finished_occurrences = 0
         if not spec.is_timed():
             self.open(0)
@@ -167,6 +174,24 @@
         self.opened_count = occurrence + 1
         self.version += 1
 
+    def drop_if_finished(self, occurrence: int) -> None:
+        """Drop a timed job's occurrence of which all is done and nothing runs.
+
+        A job that repeats for years would otherwise keep every task that it has run.
+        """
+        if not self.spec.is_timed() or self.has_ended():
+            return
+        steps = self.occurrences[occurrence]
+        if any(step.unfinished or step.running for step in steps):
+            return
+        del self.occurrences[occurrence]
+        self.dropped_failures += sum(step.failures() for step in steps)
+
+    def failures(self) -> int:
+        """Return how many runs of the job have failed."""
+        kept = (step for steps in self.occurrences.values() for step in steps)
+        return self.dropped_failures + sum(step.failures() for step in kept)
+
     def has_ended(self) -> bool:
         """Return whether no run of the job may start again."""
         return self.phase in ENDED_PHASES
@@ -528,6 +553,7 @@
             self._complete(job, end.run, at_ms)
         elif end.kind == EndKind.FAILED:
             self._count_failure(job, end.run, at_ms)
+        job.drop_if_finished(key.occurrence)
 
     def _keep_checkpoint(self, end: RunEnd) -> None:
         key = end.run.task
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_due_occurrences.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_due_occurrences.py
@@ -4,7 +4,7 @@
 import unittest
 from collections import Counter
 
-from foxspring_jobs._commands import Advance
+from foxspring_jobs._commands import Advance, RunKey, TaskKey
 from foxspring_jobs._due_occurrences import (
     MAX_NOT_BEGUN,
     MAX_TASKS_PER_SWEEP,
@@ -14,12 +14,15 @@
 )
 from foxspring_jobs._snapshot import decode_state, encode_state
 from foxspring_jobs._specs import JobSpec
-from foxspring_jobs._state import JobPhase, State
+from foxspring_jobs._state import EndKind, JobPhase, JobState, State
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
+    end,
     registered,
+    run_key,
     spec,
+    start,
     state_with,
     step,
     submit,
@@ -121,6 +124,62 @@
         self.assertEqual(due_occurrences(copy, 2 * MINUTE_MS), ((JOB, 2),))
 
 
+class FinishedOccurrencesTest(unittest.TestCase):
+    """Guards: a job that repeats for years kept every task that it had run."""
+
+    def setUp(self) -> None:
+        self.state = state_with(registered("t1"), registered("t2"))
+
+    def begin(self, job: JobSpec) -> JobState:
+        """Submit a job, open its first two occurrences and start a task."""
+        submit(self.state, job)
+        open_due(self.state, MINUTE_MS)
+        start(self.state, run_key())
+        return self.state.jobs[JOB]
+
+    def test_finished_occurrence_is_dropped(self) -> None:
+        job = self.begin(each_minute(3))
+        end(self.state, run_key())
+        self.assertEqual(list(job.occurrences), [1])
+
+    def test_dropped_occurrence_does_not_open_again(self) -> None:
+        job = self.begin(each_minute(3))
+        end(self.state, run_key())
+        self.state = decode_state(encode_state(self.state, 1))[0]
+        self.state.apply(Advance(opened=((JOB, 0), (JOB, 1))), MINUTE_MS)
+        job = self.state.jobs[JOB]
+        self.assertEqual(list(job.occurrences), [1])
+        self.assertEqual(due_occurrences(self.state, MINUTE_MS), ())
+        self.assertEqual(due_occurrences(self.state, 2 * MINUTE_MS), ((JOB, 2),))
+
+    def test_occurrence_is_kept_while_a_second_run_of_a_task_ends(self) -> None:
+        """The run's end has to be acknowledged, and its capacity is not free."""
+        one = step(speculative=True)
+        job = self.begin(spec(one, repetitions=3, interval_ms=MINUTE_MS))
+        start(self.state, run_key(number=2), "t2")
+        end(self.state, run_key(number=1))
+        self.assertIn(0, job.occurrences)
+        end(self.state, run_key(number=2), EndKind.STOPPED)
+        self.assertNotIn(0, job.occurrences)
+        self.assertEqual(self.state.targets["t2"].runs, {})
+
+    def test_failures_of_dropped_occurrences_are_counted(self) -> None:
+        job = self.begin(each_minute(3))
+        end(self.state, run_key(), EndKind.FAILED)
+        start(self.state, run_key(number=2))
+        end(self.state, run_key(number=2))
+        copy = decode_state(encode_state(self.state, 1))[0].jobs[JOB]
+        self.assertEqual((job.failures(), copy.failures()), (1, 1))
+
+    def test_job_is_completed_by_its_last_occurrence(self) -> None:
+        job = self.begin(each_minute(2))
+        end(self.state, run_key())
+        last = RunKey(TaskKey(JOB, 1, 0, 0), 1)
+        start(self.state, last)
+        end(self.state, last)
+        self.assertIs(job.phase, JobPhase.COMPLETED)
+
+
 class LeaderTest(unittest.TestCase):
     def cluster(self) -> FakeCluster:
         cluster = FakeCluster(registered("t1"), registered("t2"))
@@ -152,3 +211,4 @@
             run.task for target in cluster.targets.values() for run in target.started
         )
         self.assertEqual(len(started), repetitions)
+        self.assertLessEqual(len(cluster.committed.jobs[JOB].occurrences), 1)
