--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -255,19 +255,26 @@
             log_load(self.context, candidates)
             log_capacity(self.context.draft, candidates)
         if now_ms >= self.swept_ms + SWEEP_INTERVAL_MS:
-            self.swept_ms = now_ms
-            wall_ms = self.context.clock.wall_ms()
-            keep_ms = self.context.settings.keep_ended_ms * RETENTION_PERCENT // 100
-            self.opened = due_occurrences(self.context.draft, wall_ms)
-            for job_id, _ in self.opened:
-                spec = self.context.draft.active[job_id].spec
-                self.short_work.note_arrival(spec, now_ms)
-            self.forgetting = self.context.draft.silent_losses.has_old(wall_ms)
-            self.purged = expired_jobs(self.context.draft, wall_ms - keep_ms)
+            self._sweep(now_ms)
         if now_ms >= self.planned_ms + REPLAN_INTERVAL_MS:
             self.context.plan_due = True
         self.decide()
 
+    def _sweep(self, now_ms: int) -> None:
+        """Look for occurrences that are due, and for what has been over for long."""
+        self.swept_ms = now_ms
+        began_ms = self.context.clock.monotonic_ms()
+        draft = self.context.draft
+        wall_ms = self.context.clock.wall_ms()
+        keep_ms = self.context.settings.keep_ended_ms * RETENTION_PERCENT // 100
+        self.opened = due_occurrences(draft, wall_ms)
+        for job_id, _ in self.opened:
+            self.short_work.note_arrival(draft.active[job_id].spec, now_ms)
+        self.forgetting = draft.silent_losses.has_old(wall_ms)
+        self.purged = expired_jobs(draft, wall_ms - keep_ms)
+        took_ms = self.context.clock.monotonic_ms() - began_ms
+        self.context.stage_times.observe(Stage.SWEEP, took_ms)
+
     def decide(self) -> None:
         """Propose ends, lost targets, due occurrences, purged jobs and starts."""
         if self.context.deposed or self.in_flight >= MAX_IN_FLIGHT:
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -50,8 +50,9 @@
     "job_stage_seconds",
     "seconds",
     ("stage",),
-    "Stages of the way of a start: queue (an action waits for the leader), plan, "
-    "ready (a step waits for its first start), commit, order.",
+    "Stages of the way of a start: queue (an action waits for the leader), sweep (a "
+    "look for what is due or over), plan, ready (a step waits for its first start), "
+    "commit, order.",
 )
 JOBS_ENDED = Metric(
     "jobs_ended_total",
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -92,6 +92,7 @@
         self._timers: list[tuple[int, int, Action]] = []
         self._numbers = itertools.count()
         self._closing = threading.Event()
+        self._tick_queued = threading.Event()
         self._ticker = threading.Thread(target=self._tick, name="tick", daemon=True)
 
     def start(self) -> None:
@@ -260,8 +261,26 @@
 
     def _tick(self) -> None:
         while not self._closing.wait(TICK_MS / 1_000):
-            queued_ms = self.clock.monotonic_ms()
-            self.post(lambda queued_ms=queued_ms: self._on_tick(queued_ms))  # type: ignore[misc]
+            self.queue_tick()
+
+    def queue_tick(self) -> None:
+        """Queue a tick, unless one is queued or running.
+
+        Load pattern: ticks come faster than a busy leader handles them. Each one more
+        would go before the calls and results that come after it.
+        """
+        if self._tick_queued.is_set():
+            return
+        self._tick_queued.set()
+        queued_ms = self.clock.monotonic_ms()
+
+        def tick() -> None:
+            try:
+                self._on_tick(queued_ms)
+            finally:
+                self._tick_queued.clear()
+
+        self.post(tick)
 
     def _on_tick(self, queued_ms: int) -> None:
         now_ms = self.clock.monotonic_ms()
--- a/packages/foxspring-jobs/foxspring_jobs/_stage_times.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_stage_times.py
@@ -27,12 +27,14 @@
     """A stage of the way of a start.
 
     ``QUEUE``: from queueing an action for the leader's thread to running it, sampled at
-    the leader's ticks. ``PLAN``: one plan. ``READY``: from the moment when a step can
-    start to the plan of its first start. ``COMMIT``: from a decision to its commit.
-    ``ORDER``: from the commit of a start to the target's answer.
+    the leader's ticks. ``SWEEP``: one look for what is due or over. ``PLAN``: one plan.
+    ``READY``: from the moment when a step can start to the plan of its first start.
+    ``COMMIT``: from a decision to its commit. ``ORDER``: from the commit of a start to
+    the target's answer.
     """
 
     QUEUE = "queue"
+    SWEEP = "sweep"
     PLAN = "plan"
     READY = "ready"
     COMMIT = "commit"
