The waiting steps of a job cost its size, not its square

A body of 256 KB, which the operator's limit allows, holds about 12,000 steps of one task each.

Cause: the remaining work of an occurrence was summed over all its steps again for each of its waiting steps, whenever the job had a start or an end.

Change: the sum is made once for an occurrence, with its rank. A job's step_declared lines are at most 20.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader_log.py
@@ -9,6 +9,8 @@
 
 _LOG = logging.getLogger(__name__)
 
+MAX_LOGGED_STEPS = 20
+
 
 def log_load(context: LeaderContext, candidates: Sequence[Candidate]) -> None:
     """Log the numbers of running and waiting tasks and the free capacity."""
@@ -34,8 +36,8 @@
 
 
 def log_steps(job_id: str, spec: JobSpec) -> None:
-    """Log the declared properties of each step of a job."""
-    for number, step in enumerate(spec.steps):
+    """Log the declared properties of a job's steps, at most ``MAX_LOGGED_STEPS``."""
+    for number, step in enumerate(spec.steps[:MAX_LOGGED_STEPS]):
         _LOG.info(
             "event=step_declared job=%s step=%d tasks=%d cores_milli=%d memory_mb=%d "
             "estimated_ms=%d lasting=%s fills=%s target_ms=%d image=%s per_target=%d",
--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -217,13 +217,14 @@
 class _Ranked(NamedTuple):
     """The rank of an occurrence's tasks that are not interrupted.
 
-    It holds between two wall times. ``idle_percent`` is the share of its work that is
-    neither running nor done. ``slack_end_ms`` is the wall time at which the occurrence
-    has to go on if it is to meet its objective.
+    It holds between two wall times. ``slack_end_ms`` is the wall time at which the
+    occurrence has to go on if it is to meet its objective. ``idle_percent`` and
+    ``order_key`` are those of its steps with this rank.
     """
 
     rank: Rank
     idle_percent: int
+    order_key: int
     slack_end_ms: int
     from_ms: float
     until_ms: float
@@ -234,16 +235,17 @@
     remaining_ms = remaining_critical_path_ms(job, occurrence)
     end_ms = release_time_ms(job, occurrence) + objective_ms - remaining_ms
     late_end_ms = end_ms + (LATE_FACTOR - 1) * objective_ms
-    idle = idle_percent(job, occurrence)
     if job.spec.is_long_running():
-        return _Ranked(Rank.LATE, idle, end_ms, -math.inf, math.inf)
-    if wall_ms <= end_ms:
-        return _Ranked(Rank.IN_TIME, idle, end_ms, -math.inf, end_ms)
-    if wall_ms <= late_end_ms:
-        mostly_placed = idle <= FINISHED_FIRST_IDLE_PERCENT
-        rank = Rank.IN_TIME if mostly_placed else Rank.LATE
-        return _Ranked(rank, idle, end_ms, end_ms + 1, late_end_ms)
-    return _Ranked(Rank.HOPELESS, idle, end_ms, late_end_ms + 1, math.inf)
+        return _Ranked(Rank.LATE, 0, end_ms, end_ms, -math.inf, math.inf)
+    if wall_ms > late_end_ms:
+        return _Ranked(Rank.HOPELESS, 0, end_ms, end_ms, late_end_ms + 1, math.inf)
+    idle = idle_percent(job, occurrence)
+    in_time = wall_ms <= end_ms
+    from_ms, until_ms = (-math.inf, end_ms) if in_time else (end_ms + 1, late_end_ms)
+    if in_time or idle <= FINISHED_FIRST_IDLE_PERCENT:
+        work = remaining_work(job, occurrence)
+        return _Ranked(Rank.IN_TIME, idle, work, end_ms, from_ms, until_ms)
+    return _Ranked(Rank.LATE, 0, end_ms, end_ms, from_ms, until_ms)
 
 
 def _waiting_steps_of(
@@ -253,13 +255,13 @@
         if not step.idle or not job.step_is_ready(occurrence, number):
             continue
         for rank in _ranks_of(step, job.spec.steps[number], ranked.rank):
-            in_time = rank is Rank.IN_TIME
+            as_ranked = rank is ranked.rank
             yield WaitingStep(
                 Precedence.NORMAL,
                 job.queue.priority,
                 rank,
-                ranked.idle_percent if in_time else 0,
-                remaining_work(job, occurrence) if in_time else ranked.slack_end_ms,
+                ranked.idle_percent if as_ranked else 0,
+                ranked.order_key if as_ranked else ranked.slack_end_ms,
                 job.job_id,
                 occurrence,
                 number,
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_cost.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_cost.py
@@ -10,6 +10,7 @@
 
 from foxspring_jobs._candidates import Candidate
 from foxspring_jobs._waiting import waiting_steps
+from foxspring_jobs.tests.builders import spec, state_with, step, submit
 from foxspring_jobs.tests.load_replay import (
     SHORT_MIX,
     Arrival,
@@ -30,6 +31,10 @@
 LOAD_MS = 4_000
 SERVICE_CORES = 14_000
 WAITING_SERVICES = 30
+# About as many as fit in the largest body that clients may send.
+MOST_STEPS = 12_000
+# Looked at again whenever the job has a start or an end; a commit takes longer.
+MANY_STEPS_S = 0.5
 WIDE = JobMix(
     Spread(2, 0.4, 5),
     Spread(39, 0.6, 160),
@@ -70,6 +75,16 @@
     return [*(as_best_effort(arrival, rng) for arrival in wide), *short]
 
 
+class ManyStepsTest(unittest.TestCase):
+    def test_steps_of_one_job_do_not_cost_the_square_of_their_number(self) -> None:
+        """Guards: a job of 12,000 steps held up the leader for half a minute."""
+        state = state_with()
+        submit(state, spec(*[step() for _ in range(MOST_STEPS)]))
+        began_s = time.thread_time()
+        self.assertEqual(len(waiting_steps(state, 0)), MOST_STEPS)
+        self.assertLessEqual(time.thread_time() - began_s, MANY_STEPS_S)
+
+
 class PlanCostTest(unittest.TestCase):
     def test_plan_does_not_score_all_targets_for_each_waiting_image(self) -> None:
         replay = full_site()
