A plan that has taken half a second leaves further steps to the next

One job of 12,000 different steps kept the leader's thread for 11,473 ms with 450 targets (6,417 starts in one plan) and 1,476 ms with 34, trials on this machine; calls, polls and ends waited, and callers' requests ran out of time meanwhile.

Change: once a plan has a start and has taken 500 ms, it ends; the next one begins after the usual pause, with the first steps in the order. A plan without a start goes on, so that no step waits for ever behind many that can't start.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -70,6 +70,8 @@
 REPLAN_INTERVAL_MS = 200
 RETENTION_PERCENT = 150
 SLOW_PLAN_MS = 100
+# Callers wait for at most a few seconds, and calls and results wait for the plan.
+MAX_PLAN_MS = 500
 # The next plan waits this many times as long as the last one took, so that
 # planning does not starve the handling of target replies of CPU time.
 PLAN_PAUSE_FACTOR = 2
@@ -417,9 +419,16 @@
             self.short_work.is_expected(now_ms),
             self.plan_index,
         )
+
+        def is_over() -> bool:
+            """Return whether the other steps have to wait for the next plan."""
+            over = self.context.clock.monotonic_ms() >= now_ms + MAX_PLAN_MS
+            self.context.plan_due |= over
+            return over
+
         interrupted = self.interrupted_log.before_plan(waiting, planner)
         self.job_log.before_plan(candidates)
-        starts = planner.plan(waiting)
+        starts = planner.plan(waiting, is_over)
         self.job_log.after_plan(waiting, starts)
         self.interrupted_log.after_plan(interrupted, planner)
         self.advice_calls.request(waiting, planner)
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -7,7 +7,7 @@
 targets with unused CPU time where they lengthen no serving task's tail latency.
 """
 
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Callable, Iterable, Mapping, Set
 from typing import NamedTuple
 
 from foxspring_model import Resources
@@ -89,8 +89,17 @@
             candidate.suspicion is Suspicion.ISOLATED for candidate in self.candidates
         )
 
-    def plan(self, steps: Iterable[WaitingStep]) -> list[RunStart]:
-        """Return the starts to commit now, considering the steps in the given order."""
+    def plan(
+        self,
+        steps: Iterable[WaitingStep],
+        is_over: Callable[[], bool] = lambda: False,
+    ) -> list[RunStart]:
+        """Return the starts to commit now, considering the steps in the given order.
+
+        Once the plan has a start and ``is_over``, the other steps are left to the next
+        plan. Without a start it goes on, so that no step waits behind those that cannot
+        start.
+        """
         starts: list[RunStart] = []
         blocked: set[_Kind] = set()
         too_large = TooLargeSizes()
@@ -104,6 +113,8 @@
             plan_step = self._plan_gang if step.gang else self._plan_tasks
             planned = plan_step(job, waiting, step, candidates)
             starts += planned
+            if planned and is_over():
+                break
             if not planned and waiting.step_key() in self.holding:
                 self._hold_target(job, waiting, candidates)
             if step.long_running and self.usage.is_half_free(job.queue.service):
