A step without a task to start does not block equal steps

Cause: a plan remembers the kinds of steps for which it found no room, so that it need not look at equal ones, and took every step without starts for one of these. After two failures a step's tasks are tried one at a time: it has no start while one runs, whatever room there is.

The same cause beside it, each with a test: - tasks that are held back until it is known what became of silent targets blocked equal steps, and equal restarts of long-running tasks; - for such a restart a target was held empty after 10 s; - job_ended lines counted such waits as for cores, memory or behind; they are other_wait.

Change: the plan of a step tells whether it lacked room (a task found no target or was not admitted) or had no task to start; only the former blocks a kind or holds a target.

Why this works: what is free only shrinks during a plan, so a lack of room holds for equal steps after it; that a task may not start now says nothing about other steps.

--- a/packages/foxspring-jobs/foxspring_jobs/_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_job_log.py
@@ -18,6 +18,7 @@
 from foxspring_jobs._leader_context import LeaderContext
 from foxspring_jobs._metrics import JOBS_ENDED
 from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._startable import startable_tasks
 from foxspring_jobs._state import JobPhase, JobState
 from foxspring_jobs._waiting import LATE_FACTOR, WaitingStep
 
@@ -33,7 +34,8 @@
 
     ``CORES`` and ``MEMORY``: no target had enough of it free when the plan began.
     ``BEHIND``: steps that the plan considered earlier took the capacity. ``OTHER``:
-    conditions besides capacity, such as advice or interference.
+    conditions besides capacity, such as advice, interference, or other tasks of the
+    step that are tried first.
     """
 
     CORES = "cores"
@@ -90,11 +92,14 @@
         for step in waiting:
             key = step.step_key()
             job = self.context.draft.active[step.job_id]
-            idle = job.occurrences[step.occurrence][step.step].idle
-            if key in counted or started[key] >= idle:
+            state = job.occurrences[step.occurrence][step.step]
+            if key in counted or started[key] >= state.idle:
                 continue
             counted.add(key)
-            reason = self._reason(job.spec.steps[step.step], reasons)
+            spec = job.spec.steps[step.step]
+            reason = WaitReason.OTHER
+            if startable_tasks(state, spec):
+                reason = self._reason(spec, reasons)
             waits = self.waits_ms.setdefault(step.job_id, Counter())
             age_ms = self.context.clock.wall_ms() - job.submitted_ms
             waits[reason] += min(elapsed_ms, max(0, age_ms))
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -7,7 +7,7 @@
 targets with unused CPU time where they lengthen no serving task's tail latency.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from typing import NamedTuple
 
 from foxspring_model import Resources
@@ -51,6 +51,22 @@
     spec: StepSpec
 
 
+class _StepPlan(NamedTuple):
+    """What a plan does for a step.
+
+    ``lacks_room`` tells that it has a task that could start if there were room. A step
+    without starts may also have no such task: some wait for other tasks of their step,
+    or until it is known what became of a target.
+    """
+
+    starts: Sequence[RunStart]
+    lacks_room: bool
+
+
+_NO_ROOM = _StepPlan((), lacks_room=True)
+_NOTHING_TO_START = _StepPlan((), lacks_room=False)
+
+
 class Planner:
     """Plans starts once over the candidate targets.
 
@@ -112,19 +128,21 @@
             candidates = self._usable_candidates(job, waiting)
             plan_step = self._plan_gang if step.gang else self._plan_tasks
             planned = plan_step(job, waiting, step, candidates)
-            starts += planned
-            if planned and is_over():
-                break
-            if not planned and waiting.step_key() in self.holding:
+            starts += planned.starts
+            if planned.starts:
+                if is_over():
+                    break
+                continue
+            if not planned.lacks_room:
+                continue
+            if waiting.step_key() in self.holding:
                 self._hold_target(job, waiting, candidates)
             if step.long_running and self.usage.is_half_free(job.queue.service):
                 # Another job with such a step may have no run.
                 continue
-            if not planned and candidates is self.candidates and kind is not None:
+            if candidates is self.candidates and kind is not None:
                 blocked.add(kind)
-                state = job.occurrences[waiting.occurrence][waiting.step]
-                if not step.long_running and startable_tasks(state, step):
-                    too_large.add(job.queue, step)
+                too_large.add(job.queue, step)
         return starts
 
     def plan_speculative_runs(self, overdue: Iterable[RunKey]) -> list[RunStart]:
@@ -215,7 +233,7 @@
         waiting: WaitingStep,
         step: StepSpec,
         candidates: list[Candidate],
-    ) -> list[RunStart]:
+    ) -> _StepPlan:
         starts: list[RunStart] = []
         steps = job.occurrences[waiting.occurrence]
         service = job.queue.service
@@ -224,7 +242,7 @@
         blocked = self.blocked_best_effort.get((service, step.image), [])
         is_blocked = step.best_effort and needs_as_much(step.resources, blocked)
         if is_blocked and first_can_wait:
-            return []
+            return _NO_ROOM
         must_be_admitted = self._must_be_admitted(waiting, step)
         at_any_cost = (
             must_be_admitted and not running and self.usage.is_half_free(service)
@@ -237,10 +255,15 @@
             return not self.long_running_room.admit(service, step.reserved())
 
         if is_refused():
-            return []
+            return _NO_ROOM
+        tasks = startable_tasks(steps[waiting.step], step)
+        if step.long_running:
+            # Only these have restarts beside other tasks.
+            tasks = [row for row in tasks if waiting.includes(row[1], step)]
+        if not tasks:
+            return _NOTHING_TO_START
         room_to_use_reserve = self._room_to_use_reserve(waiting, step)
         leaves_reserve = room_to_use_reserve is None and not at_any_cost
-        tasks = startable_tasks(steps[waiting.step], step)
         has_suspects = steps[waiting.step].has_crashes and any(
             task.crashes.total for _, task in tasks
         )
@@ -258,10 +281,8 @@
 
         ranking = rank()
         for index, task in tasks:
-            if not waiting.includes(task, step):
-                continue
             if is_refused():
-                break
+                return _StepPlan(starts, lacks_room=True)
             # While half of the service is free, a job without runs gets one task
             # at any cost.
             can_wait = first_can_wait or bool(starts)
@@ -280,7 +301,7 @@
                 if step.best_effort and unbounded:
                     kind = (service, step.image)
                     self.blocked_best_effort.setdefault(kind, []).append(step.resources)
-                break
+                return _StepPlan(starts, lacks_room=True)
             key = TaskKey(*waiting.step_key(), index)
             self._reserve(candidate, key, step)
             candidate.note_suspect(suspicion)
@@ -293,7 +314,7 @@
                 RunStart(RunKey(key, task.last_run + 1), candidate.target.incarnation)
             )
             at_any_cost = False
-        return starts
+        return _StepPlan(starts, lacks_room=False)
 
     def _suspicion_of(self, task: TaskState) -> Suspicion:
         """Return how far to keep a task apart, as far as the limit allows."""
@@ -328,16 +349,16 @@
         waiting: WaitingStep,
         step: StepSpec,
         candidates: list[Candidate],
-    ) -> list[RunStart]:
+    ) -> _StepPlan:
         tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
         if any(task.runs or is_held_back(task.crashes) for task in tasks):
-            return []
+            return _NOTHING_TO_START
         service = job.queue.service
         asked = room_of(step.reserved(), len(tasks))
         must_be_admitted = self._must_be_admitted(waiting, step)
         has_room = self.long_running_room.has_room(service, asked)
         if must_be_admitted and not (has_room or self.usage.is_half_free(service)):
-            return []
+            return _NO_ROOM
         number = max(task.last_run for task in tasks) + 1
         for group in gang_groups(step, candidates):
             placed: list[tuple[TaskKey, Candidate]] = []
@@ -349,12 +370,13 @@
                 self._reserve(candidate, key, step)
                 placed.append((key, candidate))
             if len(placed) == len(tasks):
-                return [
+                starts = [
                     RunStart(RunKey(k, number), r.target.incarnation) for k, r in placed
                 ]
+                return _StepPlan(starts, lacks_room=False)
             for key, candidate in placed:
                 self._reserve(candidate, key, step, sign=-1)
-        return []
+        return _NO_ROOM
 
     def _hold_target(
         self, job: JobState, waiting: WaitingStep, candidates: list[Candidate]
