--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_random_cluster.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_random_cluster.py
@@ -90,8 +90,7 @@
         crashing = [key for key in self.crashing if key.job_id == job_id]
         phase = self.cluster.phase(job_id)
         if phase is JobPhase.FAILED:
-            under = (n for key, n in self.crashes_under.items() if key[0] == job_id)
-            if max(under, default=0) < 3:
+            if self.most_crashes(job_id) < 3:
                 self.faults.add(f"{job_id} given up without three crashes")
             if not crashing and not self.crashes_of_targets:
                 self.faults.add(f"{job_id} given up for another one")
@@ -102,6 +101,11 @@
             if any(row.idle for row in job.occurrences[0]):
                 self.faults.add(f"{job_id} has idle tasks")
 
+    def most_crashes(self, job_id: str) -> int:
+        """Return the most crashes of targets under one task of a job."""
+        under = (n for key, n in self.crashes_under.items() if key[0] == job_id)
+        return max(under, default=0)
+
     def starts(self, key: TaskKey) -> int:
         lists = {id(t.started): t.started for t in self.cluster.targets.values()}
         return sum(run.task == key for runs in lists.values() for run in runs)
