Waits of tasks that may not start are not logged as waits for room

A step of which the one task that may be tried has just started counted as waiting behind others for its other tasks.

Also, from reading the diff: the predicate that ends a plan has no side effect, the leader plans again after a plan that took as long as it may; the tasks of a step without failures and crashes are not gone through for the log.

--- a/packages/foxspring-jobs/foxspring_jobs/_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_job_log.py
@@ -18,7 +18,7 @@
 from foxspring_jobs._leader_context import LeaderContext
 from foxspring_jobs._metrics import JOBS_ENDED
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs._startable import startable_tasks
+from foxspring_jobs._startable import startable_count
 from foxspring_jobs._state import JobPhase, JobState
 from foxspring_jobs._waiting import LATE_FACTOR, WaitingStep
 
@@ -98,7 +98,7 @@
             counted.add(key)
             spec = job.spec.steps[step.step]
             reason = WaitReason.OTHER
-            if startable_tasks(state, spec):
+            if started[key] < startable_count(state, spec):
                 reason = self._reason(spec, reasons)
             waits = self.waits_ms.setdefault(step.job_id, Counter())
             age_ms = self.context.clock.wall_ms() - job.submitted_ms
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -377,6 +377,9 @@
         starts = self._plan_starts_or_none()
         took_ms = self.context.clock.monotonic_ms() - now_ms
         self.plan_after_ms = now_ms + took_ms * (1 + PLAN_PAUSE_FACTOR)
+        if took_ms >= MAX_PLAN_MS:
+            # Steps may have been left to the next plan.
+            self.context.plan_due = True
         self.metrics.observe_ms(PLAN_SECONDS, took_ms)
         self.context.stage_times.observe(Stage.PLAN, took_ms)
         if took_ms >= SLOW_PLAN_MS:
@@ -421,10 +424,7 @@
         )
 
         def is_over() -> bool:
-            """Return whether the other steps have to wait for the next plan."""
-            over = self.context.clock.monotonic_ms() >= now_ms + MAX_PLAN_MS
-            self.context.plan_due |= over
-            return over
+            return self.context.clock.monotonic_ms() >= now_ms + MAX_PLAN_MS
 
         interrupted = self.interrupted_log.before_plan(waiting, planner)
         self.job_log.before_plan(candidates)
--- a/packages/foxspring-jobs/foxspring_jobs/_startable.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_startable.py
@@ -39,6 +39,13 @@
     return [max(idle, key=lambda numbered: numbered[1].attempts)]
 
 
+def startable_count(state: StepState, step: StepSpec) -> int:
+    """Return how many tasks of a step may start now."""
+    if not state.has_crashes and not state.failed_runs:
+        return state.idle
+    return len(startable_tasks(state, step))
+
+
 def _with_few_isolated(
     state: StepState, idle: list[tuple[int, TaskState]]
 ) -> list[tuple[int, TaskState]]:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_job_log.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_job_log.py
@@ -90,6 +90,17 @@
         self.assertNotIn("cores_wait_ms=0", line)
         self.assertIn("behind_wait_ms=0", line)
 
+    def test_job_whose_tasks_are_tried_one_at_a_time_does_not_wait_for_room(
+        self,
+    ) -> None:
+        """Guards: such waits were logged as if others had taken the room."""
+        target = self.cluster.targets["t1.example:80"]
+        target.fails = True
+        line = self.ended(spec(step(3, estimated_ms=500)))
+        self.assertIn("outcome=failed", line)
+        self.assertIn("cores_wait_ms=0 memory_wait_ms=0 behind_wait_ms=0", line)
+        self.assertNotIn("other_wait_ms=0", line)
+
     def test_job_is_large_if_it_has_over_twice_the_mean_work(self) -> None:
         for job_id, estimated_ms, expected in (
             (JOB, 0, "other"),
