--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_blocked_steps.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_blocked_steps.py
@@ -4,13 +4,10 @@
 
 from foxspring_model import Resources
 
-from foxspring_jobs._candidates import Candidate, StepKey
 from foxspring_jobs._crash_counts import MAX_CRASHES, CrashCount
-from foxspring_jobs._interference import Interference
-from foxspring_jobs._placement import Planner
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import EndKind, JobPhase, State
-from foxspring_jobs._waiting import Precedence, Rank, WaitingStep, waiting_steps
+from foxspring_jobs._waiting import Precedence, Rank, WaitingStep
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
@@ -24,6 +21,7 @@
     submit,
 )
 from foxspring_jobs.tests.fake_cluster import FakeCluster
+from foxspring_jobs.tests.planning import jobs_of, plan
 
 LONG_MS = 20_000
 HELD_BACK = CrashCount(silent=MAX_CRASHES)
@@ -32,18 +30,6 @@
 MOST = Resources(cores_milli=60_000, memory_mb=100)
 
 
-def plan(
-    state: State,
-    steps: list[WaitingStep] | None = None,
-    holding: frozenset[StepKey] = frozenset(),
-) -> list[str]:
-    """Return the jobs that a plan starts tasks of."""
-    candidates = [Candidate(target) for target in state.targets.values()]
-    planner = Planner(state, candidates, Interference(), holding=holding)
-    starts = planner.plan(waiting_steps(state, 0) if steps is None else steps)
-    return [start.run.task.job_id for start in starts]
-
-
 def waiting(job_id: str, rank: Rank = Rank.IN_TIME) -> WaitingStep:
     return WaitingStep(Precedence.NORMAL, 0, rank, 0, 0, job_id, 0, 0)
 
@@ -75,7 +61,7 @@
             end(state, run_key(index), EndKind.FAILED)
         start(state, run_key(0, number=2))
         steps = [waiting(JOB), waiting(OTHER_JOB)]
-        self.assertEqual(plan(state, steps), [OTHER_JOB, OTHER_JOB])
+        self.assertEqual(jobs_of(plan(state, steps=steps)), [OTHER_JOB, OTHER_JOB])
 
     def test_equal_step_starts_beside_tasks_that_are_held_back(self) -> None:
         """Guards: a job whose targets fell silent held up equal ones."""
@@ -84,7 +70,9 @@
                 state = self.site(kind)
                 hold_back(state)
                 steps = [waiting(JOB), waiting(OTHER_JOB)]
-                self.assertEqual(plan(state, steps), [OTHER_JOB, OTHER_JOB])
+                self.assertEqual(
+                    jobs_of(plan(state, steps=steps)), [OTHER_JOB, OTHER_JOB]
+                )
 
     def test_equal_restart_is_not_blocked_by_one_that_is_held_back(self) -> None:
         """Guards: an interrupted task waited though its service had room."""
@@ -97,7 +85,7 @@
             end(state, run, EndKind.FAILED)
         hold_back(state)
         steps = [waiting(JOB, Rank.RESTART), waiting(OTHER_JOB, Rank.RESTART)]
-        self.assertEqual(plan(state, steps), [OTHER_JOB])
+        self.assertEqual(jobs_of(plan(state, steps=steps)), [OTHER_JOB])
 
     def test_step_that_fits_nowhere_still_blocks_equal_ones(self) -> None:
         state = self.site(step(resources=MOST))
@@ -117,7 +105,9 @@
         submit(state, spec(whole), OTHER_JOB)
         steps = [waiting(JOB, Rank.RESTART), waiting(OTHER_JOB)]
         holding = frozenset({STEP_KEY})
-        self.assertEqual(plan(state, steps, holding), [OTHER_JOB])
+        self.assertEqual(
+            jobs_of(plan(state, steps=steps, holding=holding)), [OTHER_JOB]
+        )
 
 
 class LeaderTest(unittest.TestCase):
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_isolation.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_isolation.py
@@ -8,12 +8,9 @@
 from foxspring_jobs._candidates import Candidate
 from foxspring_jobs._commands import Advance, RegisterTarget, RunStart, TargetLoss
 from foxspring_jobs._crash_counts import Suspicion
-from foxspring_jobs._interference import Interference
 from foxspring_jobs._isolation import max_isolated
-from foxspring_jobs._placement import Planner
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import State
-from foxspring_jobs._waiting import waiting_steps
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
@@ -24,8 +21,11 @@
     step,
     submit,
 )
+from foxspring_jobs.tests.planning import plan
 
 BIG = 64_000
+# After the crashes.
+WALL_MS = 2_000
 
 
 def targets(count: int) -> list[RegisterTarget]:
@@ -43,13 +43,6 @@
     state.apply(target.registered._replace(incarnation=again), 1_000)
 
 
-def plan(state: State, candidates: Iterable[Candidate] | None = None) -> list[RunStart]:
-    if candidates is None:
-        candidates = [Candidate(target) for target in state.targets.values()]
-    planner = Planner(state, candidates, Interference())
-    return planner.plan(waiting_steps(state, 2_000))
-
-
 def places(starts: Iterable[RunStart]) -> Counter[str]:
     return Counter(start.incarnation.target_id for start in starts)
 
@@ -71,18 +64,18 @@
     def test_suspects_avoid_each_other(self) -> None:
         for kind in (step(), step(long_running=True), step(gang=False, image="x")):
             state = self.suspects(6, kind)
-            starts = plan(state)
+            starts = plan(state, wall_ms=WALL_MS)
             self.assertEqual(len(starts), 6)
             self.assertEqual(max(places(starts).values()), 1)
 
     def test_suspects_share_targets_rather_than_wait(self) -> None:
-        starts = plan(self.suspects(20, step()))
+        starts = plan(self.suspects(20, step()), wall_ms=WALL_MS)
         self.assertEqual(len(starts), 20)
 
     def test_nothing_starts_beside_an_isolated_task(self) -> None:
         state = self.suspects(1, step(), crashes=2)
         submit(state, spec(step(40)), OTHER_JOB)
-        starts = plan(state)
+        starts = plan(state, wall_ms=WALL_MS)
         self.assertEqual(len(starts), 41)
         place = next(s.incarnation for s in starts if s.run.task.job_id == JOB)
         self.assertEqual(places(starts)[place.target_id], 1)
@@ -99,17 +92,19 @@
             for index in range(14)
         ]
         state.apply(Advance(starts=tuple(starts)), 500)
-        self.assertEqual(places(plan(state)), {names[7]: 1})
+        self.assertEqual(places(plan(state, wall_ms=WALL_MS)), {names[7]: 1})
 
     def test_isolated_tasks_of_a_step_run_one_at_a_time(self) -> None:
-        self.assertEqual(len(plan(self.suspects(5, step(), crashes=2))), 1)
+        self.assertEqual(
+            len(plan(self.suspects(5, step(), crashes=2), wall_ms=WALL_MS)), 1
+        )
 
     def test_target_with_an_isolated_task_accepts_nothing(self) -> None:
         state = self.suspects(3, step())
         candidates = [Candidate(target) for target in state.targets.values()]
         for candidate in candidates:
             candidate.begin_plan(0, False, Suspicion.ISOLATED)
-        self.assertEqual(plan(state, candidates), [])
+        self.assertEqual(plan(state, candidates=candidates, wall_ms=WALL_MS), [])
 
     def test_isolated_tasks_close_a_share_of_the_targets(self) -> None:
         count = 40
@@ -124,7 +119,9 @@
             state.apply(Advance(starts=starts), 500)
             crash(state, "t000")
         candidates = [Candidate(target) for target in state.targets.values()]
-        self.assertEqual(len(plan(state, candidates)), count)
+        self.assertEqual(
+            len(plan(state, candidates=candidates, wall_ms=WALL_MS)), count
+        )
         closed = sum(c.suspicion is Suspicion.ISOLATED for c in candidates)
         self.assertEqual(closed, max_isolated(count))
 
@@ -156,7 +153,7 @@
         with mock.patch.object(
             Candidate, "accepts", autospec=True, side_effect=Candidate.accepts
         ) as accepts:
-            self.assertEqual(len(plan(state)), 600)
+            self.assertEqual(len(plan(state, wall_ms=WALL_MS)), 600)
         return accepts.call_count
 
     def test_crashed_domain_costs_no_more_looks_than_a_silent_one(self) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_placement.py
@@ -3,8 +3,8 @@
 
 from foxspring_model import Resources
 
-from foxspring_jobs._candidates import Candidate, StepKey
-from foxspring_jobs._commands import Advance, RunStart, SubmitJob, TaskKey
+from foxspring_jobs._candidates import Candidate
+from foxspring_jobs._commands import Advance, SubmitJob, TaskKey
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._placement import Planner
 from foxspring_jobs._specs import StepSpec
@@ -25,22 +25,12 @@
     submit,
 )
 from foxspring_jobs.tests.fake_cluster import FakeCluster
+from foxspring_jobs.tests.planning import jobs_of, plan
 
 HEAVY = "heavy"
 LIGHT = "light"
 
 
-def plan(
-    state: State,
-    interference: Interference | None = None,
-    wall_ms: int = 0,
-    overdue_restarts: frozenset[StepKey] = frozenset(),
-) -> list[RunStart]:
-    candidates = [Candidate(target) for target in state.targets.values()]
-    planner = Planner(state, candidates, interference or Interference())
-    return planner.plan(waiting_steps(state, wall_ms, overdue_restarts))
-
-
 def plan_and_start(state: State) -> None:
     state.apply(Advance(starts=tuple(plan(state))), 0)
 
@@ -70,7 +60,7 @@
         submit(state, spec(step(20, estimated_ms=500)), JOB)
         submit(state, spec(step(1, estimated_ms=5_000)), OTHER_JOB)
         starts = plan(state)
-        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+        self.assertEqual(jobs_of(starts), [OTHER_JOB])
 
     def test_restart_does_not_wait_for_an_equal_step_of_a_higher_priority(
         self,
@@ -85,7 +75,7 @@
         first, *_ = (t for t in state.targets.values() if t.runs)
         state.apply(Advance(lost_targets=(first.incarnation,)), 0)
         state.apply(SubmitJob(OTHER_JOB, QUEUE, spec(lasting)), 0)
-        self.assertIn(JOB, [s.run.task.job_id for s in plan(state)])
+        self.assertIn(JOB, jobs_of(plan(state)))
 
     def test_job_that_has_begun_goes_before_a_smaller_new_one(self) -> None:
         state = state_with(registered("t1"))
@@ -94,14 +84,14 @@
             start(state, run_key(index), "t1")
         submit(state, spec(step(1)), OTHER_JOB)
         end(state, run_key(0))
-        self.assertEqual([s.run.task.job_id for s in plan(state)], [JOB])
+        self.assertEqual(jobs_of(plan(state)), [JOB])
 
     def test_late_jobs_are_ordered_by_slack(self) -> None:
         state = state_with(registered(cores=1_000))
         submit(state, spec(step(1, estimated_ms=5_000)), JOB)
         submit(state, spec(step(20, estimated_ms=4_000)), OTHER_JOB)
         starts = plan(state, wall_ms=8_000)
-        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+        self.assertEqual(jobs_of(starts), [OTHER_JOB])
 
     def test_late_job_of_which_half_is_placed_goes_before_a_new_one(self) -> None:
         for placed, first in ((4, JOB), (3, OTHER_JOB)):
@@ -114,7 +104,7 @@
                 submit(state, spec(step(1)), OTHER_JOB)
                 state.jobs[OTHER_JOB].submitted_ms = 1_200
                 starts = plan(state, wall_ms=1_200)
-                self.assertEqual([s.run.task.job_id for s in starts], [first])
+                self.assertEqual(jobs_of(starts), [first])
 
     def test_most_jobs_are_on_time_under_overload(self) -> None:
         """One wide and ten small jobs arrive together for one target."""
@@ -139,7 +129,7 @@
         submit(state, spec(step(1, estimated_ms=100)), OTHER_JOB)
         state.jobs[OTHER_JOB].submitted_ms = late_ms
         starts = plan(state, wall_ms=late_ms)
-        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+        self.assertEqual(jobs_of(starts), [OTHER_JOB])
 
     def test_priority_goes_before_slack(self) -> None:
         state = state_with(registered(cores=1_000))
@@ -147,7 +137,7 @@
         state.jobs[JOB].queue = QUEUE._replace(priority=2)
         submit(state, spec(step(1, estimated_ms=9_000)), OTHER_JOB)
         starts = plan(state)
-        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+        self.assertEqual(jobs_of(starts), [OTHER_JOB])
 
     def test_wide_step_that_does_not_fit_does_not_block_other_sizes(self) -> None:
         state = state_with(registered(cores=1_000))
@@ -357,18 +347,18 @@
         submit(state, spec(step(3, estimated_ms=100)), JOB)
         overdue = frozenset({(OTHER_JOB, 0, 0)})
         starts = plan(state, overdue_restarts=overdue)
-        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+        self.assertEqual(jobs_of(starts), [OTHER_JOB])
 
     def test_restart_waits_for_jobs_in_time_until_it_is_overdue(self) -> None:
         state = self.interrupted(cores=1_500)
         submit(state, spec(step(3, estimated_ms=100)), JOB)
-        self.assertEqual([s.run.task.job_id for s in plan(state)], [JOB])
+        self.assertEqual(jobs_of(plan(state)), [JOB])
 
     def test_restart_goes_before_late_jobs(self) -> None:
         state = self.interrupted(cores=1_500)
         submit(state, spec(step(3, estimated_ms=100)), JOB)
         starts = plan(state, wall_ms=600)
-        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+        self.assertEqual(jobs_of(starts), [OTHER_JOB])
 
     def test_restart_uses_the_reserve_for_short_tasks_once_overdue(self) -> None:
         state = self.interrupted()
@@ -396,7 +386,7 @@
         end(state, recent, EndKind.FAILED)
         overdue = frozenset({(OTHER_JOB, 0, 0)})
         starts = plan(state, overdue_restarts=overdue)
-        self.assertEqual([s.run.task.job_id for s in starts], [OTHER_JOB])
+        self.assertEqual(jobs_of(starts), [OTHER_JOB])
 
     def test_new_long_running_task_does_not_take_the_room_of_an_interrupted_one(
         self,
@@ -404,7 +394,7 @@
         state = self.interrupted()
         state.apply(registered("t3", cores=1_000), 0)
         submit(state, spec(step(1, long_running=True, image="new")), JOB)
-        self.assertNotIn(JOB, [s.run.task.job_id for s in plan(state)])
+        self.assertNotIn(JOB, jobs_of(plan(state)))
 
 
 class SuspectJobTest(unittest.TestCase):
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_end.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_end.py
@@ -4,11 +4,7 @@
 from unittest import mock
 
 from foxspring_jobs import _leader
-from foxspring_jobs._candidates import Candidate
-from foxspring_jobs._interference import Interference
-from foxspring_jobs._placement import Planner
-from foxspring_jobs._state import JobPhase, State
-from foxspring_jobs._waiting import waiting_steps
+from foxspring_jobs._state import JobPhase
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
@@ -19,32 +15,25 @@
     submit,
 )
 from foxspring_jobs.tests.fake_cluster import FakeCluster
+from foxspring_jobs.tests.planning import jobs_of, plan
 
 STEPS = 12
 
 
-def jobs_started(state: State) -> list[str]:
-    """Return the jobs that a plan starts which is over as soon as it can be."""
-    candidates = [Candidate(target) for target in state.targets.values()]
-    planner = Planner(state, candidates, Interference())
-    starts = planner.plan(waiting_steps(state, 0), lambda: True)
-    return [start.run.task.job_id for start in starts]
-
-
 class PlanEndTest(unittest.TestCase):
     def test_plan_that_is_over_leaves_further_steps_to_the_next(self) -> None:
         """Guards: calls waited for 11 s while a job of 12,000 steps was started."""
         state = state_with(registered())
         submit(state, spec(step(2)), JOB)
         submit(state, spec(step(1, estimated_ms=100_000)), OTHER_JOB)
-        self.assertEqual(jobs_started(state), [JOB, JOB])
+        self.assertEqual(jobs_of(plan(state, is_over=lambda: True)), [JOB, JOB])
 
     def test_plan_without_a_start_goes_on(self) -> None:
         """Guards: a step that can start would wait behind those that cannot."""
         state = state_with(registered())
         submit(state, spec(step(required_label="nowhere")), JOB)
         submit(state, spec(step(1, estimated_ms=100_000)), OTHER_JOB)
-        self.assertEqual(jobs_started(state), [OTHER_JOB])
+        self.assertEqual(jobs_of(plan(state, is_over=lambda: True)), [OTHER_JOB])
 
     def test_all_steps_start_in_later_plans(self) -> None:
         cluster = FakeCluster(*(registered(f"t{number}") for number in range(STEPS)))
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_scores.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_scores.py
@@ -5,13 +5,11 @@
 from unittest import mock
 
 from foxspring_jobs._candidates import Candidate, Effects
-from foxspring_jobs._commands import RunStart, TaskKey
+from foxspring_jobs._commands import TaskKey
 from foxspring_jobs._interference import Interference
-from foxspring_jobs._placement import Planner
 from foxspring_jobs._scores import TargetScores
-from foxspring_jobs._state import State
-from foxspring_jobs._waiting import waiting_steps
 from foxspring_jobs.tests.builders import registered, spec, state_with, step, submit
+from foxspring_jobs.tests.planning import plan
 
 TARGETS = 40
 IMAGES = 38
@@ -55,12 +53,5 @@
             self.assertEqual(plan(state), starts)
 
 
-def plan(state: State) -> list[RunStart]:
-    """Return the starts of a plan of all waiting steps."""
-    candidates = [Candidate(target) for target in state.targets.values()]
-    planner = Planner(state, candidates, Interference())
-    return planner.plan(waiting_steps(state, 0))
-
-
 if __name__ == "__main__":
     unittest.main()
