--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_random_cluster.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_random_cluster.py
@@ -56,6 +56,8 @@
 
         self.cluster.crash = counted_crash  # type: ignore[method-assign]
         self.cluster.run(1_500)
+        for address, target in self.cluster.targets.items():
+            self.check_capacity(address, target)
 
     def run(self) -> None:
         """Cause troubles for a while, end them, and let the cluster settle."""
