--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_due_occurrences.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_due_occurrences.py
@@ -4,6 +4,8 @@
 import unittest
 from collections import Counter
 
+import msgspec
+
 from foxspring_jobs._commands import Advance, RunKey, TaskKey
 from foxspring_jobs._due_occurrences import (
     MAX_NOT_BEGUN,
@@ -35,6 +37,9 @@
 LATE_MS = OVERDUE * MINUTE_MS
 # The highest number that a submission can hold.
 MOST = 2**63 - 1
+# Positions in the rows of a snapshot.
+SNAPSHOT_JOBS = 4
+FIELDS_BEFORE_DROPS = 8
 # A sweep comes each 200 ms and shares the leader's thread with everything else.
 MAX_SWEEP_MS = 10
 
@@ -152,6 +157,17 @@
         self.assertEqual(due_occurrences(self.state, MINUTE_MS), ())
         self.assertEqual(due_occurrences(self.state, 2 * MINUTE_MS), ((JOB, 2),))
 
+    def test_snapshot_of_a_release_that_dropped_nothing_is_read(self) -> None:
+        """Guards: after an upgrade a member could not read its own snapshot."""
+        self.begin(each_minute(3))
+        rows = msgspec.msgpack.decode(encode_state(self.state, 1))
+        jobs = rows[SNAPSHOT_JOBS]
+        rows[SNAPSHOT_JOBS] = [job[:FIELDS_BEFORE_DROPS] for job in jobs]
+        copy, _ = decode_state(msgspec.msgpack.encode(rows))
+        self.assertEqual(list(copy.jobs[JOB].occurrences), [0, 1])
+        self.assertEqual(due_occurrences(copy, MINUTE_MS), ())
+        self.assertEqual(due_occurrences(copy, 2 * MINUTE_MS), ((JOB, 2),))
+
     def test_occurrence_is_kept_while_a_second_run_of_a_task_ends(self) -> None:
         """The run's end has to be acknowledged, and its capacity is not free."""
         one = step(speculative=True)
