--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -4,7 +4,8 @@
 They speak what the users' PROTOCOL.md says and use the standard library only. What a
 task does is told by its ``spec``, a JSON object: ``ms`` is how long it works, ``lasts``
 that it runs until it is stopped, ``deadly_ms`` that its worker crashes so long after
-it has started the task, ``ticket`` that its queue needs a ticket.
+it has started the task, ``ticket`` that its queue needs a ticket, and ``figure`` the
+fifth entry of its row in ``running``.
 
 A worker that gets SIGUSR1 drains and leaves. A proxy that gets SIGUSR1 cuts one way:
 what it takes to the worker is refused, what the worker sends still arrives, and the
@@ -194,7 +195,7 @@
             self.lock.wait(until - time.monotonic())
         now = self.clock()
         running = [
-            [task, number, "", run.percent(now), 100]
+            [task, number, "", run.percent(now), run.spec.get("figure", 100)]
             for (task, number), run in self.runs.items()
         ]
         return 200, {
@@ -284,7 +285,7 @@
             "state": "draining" if self.draining.is_set() else "ready",
             "coldRemainingMs": 0,
             "capacity": {"cpu": options["cpu"], "memMb": options["mem_mb"], "gpu": 0},
-            "labels": ["a", options["rack"]],
+            "labels": [options.get("kind", "a"), options["rack"]],
             "clockMs": self.clock(),
             "born": self.born,
             "sequence": sequence,
