--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,96 +1,68 @@
-"""BUDGET: a task that crashes its workers after some seconds is started for ever."""
+"""TWICE: the task of a worker that leaves is started again while it still runs."""
 
-import itertools
 import pathlib
+import signal
 import sys
-import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from site_2 import Site, configuration, job, route, run_case
+from site_2 import CannotRunError, Site, configuration, job, route, run_case
 
-WORKERS = 8
-DEADLY_JOB = "00000000000d0001"
-DEADLY_MS = 4_000
-DOWN_S = 3.0
-PLAY_S = 80.0
-SHORT_MS = 1_500
-SHORT_TASKS = 8
-SHORT_INTERVAL_S = 0.4
-MAX_CRASHES = 3
-MAX_MORE_STARTS = 2
+WORKERS = 16
+# One of 16 workers leaves and is cut off: the pages name 6.5 and 17 of 100.
+LEAVING = 0
+SETTLE_S = 4.0
+# After the acknowledgement of ``draining``: ``drainTimeoutMs`` and a little longer.
+SERVE_DRAINING_S = 3.0
+END_ANYWAY_S = 3.0
+CUT_BEFORE_LEAVING_S = 0.6
+TASK_MS = 20_000
+OBSERVE_S = 8.0
+JOB = "00000000000f0001"
 
 
 def play(site: Site, trouble: bool) -> str:
-    """Submit short jobs, and one with a task that crashes each worker it runs on."""
-    site.start(configuration(route("checks"), route("watches", maxAttempts=3)))
-    names = [site.start_worker(number) for number in range(WORKERS)]
-    site.wait_for(lambda: site.submit("checks", "0" * 16, short()), "a first job")
-    site.wait_for(
-        lambda: site.state("checks", "0" * 16) == "completed", "the first job's end"
+    """Let a worker leave, and cut it off one way just before it says so."""
+    site.start(configuration(route("checks")))
+    name, proxy = site.start_proxied_worker(
+        LEAVING, serve_draining_s=SERVE_DRAINING_S, end_anyway_s=END_ANYWAY_S
+    )
+    time.sleep(SETTLE_S)
+    if not site.submit("checks", JOB, job({"ms": TASK_MS}, estimatedMs=TASK_MS)):
+        raise CannotRunError("the job was not accepted")
+    site.wait_for(lambda: bool(rows(site, "start")), "the start of the task")
+    for number in range(LEAVING + 1, WORKERS):
+        site.start_worker(number)
+    time.sleep(SETTLE_S)
+    site.signal(name, signal.SIGUSR1)
+    site.wait_for(lambda: bool(rows(site, "draining_acknowledged")), "the draining")
+    time.sleep(SERVE_DRAINING_S - CUT_BEFORE_LEAVING_S)
+    if trouble:
+        site.signal(proxy, signal.SIGUSR1)
+    time.sleep(OBSERVE_S)
+    return overlap(site, name)
+
+
+def rows(site: Site, event: str) -> list[dict]:
+    """Return the events of a kind."""
+    return [row for row in site.events() if row["event"] == event]
+
+
+def overlap(site: Site, leaving: str) -> str:
+    """Return for how long two runs of the task were at work, if they were."""
+    ends = [r["at"] for r in rows(site, "end") if r["worker"] == leaving]
+    ends += [r["at"] for r in rows(site, "left")]
+    if not ends:
+        raise CannotRunError("the worker has not left")
+    later = [r for r in rows(site, "start") if r["worker"] != leaving]
+    early = [r for r in later if r["at"] < min(ends)]
+    if not early:
+        return ""
+    return (
+        f"run {early[0]['run']} began on {early[0]['worker']} "
+        f"{min(ends) - early[0]['at']} ms before run 1 ended on {leaving}, which was up"
     )
-    ended = threading.Event()
-    threads = [
-        threading.Thread(target=send_short_jobs, args=(site, ended), daemon=True),
-        threading.Thread(
-            target=restart_crashed, args=(site, names, ended), daemon=True
-        ),
-    ]
-    for thread in threads:
-        thread.start()
-    time.sleep(3.0)
-    spec = {"lasts": True, "deadly_ms": DEADLY_MS} if trouble else {"lasts": True}
-    accepted = site.submit("watches", DEADLY_JOB, job(spec, longRunning=True))
-    until = time.monotonic() + PLAY_S
-    while accepted and time.monotonic() < until:
-        time.sleep(1.0)
-        if site.state("watches", DEADLY_JOB) == "failed":
-            break
-    ended.set()
-    for thread in threads:
-        thread.join()
-    return broken_budget(site)
-
-
-def short() -> dict:
-    """Return a job of short tasks."""
-    return job({"ms": SHORT_MS}, count=SHORT_TASKS, cpu=500, estimatedMs=SHORT_MS)
-
-
-def send_short_jobs(site: Site, ended: threading.Event) -> None:
-    """Submit short jobs at a steady rate."""
-    for number in itertools.count(1):
-        if ended.wait(SHORT_INTERVAL_S):
-            return
-        site.submit("checks", f"{number:016x}", short())
-
-
-def restart_crashed(site: Site, names: list[str], ended: threading.Event) -> None:
-    """Start each crashed worker again after ``DOWN_S``."""
-    down_since: dict[str, float] = {}
-    while not ended.wait(0.1):
-        for name in names:
-            if site.processes[name].poll() is None:
-                continue
-            since = down_since.setdefault(name, time.monotonic())
-            if time.monotonic() >= since + DOWN_S:
-                del down_since[name]
-                site.restart_worker(name)
-
-
-def broken_budget(site: Site) -> str:
-    """Return how often the task was started after its third crash, if too often."""
-    crashes = more_starts = 0
-    for row in site.events():
-        if not row.get("task", "").startswith(DEADLY_JOB):
-            continue
-        crashes += row["event"] == "crash"
-        if row["event"] == "start" and crashes >= MAX_CRASHES:
-            more_starts += 1
-    if more_starts > MAX_MORE_STARTS:
-        return f"started {more_starts} times after {MAX_CRASHES} crashes ({crashes})"
-    return ""
 
 
 if __name__ == "__main__":
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -4,6 +4,7 @@
 of ``standin_2.py``. All processes end with :meth:`Site.stop`.
 """
 
+import contextlib
 import http.client
 import json
 import os
@@ -137,6 +138,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.rows: list[dict[str, Any]] = []
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.commands: dict[str, tuple[list[str], dict[str, str]]] = {}
         self.worker_options: dict[str, dict[str, Any]] = {}
         self.network, self.port = _free_network()
         self.advice = ""
@@ -214,6 +216,7 @@
             "FOXSPRING_CONFIG": str(path),
         }
         command = [PYTHON, "-m", "foxspring_platform", role]
+        self.commands[name] = (command, environment)
         self.popen(name, command, environment)
 
     def popen(
@@ -279,6 +282,24 @@
         command = [sys.executable, str(STANDIN), "advice", json.dumps(options)]
         self.popen("advice", command)
 
+    def restart(self, name: str) -> None:
+        """Start a process of the system again, with settings of a later start."""
+        path = self.folder / f"{name}.toml"
+        text = path.read_text().replace("bootstrap = true", "bootstrap = false")
+        path.write_text(text)
+        command, environment = self.commands[name]
+        self.popen(name, command, environment)
+        self.note("restarted", process=name)
+
+    def memory_mb(self, name: str) -> int:
+        """Return the resident memory of a process, or 0 if it has ended."""
+        path = pathlib.Path(f"/proc/{self.processes[name].pid}/status")
+        with contextlib.suppress(OSError):
+            for line in path.read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) // 1024
+        return 0
+
     def kill(self, name: str) -> None:
         """Kill a process that this site started."""
         process = self.processes.pop(name)
