Jobs: a refused connection doesn't end a leaving target's lease

A worker had said that it leaves while a cut refused connections to it; its task was started elsewhere 0.1 s later, while the first run held its lease.

Cause: TargetPoller._on_failed_poll took a refused connection after a Deregister for the end of the process and gave up its runs at once. Refused means only that nobody accepts from where the leader is.

Evidence: the leader's log of the case on: target_left at 58.764, target_lost why=left runs=1 at 58.853, with a lease of 4 s renewed 1.5 s before.

Change: a leaving target is polled on like any silent one; its lease isn't renewed, and its runs are given up once every lease on it has certainly expired. The reason in target_lost stays "left". This holds whatever refuses, since the bound is the target's own clock.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -248,8 +248,7 @@
         """Do what is due at the current time."""
         now_ms = self.context.clock.monotonic_ms()
         for session in list(self.context.sessions.values()):
-            if session.failed_polls and session.clock.all_leases_expired(now_ms):
-                self.poller.declare_lost(session.incarnation, "lease_lapsed")
+            self.poller.check_lease(session)
         self.context.stage_times.log_if_due()
         if now_ms >= self.load_logged_ms + LOAD_LOG_INTERVAL_MS:
             self.load_logged_ms = now_ms
--- a/packages/foxspring-jobs/foxspring_jobs/_orders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_orders.py
@@ -88,7 +88,8 @@
     """How a call to a target ended.
 
     After ``NO_ANSWER`` the call may have been carried out, or may still be. ``REFUSED``
-    means that nothing listens at the address. With ``OTHER_TARGET`` another target
+    means that the connection was refused, which does not show that the target has
+    ended: something between may refuse it. With ``OTHER_TARGET`` another target
     answered, with ``RESTARTED`` the same target after a restart. All other kinds are
     reported by the target.
     """
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -225,9 +225,9 @@
         elif result is ResultKind.RESTARTED:
             session.fenced = True
             _LOG.warning("event=target_reborn target=%s", session.incarnation.target_id)
-        elif result is ResultKind.REFUSED and session.leaving:
-            self.declare_lost(session.incarnation, "left")
         else:
+            # A refused connection, too, shows nothing of the process: it may be cut
+            # off, and work on while its lease lasts.
             self.context.ports.call_later(
                 POLL_RETRY_MS, lambda: self.poll(session, wait_ms=0)
             )
@@ -359,6 +359,13 @@
         for session in {id(s): s for s, _, _ in ends}.values():
             self.poll(session, POLL_WAIT_MS)
 
+    def check_lease(self, session: TargetSession) -> None:
+        """Give up a silent target once every lease on it has certainly expired."""
+        now_ms = self.context.clock.monotonic_ms()
+        if session.failed_polls and session.clock.all_leases_expired(now_ms):
+            reason = "left" if session.leaving else "lease_lapsed"
+            self.declare_lost(session.incarnation, reason)
+
     def declare_lost(self, incarnation: TargetIncarnation, reason: str) -> None:
         """Give up an incarnation of a target and every run on it.
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
@@ -100,7 +100,9 @@
     ) -> None:
         target = self._reachable_target(session)
         if target is None:
-            self._no_answer(lambda leader: leader.on_poll_result(session, NO_RESULT))
+            self._unreached(
+                session, lambda leader, result: leader.on_poll_result(session, result)
+            )
             return
         if target.registered.incarnation.target_id != session.incarnation.target_id:
             self._answer(lambda leader: leader.on_poll_result(session, OTHER_TARGET))
@@ -131,7 +133,9 @@
     def _order(self, session: TargetSession, order: Order, until: int) -> None:
         target = self._reachable_target(session)
         if target is None:
-            self._no_answer(lambda leader: leader.on_order(session, order, NO_RESULT))
+            self._unreached(
+                session, lambda leader, result: leader.on_order(session, order, result)
+            )
             return
         if target.registered.incarnation.target_id != session.incarnation.target_id:
             self._answer(lambda leader: leader.on_order(session, order, OTHER_TARGET))
@@ -147,10 +151,22 @@
 
     def _reachable_target(self, session: TargetSession) -> FakeTarget | None:
         target = self.cluster.targets.get(session.endpoint.address)
-        if target is None or not target.alive or not target.receives:
+        if target is None or not target.alive or not target.receives or target.refuses:
             return None
         return target
 
+    def _unreached(
+        self,
+        session: TargetSession,
+        deliver: Callable[[Leader, TargetResult], None],
+    ) -> None:
+        """Deliver the result of a call that did not reach its target."""
+        target = self.cluster.targets.get(session.endpoint.address)
+        if target is not None and target.refuses:
+            self._answer(lambda leader: deliver(leader, REFUSED))
+        else:
+            self._no_answer(lambda leader: deliver(leader, NO_RESULT))
+
     def _answer(self, action: Callable[[Leader], None]) -> None:
         self.cluster.call_later(CALL_MS, lambda: self._deliver(action))
 
@@ -185,6 +201,7 @@
 
 
 NO_RESULT = TargetResult(ResultKind.NO_ANSWER)
+REFUSED = TargetResult(ResultKind.REFUSED)
 OTHER_TARGET = TargetResult(ResultKind.OTHER_TARGET)
 RESTARTED = TargetResult(ResultKind.RESTARTED)
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -41,6 +41,7 @@
     """One incarnation of a target; its clock starts at ``clock_start``.
 
     It is to crash at ``crash_ms``, which the start of a task in ``crashing`` sets.
+    With ``refuses`` it works on, but connections to it are refused.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.crash_ms: int | None = None
         self.alive = True
         self.receives = True
+        self.refuses = False
         self.replies = True
         self.healthy = True
         self.checks_tokens = True
