Jobs: only an answer shows that another target has an address

What callers would have seen (TWICE): a running task is started elsewhere while its run goes on.

Cause: TargetReports.report gave up targets at the address of a heartbeat, if its time of birth was later. A heartbeat may arrive after its sender has crashed, and a clock that is ahead makes the dead target the younger one.

Change: the targets at an address are given up by the first answer of another target there, which a process can give only while it holds the address. Births aren't compared any more.

--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -159,17 +159,18 @@
         session.adopting = registration
         session.replaced = replaced
 
-    def retire_address(self, registration: RegisterTarget) -> None:
-        """Declare targets lost whose address is now used by another target."""
+    def _retire_address(self, session: TargetSession) -> None:
+        """Declare targets lost at whose address this one has just answered.
+
+        A heartbeat alone doesn't show it: it may arrive after its sender has crashed,
+        and the clocks of two targets may differ by more than their lives are apart.
+        """
         for target in list(self.context.draft.targets.values()):
-            old = target.registered
-            if old.incarnation.target_id == registration.incarnation.target_id:
+            other = target.registered
+            if other.incarnation.target_id == session.incarnation.target_id:
                 continue
-            older = (
-                old.incarnation.incarnation_ms < registration.incarnation.incarnation_ms
-            )
-            if older and old.address == registration.address:
-                self.declare_lost(old.incarnation, "address_reused")
+            if other.address == session.endpoint.address:
+                self.declare_lost(other.incarnation, "address_reused")
 
     def poll(self, session: TargetSession, wait_ms: int) -> None:
         """Request a target's view and renew its lease."""
@@ -235,6 +236,8 @@
     def _process_view(
         self, session: TargetSession, view: TargetView, now_ms: int
     ) -> None:
+        if not session.taken_over:
+            self._retire_address(session)
         if session.adopting is not None:
             self._on_adopted_view(session, session.adopting, view)
             return
--- a/packages/foxspring-jobs/foxspring_jobs/_target_reports.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_reports.py
@@ -72,7 +72,6 @@
         if same_incarnation and known is not None and known.registered == registration:
             answer(Answer(Outcome.OK))
             return
-        self.poller.retire_address(registration)
         if known is not None and not same_incarnation:
             self.poller.adopt(registration)
             answer(Answer(Outcome.OK, "adopting"))
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leaving_targets.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leaving_targets.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from foxspring_jobs._operations import TargetReport
 from foxspring_jobs.tests.builders import registered, run_key, spec, step
 from foxspring_jobs.tests.fake_cluster import FakeCluster
 from foxspring_jobs.tests.fake_target import FakeTarget
@@ -64,5 +65,37 @@
                 self.assertTrue(cluster.targets["t2.example:80"].started)
 
 
+class ReusedAddressTest(LeaderCase):
+    """Only an answer from an address shows that another target has it now."""
+
+    def test_late_heartbeat_of_an_earlier_target_ends_no_run(self) -> None:
+        """Guards: a second run, since a dead target's clock was ahead (TWICE)."""
+        cluster = self.cluster("t1")
+        target = cluster.targets["t1.example:80"]
+        target.work_ms = WORK_MS
+        cluster.submit(spec(step(1)))
+        cluster.run(1_500)
+        cluster.add(registered("t2")).work_ms = WORK_MS
+        cluster.run(1_500)
+        late = TargetReport(registered("t0", 9, address="t1.example:80"), 1, 1)
+        cluster.leader.report(late, cluster.answers.append)
+        cluster.run(8_000)
+        self.assertIn(run_key(), target.running)
+        self.assertEqual(target.started, [run_key()])
+        self.assertNotIn("t0", cluster.leader.context.draft.targets)
+
+    def test_target_whose_address_another_one_has_is_lost_at_once(self) -> None:
+        """Guards: a crashed target's work that waits for its lease."""
+        cluster = self.cluster("t1", "t2")
+        cluster.targets["t1.example:80"].work_ms = WORK_MS
+        cluster.targets["t2.example:80"].work_ms = WORK_MS
+        cluster.submit(spec(step(2, max_per_target=1)))
+        cluster.run(1_500)
+        cluster.add(registered("t3", 9, address="t1.example:80"))
+        cluster.run(1_100)
+        self.assertNotIn("t1", cluster.leader.context.draft.targets)
+        self.assertEqual(len(cluster.targets["t1.example:80"].started), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
