Jobs: refuse jobs that the members have no memory for

Cause, second part: nothing bounded what all accepted jobs take, and memoryMb wasn't read.

Change: what accepted jobs take is estimated from their payload, steps and tasks; a job beyond its part of memoryMb is refused before it is accepted, with 503 and Retry-After, or with 400 that names size and limit if it would never fit. A job may take a 32nd part of what is free, so wide jobs are refused while usual ones still come in. Started tasks have a part of their own; at most 1,000 starts wait for an answer, since an order on its way holds its job's payload. Gangs aren't cut: one waits until all of it fits.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -26,6 +26,7 @@
 from foxspring_jobs._due_occurrences import due_occurrences
 from foxspring_jobs._interrupted_log import InterruptedLog
 from foxspring_jobs._job_log import JobLog
+from foxspring_jobs._job_memory import JobMemory
 from foxspring_jobs._leader_context import (
     LeaderContext,
     LeaderSettings,
@@ -106,6 +107,7 @@
         self.job_log = JobLog(self.context)
         self.crash_log = CrashLog(self.context, self.job_log)
         self.advice_calls = AdviceCalls(self.context)
+        self.memory = JobMemory(self.context)
         self.in_flight = 0
         self.started_ms = clock.monotonic_ms()
         self.short_work = ShortWork(self.started_ms)
@@ -181,7 +183,14 @@
         return applied.changed
 
     def submit(self, job_id: str, queue: Queue, spec: JobSpec, answer: Respond) -> None:
-        """Accept a job; the call is answered once the job is committed."""
+        """Accept a job; the call is answered once the job is committed.
+
+        A new job that the members have no memory for is refused at once.
+        """
+        refusal = self.memory.admit(job_id, queue, spec)
+        if refusal is not None:
+            answer(refusal)
+            return
 
         def done(committed: bool) -> None:
             _LOG.info(
@@ -252,6 +261,7 @@
         self.context.stage_times.log_if_due()
         if now_ms >= self.load_logged_ms + LOAD_LOG_INTERVAL_MS:
             self.load_logged_ms = now_ms
+            self.memory.measure()
             candidates = self.pool.candidates()
             log_load(self.context, candidates)
             log_capacity(self.context.draft, candidates)
@@ -310,6 +320,7 @@
         self.context.draft.apply(Advance(starts=starts), self.context.clock.wall_ms())
         for start in starts:
             self.poller.note_start(start)
+        self.memory.budget.note_started(len(starts))
         self.job_log.note_starts(starts)
         self.context.stage_times.note_starts(starts)
         self._commit(settled._replace(starts=starts), ends, ended_jobs)
@@ -410,6 +421,9 @@
         overdue = self.poller.overdue_runs()
         if not waiting and not overdue:
             return ()
+        limits = self.memory.start_limits()
+        if not limits.starts:
+            return ()
         allowed = self.advice_calls.allowed(waiting)
         candidates = self.pool.candidates()
         planner = Planner(
@@ -420,6 +434,7 @@
             self.restarts.holding(now_ms),
             self.short_work.is_expected(now_ms),
             self.plan_index,
+            limits,
         )
 
         def is_over() -> bool:
--- a/packages/foxspring-jobs/foxspring_jobs/_leader_context.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader_context.py
@@ -29,13 +29,15 @@
 
     ``keep_ended_ms`` is how long ended jobs can be read. ``longest_lease_ms`` is the
     longest lease that a target accepts, whatever deadline it receives. Targets send
-    a heartbeat every ``heartbeat_interval_ms``.
+    a heartbeat every ``heartbeat_interval_ms``. ``memory_mb`` is what the process may
+    use.
     """
 
     lease_ms: int = 4_000
     keep_ended_ms: int = 120_000
     longest_lease_ms: int = 10_000
     heartbeat_interval_ms: int = 1_000
+    memory_mb: int = 256
 
 
 class Ports(Protocol):
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -73,6 +73,24 @@
     (),
     "Jobs given up because targets crashed under one of their tasks.",
 )
+JOBS_REFUSED = Metric(
+    "jobs_refused_total",
+    "events",
+    ("lasting",),
+    "Jobs refused for want of memory; lasting ones are too large at any time.",
+)
+JOB_MEMORY = Metric(
+    "job_memory_bytes", "bytes", (), "What accepted jobs take in memory, estimated."
+)
+JOB_MEMORY_LIMIT = Metric(
+    "job_memory_limit_bytes", "bytes", (), "What accepted jobs may take in memory."
+)
+STARTED_TASKS = Metric(
+    "job_started_tasks", "tasks", (), "Tasks that have begun and are not done."
+)
+STARTED_TASKS_LIMIT = Metric(
+    "job_started_tasks_limit", "tasks", (), "How many such tasks the memory allows."
+)
 MITIGATIONS = Metric(
     "job_fills_relieved_total",
     "events",
@@ -102,6 +120,11 @@
     POLLS,
     LOST,
     GIVEN_UP,
+    JOBS_REFUSED,
+    JOB_MEMORY,
+    JOB_MEMORY_LIMIT,
+    STARTED_TASKS,
+    STARTED_TASKS_LIMIT,
     MITIGATIONS,
     LEADING,
     CHECKED,
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -24,6 +24,7 @@
     isolation_score,
     max_isolated,
 )
+from foxspring_jobs._memory_budget import NO_START_LIMITS, StartLimits
 from foxspring_jobs._plan_index import PlanIndex
 from foxspring_jobs._ranking import Ranking, RankingOfTargets, Score, ScoreOf
 from foxspring_jobs._scores import TargetScores
@@ -74,7 +75,8 @@
     ``allowed`` maps each step of a queue that needs advice to the ids of the targets on
     which it may start. A target may be held for the steps in ``holding``. While
     ``short_tasks_expected``, new long-running tasks leave a reserve for them. ``index``
-    is that of earlier plans with the same ``interference``.
+    is that of earlier plans with the same ``interference``. A plan starts at most
+    ``limits.starts`` runs, or one gang of at most ``limits.gang`` beyond that.
     """
 
     def __init__(
@@ -86,8 +88,11 @@
         holding: Set[StepKey] = frozenset(),
         short_tasks_expected: bool = True,
         index: PlanIndex | None = None,
+        limits: StartLimits = NO_START_LIMITS,
     ) -> None:
         self.state = state
+        self.starts_left = limits.starts
+        self.max_gang = limits.gang
         self.candidates = list(candidates)
         self.index = PlanIndex(interference) if index is None else index
         self.index.begin_plan(self.candidates)
@@ -130,8 +135,9 @@
             plan_step = self._plan_gang if step.gang else self._plan_tasks
             planned = plan_step(job, waiting, step, candidates)
             starts += planned.starts
+            self.starts_left -= len(planned.starts)
             if planned.starts:
-                if is_over():
+                if is_over() or self.starts_left <= 0:
                     break
                 continue
             if not planned.lacks_room:
@@ -150,6 +156,8 @@
         """Return second runs, on other targets, of tasks that have only one run."""
         starts: list[RunStart] = []
         for run in overdue:
+            if len(starts) >= self.starts_left:
+                break
             job = self.state.active.get(run.task.job_id)
             task = self.state.task(run.task)
             if job is None or task is None or task.done or len(task.runs) != 1:
@@ -281,7 +289,7 @@
             )
 
         ranking = rank()
-        for index, task in tasks:
+        for index, task in tasks[: self.starts_left]:
             if is_refused():
                 return _StepPlan(starts, lacks_room=True)
             # While half of the service is free, a job without runs gets one task
@@ -354,6 +362,8 @@
         tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
         if any(task.runs or is_held_back(task.crashes) for task in tasks):
             return _NOTHING_TO_START
+        if len(tasks) > self.max_gang:
+            return _NOTHING_TO_START
         service = job.queue.service
         asked = room_of(step.reserved(), len(tasks))
         must_be_admitted = self._must_be_admitted(waiting, step)
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -30,6 +30,7 @@
     after_silence,
     is_given_up,
 )
+from foxspring_jobs._job_size import occurrence_bytes, spec_bytes
 from foxspring_jobs._silent_losses import SilentLoss, SilentLosses
 from foxspring_jobs._specs import JobSpec, Queue, QueueTable, StepSpec
 from foxspring_jobs._task_states import StepState, TaskState, new_step_state
@@ -84,6 +85,8 @@
         self.spec = spec
         self.submitted_ms = submitted_ms
         self.completion_objective_ms = completion_objective_ms(queue, spec)
+        self.spec_bytes = spec_bytes(spec)
+        self.occurrence_bytes = occurrence_bytes(spec)
         self.version = 0
         self.phase = JobPhase.PENDING
         self.ended_ms = 0
@@ -117,6 +120,10 @@
         del self.occurrences[occurrence]
         self.dropped_failures += sum(step.failures() for step in steps)
 
+    def waiting_bytes(self) -> int:
+        """Return about what the job takes in memory, but for tasks that have begun."""
+        return self.spec_bytes + self.occurrence_bytes * len(self.occurrences)
+
     def drop_if_over(self) -> None:
         """Drop payload and tasks of an ended job of which nothing runs any more.
 
@@ -127,6 +134,7 @@
             self.dropped_failures = self.failures()
             self.occurrences = {}
             self.spec = self.spec._replace(payload="")
+            self.spec_bytes = spec_bytes(self.spec)
 
     def failures(self) -> int:
         """Return how many runs of the job have failed."""
