Logs: an ended thread, a search for a leader, a group without one

The record of the incident holds refused calls alone, and they can't tell a group without a leader from daemons that have stopped looking for one: the exception that ends a thread was printed by the interpreter, without time, level or event.

thread_failed (critical) names the thread and the exception. leader_search says every 5 s without an answer how many addresses a daemon knows and how many of its calls were declined or unanswered; leaderless says every 5 s at a control member without a leader what its log holds and who votes. No logic changes.

--- a/packages/foxspring-daemon/foxspring_daemon/_logging.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_logging.py
@@ -2,10 +2,13 @@
 
 import logging
 import sys
+import threading
 import time
 
 from foxspring_daemon._log_output import BoundedHandler
 
+_LOG = logging.getLogger(__name__)
+
 _UNQUOTED_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/@%+,[]()"
 )
@@ -71,7 +74,7 @@
     """Log to standard output at ``level`` (``debug`` to ``error``) and above.
 
     Logging never blocks: lines that a slow reader cannot keep up with are dropped
-    and counted.
+    and counted. An exception that ends a thread is logged as well.
     """
     handler = BoundedHandler(sys.stdout)
     handler.setFormatter(KeyValueFormatter(daemon_id))
@@ -79,6 +82,16 @@
     root.handlers[:] = [handler]
     _omit_unused_fields()
     set_level(level)
+    threading.excepthook = log_thread_failure
+
+
+def log_thread_failure(failure: threading.ExceptHookArgs) -> None:
+    """Log the exception that has ended a thread."""
+    if failure.exc_type is SystemExit or failure.exc_value is None:
+        return
+    name = failure.thread.name if failure.thread is not None else ""
+    exception = (failure.exc_type, failure.exc_value, failure.exc_traceback)
+    _LOG.critical("event=thread_failed thread=%s", quote(name), exc_info=exception)
 
 
 def _omit_unused_fields() -> None:
--- a/packages/foxspring-daemon/foxspring_daemon/tests/test_logging.py
+++ b/packages/foxspring-daemon/foxspring_daemon/tests/test_logging.py
@@ -2,9 +2,11 @@
 
 import logging
 import sys
+import threading
 import unittest
+from unittest import mock
 
-from foxspring_daemon._logging import KeyValueFormatter, quote
+from foxspring_daemon._logging import KeyValueFormatter, log_thread_failure, quote
 
 
 def format_line(message: str, *values: object, failing: bool = False) -> str:
@@ -54,3 +56,20 @@
         for value, expected in cases.items():
             with self.subTest(value):
                 self.assertEqual(quote(value), expected)
+
+
+class ThreadFailureTest(unittest.TestCase):
+    # Issue 52: a thread of every daemon had ended, and no log line showed it.
+    def test_exception_that_ends_a_thread_is_logged(self) -> None:
+        def fail() -> None:
+            raise ValueError("no address")
+
+        with (
+            mock.patch.object(threading, "excepthook", log_thread_failure),
+            self.assertLogs("foxspring_daemon", logging.CRITICAL) as logs,
+        ):
+            thread = threading.Thread(target=fail, name="ping")
+            thread.start()
+            thread.join()
+        self.assertIn("event=thread_failed thread=ping", logs.output[0])
+        self.assertIn("ValueError: no address", logs.output[0])
--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -27,7 +27,8 @@
 
     ``attempt_timeout_ms`` is how long one member may take to answer. All operations are
     idempotent, so an unanswered call is sent again. Once no leader has answered
-    anything for ``leader_lost_ms``, calls are refused at once while pings continue.
+    anything for ``leader_lost_ms``, calls are refused at once while pings continue,
+    and how the search goes is logged each ``search_log_interval_ms``.
     """
 
     attempt_timeout_ms: int = 400
@@ -35,6 +36,7 @@
     ping_interval_ms: int = 500
     ready_timeout_ms: int = 3_000
     leader_lost_ms: int = 2_000
+    search_log_interval_ms: int = 5_000
 
 
 class _Pending:
@@ -71,6 +73,9 @@
         self._pending: dict[int, _Pending] = {}
         self._closing = threading.Event()
         self._had_leader = False
+        self._declined = 0
+        self._unanswered = 0
+        self._search_logged_ms = self.last_answer_ms
         self._pinger = threading.Thread(target=self._ping, name="ping", daemon=True)
 
     def start(self) -> None:
@@ -164,8 +169,10 @@
                 may_have_run = True
                 self._pause(pending)
             elif isinstance(message, NotLeading):
+                self._declined += 1
                 self._follow_hint(receiver, message, pending)
             else:
+                self._unanswered += 1
                 may_have_run = True
                 self._drop_leader(receiver)
 
@@ -194,8 +201,11 @@
         if self.leader == receiver:
             self.leader = ""
 
+    def _known_members(self) -> tuple[str, ...]:
+        return tuple(dict.fromkeys((*self.members, *self.seeds)))
+
     def _next_member(self) -> str:
-        known = tuple(dict.fromkeys((*self.members, *self.seeds)))
+        known = self._known_members()
         return known[next(self._attempt_numbers) % len(known)]
 
     def _deadline_answer(
@@ -215,13 +225,35 @@
 
     def _ping(self) -> None:
         while not self._closing.wait(self.settings.ping_interval_ms / 1_000):
-            self.call(PingLeader(), self.settings.ping_interval_ms)
-            if self._had_leader and not self.is_ready():
-                self._had_leader = False
-                _LOG.warning(
-                    "event=control_lost silent_ms=%d",
-                    self.clock.monotonic_ms() - self.last_answer_ms,
-                )
+            self.ping()
+
+    def ping(self) -> None:
+        """Ask for the leader once, and log if there has been none for long."""
+        self.call(PingLeader(), self.settings.ping_interval_ms)
+        if self.is_ready():
+            return
+        now_ms = self.clock.monotonic_ms()
+        if self._had_leader:
+            self._had_leader = False
+            silent_ms = now_ms - self.last_answer_ms
+            _LOG.warning("event=control_lost silent_ms=%d", silent_ms)
+        if now_ms - self._search_logged_ms >= self.settings.search_log_interval_ms:
+            self._log_search(now_ms)
+
+    def _log_search(self, now_ms: int) -> None:
+        """Log how the search for the leader went since the last such line."""
+        _LOG.warning(
+            "event=leader_search silent_ms=%d known=%d hint=%s declined=%d "
+            "unanswered=%d",
+            now_ms - self.last_answer_ms,
+            len(self._known_members()),
+            self.leader or "-",
+            self._declined,
+            self._unanswered,
+        )
+        self._search_logged_ms = now_ms
+        self._declined = 0
+        self._unanswered = 0
 
 
 def _path_of(operation: Any) -> str:
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -38,6 +38,7 @@
 
 JOIN_INTERVAL_MS = 300
 LEADERLESS_TIMEOUT_MS = 2_000
+LEADERLESS_LOG_INTERVAL_MS = 5_000
 HAND_OVER_TIMEOUT_MS = 1_500
 LINK_SETTINGS = LinkSettings(ping_interval_ms=250, silence_limit_ms=900)
 _RAFT_TYPES = frozenset(RAFT_MESSAGES)
@@ -143,6 +144,7 @@
         self.leadership = LeadershipChange(False, 0, "", "")
         self.leader_hint = ""
         self._leaderless_since_ms = clock.monotonic_ms()
+        self._leaderless_logged_ms = self._leaderless_since_ms
         self._unreachable_since: dict[str, int] = {}
         self._group_size = max(len(settings.seeds), settings.group_size)
         self._closing = threading.Event()
@@ -231,9 +233,33 @@
                 self._change(change)
             return
         self._unreachable_since.clear()
+        self._log_if_leaderless()
         if self._should_request_join():
             self._request_join()
 
+    def _log_if_leaderless(self) -> None:
+        """Log the state of the log at intervals while it has no leader."""
+        now_ms = self.clock.monotonic_ms()
+        if self.leadership.leader_id:
+            self._leaderless_logged_ms = now_ms
+            return
+        if now_ms - self._leaderless_logged_ms < LEADERLESS_LOG_INTERVAL_MS:
+            return
+        self._leaderless_logged_ms = now_ms
+        status = self.log.status()
+        voters = [m.member.member_id for m in status.members if m.member.voter]
+        _LOG.warning(
+            "event=leaderless member=%s role=%s term=%d last_index=%d elections=%d "
+            "voters=%s refused=%r",
+            self.member_id,
+            status.role,
+            status.term,
+            status.last_index,
+            status.elections,
+            ",".join(voters) or "-",
+            status.refusal_reason,
+        )
+
     def _should_request_join(self) -> bool:
         if self.log.membership().find(self.member_id) is None:
             return True
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -109,6 +109,20 @@
         caller.call(PingLeader(), 500)
         self.assertEqual(caller.call(SUBMIT, 1_000).outcome, Outcome.OK)
 
+    # Issue 52: nothing showed whether a daemon without a leader still looked for one.
+    def test_search_for_a_leader_is_logged_at_intervals(self) -> None:
+        caller = self.caller(a=[redirects_to("")], b=[no_reply])
+        lines: list[str] = []
+        with self.assertLogs("foxspring_jobs", "WARNING") as logs:
+            for _ in range(40):
+                caller.ping()
+            lines = [line for line in logs.output if "event=leader_search" in line]
+        self.assertIn("known=2 hint=-", lines[0])
+        self.assertRegex(lines[0], r"declined=[1-9]\d* unanswered=[1-9]")
+        elapsed_ms = self.clock.monotonic_ms() - caller.last_answer_ms
+        interval_ms = SETTINGS.search_log_interval_ms
+        self.assertLessEqual(len(lines), elapsed_ms // interval_ms)
+
 
 if __name__ == "__main__":
     unittest.main()
