--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -123,6 +123,18 @@
         interval_ms = SETTINGS.search_log_interval_ms
         self.assertLessEqual(len(lines), elapsed_ms // interval_ms)
 
+    # Issue 52: a daemon started without seeds refused every call for good, also after
+    # its settings named some.
+    def test_daemon_without_seeds_finds_the_leader_once_it_gets_some(self) -> None:
+        caller = self.caller(a=[redirects_to("b")], b=[replies_with(Outcome.OK)])
+        caller.seeds = caller.members = ()
+        caller.ping()
+        self.assertEqual(caller.call(SUBMIT, 1_000).outcome, Outcome.UNAVAILABLE)
+        self.assertEqual(self.sent, [])
+        caller.seeds = ("a",)
+        caller.ping()
+        self.assertEqual(caller.call(SUBMIT, 1_000).outcome, Outcome.OK)
+
 
 if __name__ == "__main__":
     unittest.main()
