Callers: a daemon that knows no member looks on for one

Cause: a process whose settings name no seed has no address to ask; the remainder by the number of addresses (0) raised in the thread that pings and ended it. Since calls are refused at once after 2 s without an answer, and only a ping can end that, the daemon refused every call from then on, also after its settings named seeds. A control member asked its seeds alone, although its own log names the leader.

Now a call without anybody to ask is answered unavailable at once, pings continue, and a control member asks itself as well.

Evidence: thread_failed thread=ping at all processes of a trial (five members, two entries) half a second after their start, while one member logs leader_began.

--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -109,7 +109,8 @@
     def call(self, operation: Any, timeout_ms: int) -> Answer:
         """Return the leader's answer, or the known outcome at the deadline.
 
-        ``UNAVAILABLE`` is returned only if nothing was or will be done.
+        ``UNAVAILABLE`` is returned only if nothing was or will be done, and at once if
+        no member is known that could be asked.
         """
         if isinstance(operation, PingLeader):
             return self._call_leader(operation, timeout_ms)
@@ -150,10 +151,10 @@
         attempts = 0
         while True:
             remaining_ms = deadline_ms - self.clock.monotonic_ms()
-            if remaining_ms <= 0:
-                return self._deadline_answer(operation, may_have_run, attempts)
-            attempts += 1
             receiver = self.leader or self._next_member()
+            if remaining_ms <= 0 or not receiver:
+                return self._give_up(operation, may_have_run, attempts)
+            attempts += 1
             pending.arrived.clear()
             pending.message = None
             self.send(receiver, call)
@@ -205,12 +206,13 @@
         return tuple(dict.fromkeys((*self.members, *self.seeds)))
 
     def _next_member(self) -> str:
+        """Return the member to ask next, or an empty string if none is known."""
         known = self._known_members()
+        if not known:
+            return ""
         return known[next(self._attempt_numbers) % len(known)]
 
-    def _deadline_answer(
-        self, operation: Any, may_have_run: bool, attempts: int
-    ) -> Answer:
+    def _give_up(self, operation: Any, may_have_run: bool, attempts: int) -> Answer:
         if not isinstance(operation, PingLeader):
             _LOG.warning(
                 "event=call_given_up kind=%s path=%s attempts=%d may_have_run=%s",
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -139,7 +139,11 @@
         )
         self.machine.on_reset = self.service.on_reset
         self.caller = ControlCaller(
-            settings.link_address, settings.seeds, self.send, clock, self.metrics
+            settings.link_address,
+            _members_to_ask(settings),
+            self.send,
+            clock,
+            self.metrics,
         )
         self.leadership = LeadershipChange(False, 0, "", "")
         self.leader_hint = ""
@@ -169,7 +173,7 @@
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds through which the group and its leader are found."""
         self.settings = self.settings._replace(seeds=seeds)
-        self.caller.seeds = seeds
+        self.caller.seeds = _members_to_ask(self.settings)
 
     def hand_over(self) -> None:
         """Transfer the leadership to another member, if this member has it."""
@@ -320,6 +324,14 @@
         return tuple(views)
 
 
+def _members_to_ask(settings: MemberSettings) -> tuple[str, ...]:
+    """Return the members to ask for the leader.
+
+    The member itself is among them, since its log names the leader without any seed.
+    """
+    return (*settings.seeds, settings.link_address)
+
+
 def _log_change(
     action: str, member_id: str, reason: str
 ) -> Callable[[ProposeOutcome], None]:
