Periodic work goes on after an exception

Cause: six loops on threads of their own had nothing around their work. The one of the group had, and now all share it: repeat() of foxspring_link logs an exception (periodic_work_failed, at the first, second, fourth, ... failure in a row) and goes on.

--- a/packages/foxspring-daemon/foxspring_daemon/_control_process.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_control_process.py
@@ -16,7 +16,7 @@
 )
 from foxspring_control.service import ControlService, ServiceSettings
 from foxspring_control.state import ControlState
-from foxspring_link import Codec, Link, LinkSettings, SystemClock
+from foxspring_link import Codec, Link, LinkSettings, SystemClock, repeat
 from foxspring_model import MESSAGES
 
 _LOG = logging.getLogger(__name__)
@@ -114,8 +114,7 @@
         self.service.on_leadership(change)
 
     def _tick(self) -> None:
-        while not self._stopping.wait(_TICK_INTERVAL_S):
-            self.service.tick()
+        repeat(self.service.tick, _TICK_INTERVAL_S, self._stopping)
 
 
 def raft_settings(
--- a/packages/foxspring-entry/foxspring_entry/_deadlines.py
+++ b/packages/foxspring-entry/foxspring_entry/_deadlines.py
@@ -9,6 +9,7 @@
 import threading
 from typing import NamedTuple
 
+from foxspring_link import repeat
 from foxspring_model import Clock
 from urllib3.connection import HTTPConnection
 
@@ -55,12 +56,14 @@
         self._thread.join()
 
     def _run(self) -> None:
-        while not self._stopping.wait(_CHECK_S):
-            now_ms = self._clock.monotonic_ms()
-            with self._lock:
-                for exchange in self._exchanges.values():
-                    if exchange.deadline_ms <= now_ms:
-                        _shut_down(exchange.connection)
+        repeat(self._shut_down_expired, _CHECK_S, self._stopping)
+
+    def _shut_down_expired(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            for exchange in self._exchanges.values():
+                if exchange.deadline_ms <= now_ms:
+                    _shut_down(exchange.connection)
 
 
 def _shut_down(connection: HTTPConnection) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
+from foxspring_link import repeat
 from foxspring_model import Clock
 
 from foxspring_jobs._metrics import CALL_SECONDS, CALLS, Metrics
@@ -226,8 +227,7 @@
         return Answer(Outcome.UNAVAILABLE, "no control leader")
 
     def _ping(self) -> None:
-        while not self._closing.wait(self.settings.ping_interval_ms / 1_000):
-            self.ping()
+        repeat(self.ping, self.settings.ping_interval_ms / 1_000, self._closing)
 
     def ping(self) -> None:
         """Ask for the leader once, and log if there has been none for long."""
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -15,7 +15,7 @@
     RaftSettings,
     ReplicatedLog,
 )
-from foxspring_link import Codec, Link, LinkSettings
+from foxspring_link import Codec, Link, LinkSettings, repeat
 from foxspring_model import Clock, LinkPing, LinkPong
 
 from foxspring_jobs._caller import ControlCaller
@@ -224,11 +224,7 @@
     # Membership.
 
     def _run_membership(self) -> None:
-        while not self._closing.wait(JOIN_INTERVAL_MS / 1_000):
-            try:
-                self._check_membership()
-            except Exception:
-                _LOG.exception("event=group_keeper_failed")
+        repeat(self._check_membership, JOIN_INTERVAL_MS / 1_000, self._closing)
 
     def _check_membership(self) -> None:
         if self.leadership.is_leader:
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -10,6 +10,7 @@
 import pykka
 from foxspring_control import ProposeOutcome
 from foxspring_control.raft import LeadershipChange, ReplicatedLog
+from foxspring_link import repeat
 from foxspring_model import UNDECODABLE, Clock
 
 from foxspring_jobs._advice import AdviceCall
@@ -260,8 +261,7 @@
     # Timers.
 
     def _tick(self) -> None:
-        while not self._closing.wait(TICK_MS / 1_000):
-            self.queue_tick()
+        repeat(self.queue_tick, TICK_MS / 1_000, self._closing)
 
     def queue_tick(self) -> None:
         """Queue a tick, unless one is queued or running.
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -21,6 +21,7 @@
 
 SUBMIT = SubmitCall("jobs.example", "/checks/1", spec())
 READ = ReadCall("jobs.example", "/checks/1")
+WAIT_S = 10.0
 SETTINGS = CallerSettings(attempt_timeout_ms=20, retry_pause_ms=1)
 Member = Callable[[Call], Reply | NotLeading | None]
 
@@ -135,6 +136,25 @@
         caller.ping()
         self.assertEqual(caller.call(SUBMIT, 1_000).outcome, Outcome.OK)
 
+    # Issue 52: one exception of the search for a leader ended it for good.
+    def test_search_goes_on_after_an_exception(self) -> None:
+        failures = [RuntimeError("can't start new thread")]
+        answered = threading.Event()
+
+        def send(address: str, message: Any) -> None:
+            if failures:
+                raise failures.pop()
+            self.send(address, message)
+            answered.set()
+
+        caller = self.caller(a=[replies_with(Outcome.OK)], b=[no_reply])
+        caller.send = send
+        caller.settings = SETTINGS._replace(ping_interval_ms=10)
+        with self.assertLogs("foxspring_link", "ERROR"):
+            caller.start()
+            self.addCleanup(caller.close)
+            self.assertTrue(answered.wait(WAIT_S))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/foxspring-link/foxspring_link/__init__.py
+++ b/packages/foxspring-link/foxspring_link/__init__.py
@@ -1,8 +1,9 @@
-"""Message links between processes, their codec and clocks."""
+"""Message links between processes, their codec, clocks and periodic work."""
 
 from foxspring_link._clock import ManualClock, SystemClock
 from foxspring_link._codec import Codec, MalformedMessageError
 from foxspring_link._link import Link, LinkCounters, LinkSettings, SendResult
+from foxspring_link._repeat import repeat
 
 __all__ = [
     "Codec",
@@ -13,4 +14,5 @@
     "ManualClock",
     "SendResult",
     "SystemClock",
+    "repeat",
 ]
--- a/packages/foxspring-link/foxspring_link/_link.py
+++ b/packages/foxspring-link/foxspring_link/_link.py
@@ -16,6 +16,7 @@
 
 from foxspring_link._codec import Codec, MalformedMessageError
 from foxspring_link._nng import pynng
+from foxspring_link._repeat import repeat
 from foxspring_link._retirement import (
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
@@ -259,11 +260,14 @@
                 peer.last_received_ms = self._clock.monotonic_ms()
 
     def _ping_idle_peers(self) -> None:
-        while not self._closing.wait(self._settings.ping_interval_ms / 1_000):
-            with self._lock:
-                peers = list(self._peers.values())
-            for peer in peers:
-                self._check_peer(peer)
+        interval_s = self._settings.ping_interval_ms / 1_000
+        repeat(self._check_peers, interval_s, self._closing)
+
+    def _check_peers(self) -> None:
+        with self._lock:
+            peers = list(self._peers.values())
+        for peer in peers:
+            self._check_peer(peer)
 
     def _check_peer(self, peer: _Peer) -> None:
         now = self._clock.monotonic_ms()
