Link: a machine without threads ends neither its sends nor its receiving

Cause: each socket without a connection is closed 2 s later on a thread of its own, and starting it was not expected to fail. Now such a socket is kept, without attempts, and closed together with the next one (closing_delayed); an exception while a frame is handled ends only that frame (frame_failed), and an error of the receiving socket is tried again (receive_failed).

--- a/packages/foxspring-link/foxspring_link/_link.py
+++ b/packages/foxspring-link/foxspring_link/_link.py
@@ -27,6 +27,7 @@
 _LOG = logging.getLogger(__name__)
 
 MAX_LOGGED_ADDRESSES = 64
+RECEIVE_RETRY_S = 0.1
 
 Handler = Callable[[str, Any], None]
 
@@ -228,8 +229,15 @@
                 # pynng can't return a message without bytes.
                 _LOG.warning("event=message_refused reason=%r", str(error))
                 continue
+            except pynng.NNGException as error:
+                _LOG.error("event=receive_failed reason=%r", str(error))
+                self._closing.wait(RECEIVE_RETRY_S)
+                continue
             self.bytes_received += len(frame)
-            self._handle_frame(frame)
+            try:
+                self._handle_frame(frame)
+            except Exception:
+                _LOG.exception("event=frame_failed bytes=%d", len(frame))
 
     def _handle_frame(self, frame: bytes) -> None:
         try:
--- a/packages/foxspring-link/foxspring_link/_retirement.py
+++ b/packages/foxspring-link/foxspring_link/_retirement.py
@@ -9,11 +9,14 @@
 """
 
 import contextlib
+import logging
 import threading
 from typing import Any
 
 from foxspring_link._nng import pynng
 
+_LOG = logging.getLogger(__name__)
+
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
 # The last attempt begins within RECONNECT_MAX_MS; the rest is for the attempt itself.
@@ -47,27 +50,58 @@
 
         nng frees the memory once this returns, and closes no socket before.
         """
-        # A socket that is being closed refuses the change and needs none.
-        with contextlib.suppress(pynng.NNGException):
-            _stop_attempts(self.socket)
+        _stop_attempts(self.socket)
         with self._sending:
             self.ended = True
 
 
-def retire(socket: Any) -> None:
-    """Close a push socket, one without a connection after its last attempt.
+class _DelayedClosing:
+    """Sockets to close after their last attempt.
 
-    The second happens on a thread of its own, for which the interpreter waits at its
-    end.
+    ``waiting`` are those for which the system had no thread; they make no attempts,
+    and are closed together with the next one.
     """
+
+    def __init__(self) -> None:
+        self.waiting: list[Any] = []
+        self.lock = threading.Lock()
+
+    def add(self, socket: Any) -> None:
+        """Close a socket on a thread of its own, for which the interpreter waits."""
+        with self.lock:
+            sockets = [*self.waiting, socket]
+            self.waiting = []
+            try:
+                threading.Timer(LAST_ATTEMPT_S, _close_all, (sockets,)).start()
+            except RuntimeError as error:
+                self.waiting = sockets
+                _LOG.warning(
+                    "event=closing_delayed sockets=%d reason=%r",
+                    len(sockets),
+                    str(error),
+                )
+
+
+_DELAYED_CLOSING = _DelayedClosing()
+
+
+def _close_all(sockets: list[Any]) -> None:
+    for socket in sockets:
+        socket.close()
+
+
+def retire(socket: Any) -> None:
+    """Close a push socket, one without a connection after its last attempt."""
     _stop_attempts(socket)
     if socket.pipes:
         socket.close()
     else:
-        threading.Timer(LAST_ATTEMPT_S, socket.close).start()
+        _DELAYED_CLOSING.add(socket)
 
 
 def _stop_attempts(socket: Any) -> None:
-    for dialer in socket.dialers:
-        dialer.reconnect_time_max = NO_ATTEMPT_MS
-        dialer.reconnect_time_min = NO_ATTEMPT_MS
+    # A socket that is being closed refuses the change and needs none.
+    with contextlib.suppress(pynng.NNGException):
+        for dialer in socket.dialers:
+            dialer.reconnect_time_max = NO_ATTEMPT_MS
+            dialer.reconnect_time_min = NO_ATTEMPT_MS
--- a/packages/foxspring-link/foxspring_link/tests/test_retirement.py
+++ b/packages/foxspring-link/foxspring_link/tests/test_retirement.py
@@ -113,6 +113,58 @@
             counts.append(len(self.dialled))
         self.assertEqual([1, 2, 3], counts)
 
+    # Soak 50105: without a thread to close a socket, sends raised.
+    def test_send_replaces_an_ended_connection_when_there_are_no_threads(self) -> None:
+        sender = self.link(LinkSettings(silence_limit_ms=60_000))
+        receiver = self.link(address=self.address)
+        self.send_until_received(sender)
+        receiver.close()
+        self.received.clear()
+        no_threads = RuntimeError("can't start new thread")
+        with mock.patch.object(threading.Timer, "start", side_effect=no_threads):
+            deadline_s = time.monotonic() + DEADLINE_S
+            while len(self.dialled) < 2:
+                self.assertLess(time.monotonic(), deadline_s)
+                sender.send(self.address, MESSAGE)
+                time.sleep(0.01)
+        self.link(address=self.address)
+        self.send_until_received(sender)
+        self.assertEqual(self.closed, [])
+        sender.disconnect(self.address)
+        began_s = time.monotonic()
+        other = self.link(LinkSettings(ping_interval_ms=20, silence_limit_ms=100))
+        other.send("127.0.0.1:1", MESSAGE)
+        other.disconnect("127.0.0.1:1")
+        while len(self.closed) < 2:
+            self.assertLess(time.monotonic() - began_s, DEADLINE_S)
+            time.sleep(0.01)
+
+    # Soak 50105: an exception while a message was handled left the process deaf.
+    def test_link_receives_on_after_an_exception(self) -> None:
+        sender, receiver = self.link(), self.link()
+        self.address = receiver.address
+        failures = [RuntimeError("can't start new thread")]
+        handle = receiver._handle_frame
+
+        def fail_once(frame: bytes) -> None:
+            if failures:
+                raise failures.pop()
+            handle(frame)
+
+        with (
+            mock.patch.object(receiver, "_handle_frame", fail_once),
+            self.assertLogs("foxspring_link", "ERROR"),
+        ):
+            self.send_until_received(sender)
+
+    def send_until_received(self, sender: Link) -> None:
+        """Send messages to the address until one has been received."""
+        deadline_s = time.monotonic() + DEADLINE_S
+        while not self.received.is_set():
+            self.assertLess(time.monotonic(), deadline_s)
+            sender.send(self.address, MESSAGE)
+            self.received.wait(0.05)
+
     def test_retired_socket_makes_no_attempt_after_its_last_one(self) -> None:
         push = pynng.Push0(
             reconnect_time_min=retirement.RECONNECT_MIN_MS,
