Control members: one with an emptied disk joins without seeds

What would be seen: a member whose disk was emptied, and whose settings name no seed or only ones that are down, never asks anybody to let it join; it answers no call, and one more lost disk can end the quorum for good. Cause: it knew its seeds alone, while the members go on to send the log's messages to its address, for the id that it had before. Now it asks the sender of such a message as well; a member that doesn't lead names the one that does.

--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -147,6 +147,7 @@
         )
         self.leadership = LeadershipChange(False, 0, "", "")
         self.leader_hint = ""
+        self.member_hint = ""
         self._leaderless_since_ms = clock.monotonic_ms()
         self._leaderless_logged_ms = self._leaderless_since_ms
         self._unreachable_since: dict[str, int] = {}
@@ -205,6 +206,7 @@
 
     def _receive(self, sender: str, message: Any) -> None:
         if type(message) in _RAFT_TYPES:
+            self._note_member(sender)
             self.log.receive(sender, message)
         elif isinstance(message, Call):
             self.service.receive(message)
@@ -215,6 +217,14 @@
         elif isinstance(message, JoinAnswer):
             self.leader_hint = message.leader_address
 
+    def _note_member(self, address: str) -> None:
+        """Remember a member that this process can ask to join, also without seeds.
+
+        Members send to the address of one whose disk was emptied until it is removed.
+        """
+        if self.log.membership().find(self.member_id) is None:
+            self.member_hint = address
+
     def _on_leadership(self, change: LeadershipChange) -> None:
         self.leadership = change
         if not change.leader_id:
@@ -273,7 +283,8 @@
             self.member_id, self.settings.link_address, self.settings.failure_domain
         )
         known = {m.link_address for m in self.log.membership().members}
-        receivers = known | set(self.settings.seeds) | {self.leader_hint}
+        hints = {self.leader_hint, self.member_hint}
+        receivers = known | set(self.settings.seeds) | hints
         for address in receivers - {"", self.settings.link_address}:
             self.send(address, join)
 
