--- a/packages/foxspring-control/foxspring_control/raft/_segments.py
+++ b/packages/foxspring-control/foxspring_control/raft/_segments.py
@@ -39,6 +39,15 @@
         os.close(descriptor)
 
 
+def make_folder(folder: Path) -> None:
+    """Create a folder with its parents so that their names are durable."""
+    if folder.is_dir():
+        return
+    make_folder(folder.parent)
+    folder.mkdir(exist_ok=True)
+    sync_folder(folder.parent)
+
+
 class _FrameLocation(NamedTuple):
     """Location of a frame that has entries or resets the log."""
 
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -17,6 +17,7 @@
     SegmentLog,
     Sync,
     Write,
+    make_folder,
     sync_folder,
 )
 from foxspring_control.raft._state import (
@@ -162,7 +163,7 @@
             WrongMemberError: the folder belongs to another member or is in use.
             DamagedLogError: synced data is missing or damaged.
         """
-        self.folder.mkdir(parents=True, exist_ok=True)
+        make_folder(self.folder)
         self._lock()
         self._check_identity()
         replay = _Replay(self._load_snapshot())
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_power_loss.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_power_loss.py
@@ -164,5 +164,26 @@
         self.lose_power()
 
 
+class FolderPowerLossTest(unittest.TestCase):
+    # Found beside issue 52: a power loss could take the whole folder of a new member.
+    def test_name_of_a_new_folder_is_durable_before_anything_is_in_it(self) -> None:
+        root = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, root)
+        folder = root / "data" / "log"
+        synced: list[tuple[Path, bool]] = []
+
+        def record(synced_folder: Path) -> None:
+            synced.append((synced_folder, folder.is_dir() and any(folder.iterdir())))
+
+        with (
+            mock.patch.object(_segments, "sync_folder", record),
+            mock.patch.object(_storage, "sync_folder", record),
+        ):
+            storage = Storage(folder, "m1", SEGMENT_BYTES, LOG_CACHE_BYTES)
+            storage.open()
+            storage.close()
+        self.assertEqual(synced[:2], [(root, False), (folder.parent, False)])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -108,7 +108,6 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        settings.data_folder.mkdir(parents=True, exist_ok=True)
         member_id = choose_member_id(settings, clock.wall_ms())
         self.member_id = member_id
         self.machine = JobStateMachine()
