Jobs: a leader that can't begin hands over and tries again

What would be seen: the log has a leader with a valid lease, and every call is declined, for as long as it leads: an exception while a leader takes the state over ended its beginning for good, and its lease kept every other member from leading.

Now such a member transfers the leadership, and begins again after a second if it still leads (leading_failed). test_leader_that_cannot_begin_hands_over_and_tries_again fails before; test_service_ticks: 3 passed.

--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -34,6 +34,7 @@
 _LOG = logging.getLogger(__name__)
 
 TICK_MS = 50
+LEADING_RETRY_MS = 1_000
 TOKENS_PER_GENERATION = 1_000
 GENERATIONS_PER_TERM = 1_000
 TOKENS_PER_TERM = TOKENS_PER_GENERATION * GENERATIONS_PER_TERM
@@ -63,6 +64,10 @@
     return True
 
 
+def _log_transfer(outcome: ProposeOutcome) -> None:
+    _LOG.info("event=leadership_handed_over status=%s", outcome.status)
+
+
 class JobService:
     """One control member's job service: leads, or refers calls to the leader.
 
@@ -148,6 +153,20 @@
             self._start_leading()
 
     def _start_leading(self) -> None:
+        """Begin to lead; if that fails, let another member lead, or try again."""
+        try:
+            self._begin_leader()
+        except Exception:
+            _LOG.exception("event=leading_failed term=%d", self.leadership.term)
+            self._end_leader()
+            self.log.transfer_leadership(_log_transfer)
+            self.call_later(LEADING_RETRY_MS, self._retry_leading)
+
+    def _retry_leading(self) -> None:
+        if self.leadership.is_leader and self.leader is None:
+            self._start_leading()
+
+    def _begin_leader(self) -> None:
         self.generation += 1
         generation = self.generation % GENERATIONS_PER_TERM
         token = (
