Test of sockets without a thread: one step a test

Cause: one test covered sends and the closing of kept sockets, which a reader had to take apart. Change: two tests, both checks kept. make test of the module: 9 passed.

--- a/packages/foxspring-link/foxspring_link/tests/test_retirement.py
+++ b/packages/foxspring-link/foxspring_link/tests/test_retirement.py
@@ -15,6 +15,7 @@
 
 DEADLINE_S = 20.0
 ATTEMPT_S = 1.0
+NO_THREADS = RuntimeError("can't start new thread")
 MESSAGE = ForwardedReport("target-1", b"{}")
 
 
@@ -120,8 +121,7 @@
         self.send_until_received(sender)
         receiver.close()
         self.received.clear()
-        no_threads = RuntimeError("can't start new thread")
-        with mock.patch.object(threading.Timer, "start", side_effect=no_threads):
+        with mock.patch.object(threading.Timer, "start", side_effect=NO_THREADS):
             deadline_s = time.monotonic() + DEADLINE_S
             while len(self.dialled) < 2:
                 self.assertLess(time.monotonic(), deadline_s)
@@ -129,13 +129,17 @@
                 time.sleep(0.01)
         self.link(address=self.address)
         self.send_until_received(sender)
-        self.assertEqual(self.closed, [])
-        sender.disconnect(self.address)
+
+    def test_socket_without_a_thread_is_closed_together_with_the_next_one(self) -> None:
+        sockets = [pynng.Push0(), pynng.Push0()]
+        for push in sockets:
+            push.dial(f"tcp://{self.address}", block=False)
         began_s = time.monotonic()
-        other = self.link(LinkSettings(ping_interval_ms=20, silence_limit_ms=100))
-        other.send("127.0.0.1:1", MESSAGE)
-        other.disconnect("127.0.0.1:1")
-        while len(self.closed) < 2:
+        with mock.patch.object(threading.Timer, "start", side_effect=NO_THREADS):
+            retirement.retire(sockets[0])
+        self.assertEqual(self.closed, [])
+        retirement.retire(sockets[1])
+        while len(self.closed) < len(sockets):
             self.assertLess(time.monotonic() - began_s, DEADLINE_S)
             time.sleep(0.01)
 
@@ -143,7 +147,7 @@
     def test_link_receives_on_after_an_exception(self) -> None:
         sender, receiver = self.link(), self.link()
         self.address = receiver.address
-        failures = [RuntimeError("can't start new thread")]
+        failures = [NO_THREADS]
         handle = receiver._handle_frame
 
         def fail_once(frame: bytes) -> None:
