--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -19,6 +19,7 @@
     SubmitCall,
     make_call,
 )
+from foxspring_jobs._repeat_limit import RepeatLimit
 
 _LOG = logging.getLogger(__name__)
 
@@ -29,7 +30,8 @@
     ``attempt_timeout_ms`` is how long one member may take to answer. All operations are
     idempotent, so an unanswered call is sent again. Once no leader has answered
     anything for ``leader_lost_ms``, calls are refused at once while pings continue,
-    and how the search goes is logged each ``search_log_interval_ms``.
+    and how the search goes is logged each ``search_log_interval_ms``. Refused calls,
+    and those given up, are logged as often at most, with their number by kind.
     """
 
     attempt_timeout_ms: int = 400
@@ -77,6 +79,8 @@
         self._declined = 0
         self._unanswered = 0
         self._search_logged_ms = self.last_answer_ms
+        self._refused_lines = RepeatLimit(self.settings.search_log_interval_ms)
+        self._given_up_lines = RepeatLimit(self.settings.search_log_interval_ms)
         self._pinger = threading.Thread(target=self._ping, name="ping", daemon=True)
 
     def start(self) -> None:
@@ -118,12 +122,7 @@
         started_ms = self.clock.monotonic_ms()
         if self._control_is_lost():
             answer = Answer(Outcome.UNAVAILABLE, "no control leader")
-            _LOG.warning(
-                "event=call_refused kind=%s path=%s silent_ms=%d",
-                type(operation).__name__,
-                _path_of(operation),
-                started_ms - self.last_answer_ms,
-            )
+            self._log_refused(operation, started_ms)
         else:
             answer = self._call_leader(operation, timeout_ms)
         kind = type(operation).__name__
@@ -132,6 +131,20 @@
         self.metrics.observe_ms(CALL_SECONDS, took_ms, kind)
         return answer
 
+    def _log_refused(self, operation: Any, now_ms: int) -> None:
+        """Log a refused call, unless one was logged shortly before."""
+        kind = type(operation).__name__
+        calls = self._refused_lines.note(kind, now_ms)
+        if not calls:
+            return
+        _LOG.warning(
+            "event=call_refused kind=%s path=%s silent_ms=%d calls=%s",
+            kind,
+            _path_of(operation),
+            now_ms - self.last_answer_ms,
+            calls,
+        )
+
     def _call_leader(self, operation: Any, timeout_ms: int) -> Answer:
         deadline_ms = self.clock.monotonic_ms() + timeout_ms
         call_id = next(self._numbers)
@@ -197,7 +210,12 @@
         self.last_answer_ms = self.clock.monotonic_ms()
         if not self._had_leader:
             self._had_leader = True
-            _LOG.info("event=control_regained leader=%s", address)
+            _LOG.info(
+                "event=control_regained leader=%s refused=%s given_up=%s",
+                address,
+                self._refused_lines.end_period(),
+                self._given_up_lines.end_period(),
+            )
 
     def _drop_leader(self, receiver: str) -> None:
         if self.leader == receiver:
@@ -215,17 +233,26 @@
 
     def _give_up(self, operation: Any, may_have_run: bool, attempts: int) -> Answer:
         if not isinstance(operation, PingLeader):
-            _LOG.warning(
-                "event=call_given_up kind=%s path=%s attempts=%d may_have_run=%s",
-                type(operation).__name__,
-                _path_of(operation),
-                attempts,
-                may_have_run,
-            )
+            self._log_given_up(operation, may_have_run, attempts)
         if may_have_run:
             return Answer(Outcome.UNKNOWN, "no answer from control in time")
         return Answer(Outcome.UNAVAILABLE, "no control leader")
 
+    def _log_given_up(self, operation: Any, may_have_run: bool, attempts: int) -> None:
+        """Log a call without an answer, unless one was logged shortly before."""
+        kind = type(operation).__name__
+        calls = self._given_up_lines.note(kind, self.clock.monotonic_ms())
+        if not calls:
+            return
+        _LOG.warning(
+            "event=call_given_up kind=%s path=%s attempts=%d may_have_run=%s calls=%s",
+            kind,
+            _path_of(operation),
+            attempts,
+            may_have_run,
+            calls,
+        )
+
     def _ping(self) -> None:
         repeat(self.ping, self.settings.ping_interval_ms / 1_000, self._closing)
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -136,6 +136,38 @@
         caller.ping()
         self.assertEqual(caller.call(SUBMIT, 1_000).outcome, Outcome.OK)
 
+    # Issue 55: refused calls, hundreds a second, drove all else out of the record.
+    def test_refused_calls_do_not_drive_out_other_lines(self) -> None:
+        caller = self.caller(a=[replies_with(Outcome.OK)], b=[replies_with(Outcome.OK)])
+        self.clock.advance(SETTINGS.leader_lost_ms)
+        with self.assertLogs("foxspring_jobs", "INFO") as logs:
+            for _ in range(600):
+                caller.call(SUBMIT, 1_000)
+                self.clock.advance(10)
+                caller.call(READ, 1_000)
+            caller.ping()
+        refused = [line for line in logs.output if "event=call_refused" in line]
+        self.assertEqual(len(refused), 2)
+        self.assertIn("kind=SubmitCall path=/checks/1", refused[0])
+        self.assertIn("calls=SubmitCall:1", refused[0])
+        self.assertIn("calls=ReadCall:500,SubmitCall:499", refused[1])
+        self.assertIn("refused=ReadCall:100,SubmitCall:100", logs.output[-1])
+        text = caller.metrics.exposition().decode()
+        total = 'job_calls_total{call="SubmitCall",outcome="unavailable"} 600'
+        self.assertIn(total, text)
+
+    # Issue 55: so did calls that found no leader before their deadline.
+    def test_calls_given_up_do_not_drive_out_other_lines(self) -> None:
+        caller = self.caller(a=[redirects_to("")], b=[redirects_to("")])
+        caller.settings = SETTINGS._replace(leader_lost_ms=1_000_000)
+        with self.assertLogs("foxspring_jobs", "WARNING") as logs:
+            for _ in range(60):
+                caller.call(READ, 100)
+        given_up = [line for line in logs.output if "event=call_given_up" in line]
+        self.assertEqual(len(given_up), 2)
+        self.assertIn("calls=ReadCall:1", given_up[0])
+        self.assertIn("calls=ReadCall:50", given_up[1])
+
     # Issue 52: one exception of the search for a leader ended it for good.
     def test_search_goes_on_after_an_exception(self) -> None:
         failures = [RuntimeError("can't start new thread")]
