--- a/packages/foxspring-control/foxspring_control/raft/__init__.py
+++ b/packages/foxspring-control/foxspring_control/raft/__init__.py
@@ -14,6 +14,7 @@
     RaftStatus,
 )
 from foxspring_control.raft._storage import WrongMemberError
+from foxspring_control.raft._vote_notes import VoteNote
 
 __all__ = [
     "DamagedLogError",
@@ -25,6 +26,7 @@
     "RaftSettings",
     "RaftStatus",
     "ReplicatedLog",
+    "VoteNote",
     "WrongMemberError",
     "exit_process",
 ]
--- a/packages/foxspring-control/foxspring_control/raft/_election.py
+++ b/packages/foxspring-control/foxspring_control/raft/_election.py
@@ -4,11 +4,16 @@
 from foxspring_control.raft._messages import RequestVote, TimeoutNow, VoteReply
 from foxspring_control.raft._proposals import append_first_entry
 from foxspring_control.raft._state import Progress, RaftState, Role
+from foxspring_control.raft._vote_notes import VoteNote
+
+DENIAL_UNKNOWN = "unknown"
 
 
 def become_follower(state: RaftState, term: int, leader_id: str, now_ms: int) -> None:
     """Become a follower in ``term``; ``leader_id`` is empty if unknown."""
     was_leading = state.role is Role.LEADER
+    if was_leading:
+        _diagnose_loss(state, term, now_ms)
     if term > state.term:
         state.term = term
         state.voted_for = ""
@@ -22,6 +27,24 @@
     state.set_leader(leader_id)
 
 
+def _diagnose_loss(state: RaftState, new_term: int, now_ms: int) -> None:
+    reachable = 1 + sum(
+        now_ms < progress.acked_sent_ms + state.settings.election_timeout_ms
+        for member_id, progress in state.progress.items()
+        if member_id in state.voters()
+    )
+    snapshot_index = state.snapshot.snapshot_index if state.snapshot else 0
+    state.emit(
+        Diagnosed(
+            "leadership_lost",
+            f"term={state.term} new_term={new_term} "
+            f"led_ms={now_ms - state.leader_since_ms} "
+            f"voters={len(state.voters())} reachable={reachable} "
+            f"entries_since_snapshot={state.log.last_index - snapshot_index}",
+        )
+    )
+
+
 def _fail_pending_requests(state: RaftState) -> None:
     if state.pending_member_change is not None:
         state.emit(Answer(state.pending_member_change.token, "unknown"))
@@ -89,20 +112,20 @@
     if not state.has_log() and not _is_bootstrap_request(state, request):
         # Storing the group's term would make a member that lost its disk look
         # like one that voted in the first election of the group.
-        _reply_vote(state, sender, request, granted=False)
+        _reply_vote(state, sender, request, "holds no log", now_ms)
         return
     if _has_recent_leader_contact(state, now_ms) and not request.transfer:
         # The higher term is ignored too, so that a member returning from a
         # partition can't depose a leader that the others still follow.
-        _reply_vote(state, sender, request, granted=False)
+        _reply_vote(state, sender, request, "heard a leader lately", now_ms)
         return
     if not request.pre_vote and request.term > state.term:
         become_follower(state, request.term, "", now_ms)
-    granted = _can_grant_vote(state, request)
-    if granted and not request.pre_vote:
+    denial = _denial(state, request)
+    if not denial and not request.pre_vote:
         state.voted_for = request.candidate_id
         state.reset_election_timer(now_ms)
-    _reply_vote(state, sender, request, granted)
+    _reply_vote(state, sender, request, denial, now_ms)
 
 
 def _has_recent_leader_contact(state: RaftState, now_ms: int) -> bool:
@@ -111,17 +134,20 @@
     return now_ms < state.last_leader_contact_ms + state.settings.election_timeout_ms
 
 
-def _can_grant_vote(state: RaftState, request: RequestVote) -> bool:
+def _denial(state: RaftState, request: RequestVote) -> str:
+    """Return why a vote is denied, or an empty string if it is granted."""
     if state.refusal_reason:
-        return False
+        return "refuses to take part"
     own_log = (state.log.last_term, state.log.last_index)
     if (request.last_term, request.last_index) < own_log:
-        return False
+        return f"holds a newer log up to {own_log[1]} of term {own_log[0]}"
     if request.pre_vote:
-        return request.term > state.term
+        return "" if request.term > state.term else f"is in term {state.term}"
     if request.term != state.term:
-        return False
-    return state.voted_for in ("", request.candidate_id)
+        return f"is in term {state.term}"
+    if state.voted_for not in ("", request.candidate_id):
+        return f"voted for {state.voted_for}"
+    return ""
 
 
 def _is_bootstrap_request(state: RaftState, request: RequestVote) -> bool:
@@ -129,15 +155,19 @@
 
 
 def _reply_vote(
-    state: RaftState, sender: str, request: RequestVote, granted: bool
+    state: RaftState, sender: str, request: RequestVote, denial: str, now_ms: int
 ) -> None:
+    granted = not denial
     term = request.term if granted else state.term
     reply = VoteReply(term, state.member_id, request.pre_vote, granted)
     state.emit(Send(sender, reply))
+    state.vote_notes.note_given(VoteNote(request.candidate_id, now_ms, denial))
 
 
 def on_vote_reply(state: RaftState, reply: VoteReply, now_ms: int) -> None:
     """Count a vote; a quorum of pre-votes starts the election, of votes wins it."""
+    denial = "" if reply.granted else DENIAL_UNKNOWN
+    state.vote_notes.note_received(VoteNote(reply.member_id, now_ms, denial))
     if not reply.granted:
         if reply.term > state.term and state.has_log():
             become_follower(state, reply.term, "", now_ms)
@@ -150,10 +180,14 @@
     _count_votes(state, now_ms)
 
 
+def votes_needed(state: RaftState) -> int:
+    """Return how many voters elect a leader: all of them for the first one."""
+    return state.majority() if state.has_log() else len(state.voters())
+
+
 def _count_votes(state: RaftState, now_ms: int) -> None:
     voters = set(state.voters())
-    needed = state.majority() if state.has_log() else len(voters)
-    if len(state.votes & voters) < needed:
+    if len(state.votes & voters) < votes_needed(state):
         return
     if state.role is Role.PRE_CANDIDATE:
         _start_election(state, now_ms, transfer=False)
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -15,6 +15,7 @@
 from foxspring_control.raft._messages import Membership
 from foxspring_control.raft._settings import RaftSettings
 from foxspring_control.raft._terms import TermTable
+from foxspring_control.raft._vote_notes import VoteNotes
 
 MEMBERS_KIND = "log.members"
 NOOP_KIND = "log.noop"
@@ -127,6 +128,7 @@
         self.elections = 0
         self.refusal_reason = ""
         self.votes: set[str] = set()
+        self.vote_notes = VoteNotes()
         self.transfer_election = False
         # Starts at the current time so that a restarted member doesn't vote for
         # one election timeout: it may have acknowledged a lease before the restart.
--- a/packages/foxspring-control/foxspring_control/raft/_status.py
+++ b/packages/foxspring-control/foxspring_control/raft/_status.py
@@ -2,9 +2,14 @@
 
 from typing import NamedTuple
 
+from foxspring_control.raft._election import votes_needed
 from foxspring_control.raft._messages import Membership
 from foxspring_control.raft._settings import Member
 from foxspring_control.raft._state import RaftState, Role
+from foxspring_control.raft._vote_notes import VoteNote
+
+# A candidate asks once in two election timeouts at least.
+HEARD_ELECTION_TIMEOUTS = 4
 
 
 class MemberStatus(NamedTuple):
@@ -24,6 +29,10 @@
     """Status of this member.
 
     ``refusal_reason`` says why the member takes no part in the group, or is empty.
+    ``votes`` are the latest answers to this member's requests for votes, also from
+    members that are no voters, and ``denials`` the votes it has denied lately.
+    ``votes_needed`` voters elect a leader; ``voters_heard`` have acknowledged this
+    leader or answered this candidate lately, itself included.
     """
 
     member_id: str
@@ -42,6 +51,10 @@
     sync_count: int
     disk_bytes: int
     refusal_reason: str
+    votes: tuple[VoteNote, ...] = ()
+    denials: tuple[VoteNote, ...] = ()
+    votes_needed: int = 0
+    voters_heard: int = 0
 
 
 class LeadershipChange(NamedTuple):
@@ -66,8 +79,15 @@
 
 
 def build_status(state: RaftState, counters: Counters, now_ms: int) -> RaftStatus:
-    """Build the status of a member."""
-    snapshot = state.snapshot.snapshot_index if state.snapshot else 0
+    """Build the status of a member; may run while the log's thread changes the state.
+
+    Whatever that thread changes is read once, as a whole.
+    """
+    statuses = _member_statuses(state, state.membership, now_ms)
+    votes = _recent(state, state.vote_notes.received, now_ms)
+    denials = _recent(state, state.vote_notes.given, now_ms)
+    stored = state.snapshot
+    snapshot = stored.snapshot_index if stored else 0
     leader = state.leader_id
     return RaftStatus(
         state.member_id,
@@ -80,15 +100,34 @@
         state.log.last_index,
         snapshot,
         state.log.base_index + 1,
-        _member_statuses(state, state.membership, now_ms),
+        statuses,
         state.lease_valid(now_ms),
         state.elections,
         counters.sync_count,
         counters.disk_bytes,
         state.refusal_reason,
+        votes,
+        tuple(note for note in denials if note.denial),
+        votes_needed(state),
+        _voters_heard(state.member_id, statuses, votes),
     )
 
 
+def _recent(
+    state: RaftState, notes: tuple[VoteNote, ...], now_ms: int
+) -> tuple[VoteNote, ...]:
+    limit_ms = HEARD_ELECTION_TIMEOUTS * state.settings.election_timeout_ms
+    return tuple(note for note in notes if now_ms - note.at_ms < limit_ms)
+
+
+def _voters_heard(
+    own_id: str, statuses: tuple[MemberStatus, ...], votes: tuple[VoteNote, ...]
+) -> int:
+    heard = {own_id, *(note.member_id for note in votes)}
+    heard |= {s.member.member_id for s in statuses if s.reachable}
+    return sum(s.member.voter and s.member.member_id in heard for s in statuses)
+
+
 def _member_statuses(
     state: RaftState, membership: Membership, now_ms: int
 ) -> tuple[MemberStatus, ...]:
