A daemon that looks for the leader asks every member in turn

A caller at a daemon whose other members are silent got 503 although one member led: that member was never asked.

Cause: _call_until_deadline took the next member before it looked at the deadline, so each ping (two attempts fit in it: 400 ms and the rest of 500 ms) used up a third number without asking. With three known members, or six, it is the same one each time.

Measured: test_each_member_is_asked_while_the_others_are_silent fails on the code before (leader '' instead of 'c') and passes now.

--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -165,8 +165,10 @@
         attempts = 0
         while True:
             remaining_ms = deadline_ms - self.clock.monotonic_ms()
+            if remaining_ms <= 0:
+                return self._give_up(operation, may_have_run, attempts)
             receiver = self.leader or self._next_member()
-            if remaining_ms <= 0 or not receiver:
+            if not receiver:
                 return self._give_up(operation, may_have_run, attempts)
             attempts += 1
             pending.arrived.clear()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -136,6 +136,19 @@
         caller.ping()
         self.assertEqual(caller.call(SUBMIT, 1_000).outcome, Outcome.OK)
 
+    # Found beside issue 55: each ping skipped a member after its deadline, with three
+    # members always the same one.
+    def test_each_member_is_asked_while_the_others_are_silent(self) -> None:
+        for skipped in ("a", "b", "c"):
+            with self.subTest(leader=skipped):
+                members: dict[str, list[Member]] = {m: [no_reply] for m in "abc"}
+                members[skipped] = [replies_with(Outcome.OK, skipped)]
+                caller = self.caller(**members)
+                caller.seeds = caller.members = ("a", "b", "c")
+                for _ in range(6):
+                    caller.call(PingLeader(), 200)
+                self.assertEqual(caller.leader, skipped)
+
     # Issue 55: refused calls, hundreds a second, drove all else out of the record.
     def test_refused_calls_do_not_drive_out_other_lines(self) -> None:
         caller = self.caller(a=[replies_with(Outcome.OK)], b=[replies_with(Outcome.OK)])
