--- a/packages/foxspring-control/foxspring_control/raft/_status.py
+++ b/packages/foxspring-control/foxspring_control/raft/_status.py
@@ -32,7 +32,7 @@
     ``votes`` are the latest answers to this member's requests for votes, also from
     members that are no voters, and ``denials`` the votes it has denied lately.
     ``votes_needed`` voters elect a leader; ``voters_heard`` have acknowledged this
-    leader or answered this candidate lately, itself included.
+    leader, or answered or asked for a vote lately, itself included.
     """
 
     member_id: str
@@ -85,7 +85,7 @@
     """
     statuses = _member_statuses(state, state.membership, now_ms)
     votes = _recent(state, state.vote_notes.received, now_ms)
-    denials = _recent(state, state.vote_notes.given, now_ms)
+    given = _recent(state, state.vote_notes.given, now_ms)
     stored = state.snapshot
     snapshot = stored.snapshot_index if stored else 0
     leader = state.leader_id
@@ -107,9 +107,9 @@
         counters.disk_bytes,
         state.refusal_reason,
         votes,
-        tuple(note for note in denials if note.denial),
+        tuple(note for note in given if note.denial),
         votes_needed(state),
-        _voters_heard(state.member_id, statuses, votes),
+        _voters_heard(state.member_id, statuses, (*votes, *given)),
     )
 
 
@@ -121,9 +121,9 @@
 
 
 def _voters_heard(
-    own_id: str, statuses: tuple[MemberStatus, ...], votes: tuple[VoteNote, ...]
+    own_id: str, statuses: tuple[MemberStatus, ...], notes: tuple[VoteNote, ...]
 ) -> int:
-    heard = {own_id, *(note.member_id for note in votes)}
+    heard = {own_id, *(note.member_id for note in notes)}
     heard |= {s.member.member_id for s in statuses if s.reachable}
     return sum(s.member.voter and s.member.member_id in heard for s in statuses)
 
--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -9,9 +9,10 @@
 from foxspring_link import repeat
 from foxspring_model import Clock
 
-from foxspring_jobs._metrics import CALL_SECONDS, CALLS, Metrics
+from foxspring_jobs._metrics import CALL_SECONDS, CALLS, LEADER_SILENT, Metrics
 from foxspring_jobs._operations import (
     Answer,
+    DeclineReason,
     NotLeading,
     Outcome,
     PingLeader,
@@ -20,6 +21,7 @@
     make_call,
 )
 from foxspring_jobs._repeat_limit import RepeatLimit
+from foxspring_jobs._search_record import SearchRecord
 
 _LOG = logging.getLogger(__name__)
 
@@ -76,8 +78,8 @@
         self._pending: dict[int, _Pending] = {}
         self._closing = threading.Event()
         self._had_leader = False
-        self._declined = 0
-        self._unanswered = 0
+        self._calls_failed = False
+        self._search = SearchRecord()
         self._search_logged_ms = self.last_answer_ms
         self._refused_lines = RepeatLimit(self.settings.search_log_interval_ms)
         self._given_up_lines = RepeatLimit(self.settings.search_log_interval_ms)
@@ -101,8 +103,11 @@
         unanswered_ms = self.clock.monotonic_ms() - self.last_answer_ms
         return unanswered_ms >= self.settings.leader_lost_ms
 
-    def receive(self, message: Reply | NotLeading) -> None:
-        """Handle a message that answers a call."""
+    def receive(self, message: Reply | NotLeading | DeclineReason) -> None:
+        """Handle a message that answers a call, or says why some were declined."""
+        if isinstance(message, DeclineReason):
+            self._search.note_reason(message.address, message.reason)
+            return
         if message.members:
             self.members = message.members
         with self._lock:
@@ -133,6 +138,7 @@
 
     def _log_refused(self, operation: Any, now_ms: int) -> None:
         """Log a refused call, unless one was logged shortly before."""
+        self._calls_failed = True
         kind = type(operation).__name__
         calls = self._refused_lines.note(kind, now_ms)
         if not calls:
@@ -186,10 +192,10 @@
                 may_have_run = True
                 self._pause(pending)
             elif isinstance(message, NotLeading):
-                self._declined += 1
+                self._search.note_declined(receiver, message.leader_address)
                 self._follow_hint(receiver, message, pending)
             else:
-                self._unanswered += 1
+                self._search.note_unanswered(receiver)
                 may_have_run = True
                 self._drop_leader(receiver)
 
@@ -212,6 +218,7 @@
         self.last_answer_ms = self.clock.monotonic_ms()
         if not self._had_leader:
             self._had_leader = True
+            self._calls_failed = False
             _LOG.info(
                 "event=control_regained leader=%s refused=%s given_up=%s",
                 address,
@@ -242,6 +249,7 @@
 
     def _log_given_up(self, operation: Any, may_have_run: bool, attempts: int) -> None:
         """Log a call without an answer, unless one was logged shortly before."""
+        self._calls_failed = True
         kind = type(operation).__name__
         calls = self._given_up_lines.note(kind, self.clock.monotonic_ms())
         if not calls:
@@ -259,12 +267,17 @@
         repeat(self.ping, self.settings.ping_interval_ms / 1_000, self._closing)
 
     def ping(self) -> None:
-        """Ask for the leader once, and log if there has been none for long."""
+        """Ask for the leader once, and log if there is none or if calls failed.
+
+        Calls fail without a longer silence where leaders are lost soon after they are
+        found.
+        """
         self.call(PingLeader(), self.settings.ping_interval_ms)
-        if self.is_ready():
-            return
         now_ms = self.clock.monotonic_ms()
-        if self._had_leader:
+        self.metrics.set(LEADER_SILENT, now_ms - self.last_answer_ms)
+        if self.is_ready() and not self._calls_failed:
+            return
+        if self._had_leader and not self.is_ready():
             self._had_leader = False
             silent_ms = now_ms - self.last_answer_ms
             _LOG.warning("event=control_lost silent_ms=%d", silent_ms)
@@ -273,18 +286,19 @@
 
     def _log_search(self, now_ms: int) -> None:
         """Log how the search for the leader went since the last such line."""
+        self._calls_failed = False
+        summary = self._search.take()
         _LOG.warning(
             "event=leader_search silent_ms=%d known=%d hint=%s declined=%d "
-            "unanswered=%d",
+            "unanswered=%d reasons=%r",
             now_ms - self.last_answer_ms,
             len(self._known_members()),
             self.leader or "-",
-            self._declined,
-            self._unanswered,
+            summary.declined,
+            summary.unanswered,
+            summary.reasons,
         )
         self._search_logged_ms = now_ms
-        self._declined = 0
-        self._unanswered = 0
 
 
 def _path_of(operation: Any) -> str:
--- a/packages/foxspring-jobs/foxspring_jobs/_entry.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_entry.py
@@ -8,7 +8,7 @@
 from foxspring_jobs._caller import ControlCaller
 from foxspring_jobs._member import LINK_SETTINGS, job_codec
 from foxspring_jobs._metrics import Metrics
-from foxspring_jobs._operations import NotLeading, Reply
+from foxspring_jobs._operations import DeclineReason, NotLeading, Reply
 
 
 class JobEntry:
@@ -53,5 +53,5 @@
         self.link.close()
 
     def _receive(self, _sender: str, message: Any) -> None:
-        if isinstance(message, Reply | NotLeading):
+        if isinstance(message, Reply | NotLeading | DeclineReason):
             self.caller.receive(message)
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -21,10 +21,12 @@
 from foxspring_jobs._caller import ControlCaller
 from foxspring_jobs._group import Add, MemberView, Remove, join_change, surplus_member
 from foxspring_jobs._leader_context import LeaderSettings
+from foxspring_jobs._leader_watch import LeaderWatch
 from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import (
     JOB_MESSAGES,
     Call,
+    DeclineReason,
     JoinAnswer,
     JoinGroup,
     NotLeading,
@@ -137,6 +139,15 @@
             self.metrics,
         )
         self.machine.on_reset = self.service.on_reset
+        self.watch = LeaderWatch(
+            self.log,
+            self.service,
+            clock,
+            self.metrics,
+            settings.data_folder,
+            LEADERLESS_LOG_INTERVAL_MS,
+        )
+        self.service.decline_reasons.reason = self.watch.reason
         self.caller = ControlCaller(
             settings.link_address,
             _members_to_ask(settings),
@@ -148,7 +159,6 @@
         self.leader_hint = ""
         self.member_hint = ""
         self._leaderless_since_ms = clock.monotonic_ms()
-        self._leaderless_logged_ms = self._leaderless_since_ms
         self._unreachable_since: dict[str, int] = {}
         self._group_size = max(len(settings.seeds), settings.group_size)
         self._closing = threading.Event()
@@ -209,7 +219,7 @@
             self.log.receive(sender, message)
         elif isinstance(message, Call):
             self.service.receive(message)
-        elif isinstance(message, Reply | NotLeading):
+        elif isinstance(message, Reply | NotLeading | DeclineReason):
             self.caller.receive(message)
         elif isinstance(message, JoinGroup):
             self._on_join(sender, message)
@@ -226,6 +236,7 @@
 
     def _on_leadership(self, change: LeadershipChange) -> None:
         self.leadership = change
+        self.watch.note_leadership(change)
         if not change.leader_id:
             self._leaderless_since_ms = self.clock.monotonic_ms()
         self.service.on_leadership(change)
@@ -236,39 +247,16 @@
         repeat(self._check_membership, JOIN_INTERVAL_MS / 1_000, self._closing)
 
     def _check_membership(self) -> None:
+        self.watch.check()
         if self.leadership.is_leader:
             change = surplus_member(self._views(), self._group_size)
             if change is not None:
                 self._change(change)
             return
         self._unreachable_since.clear()
-        self._log_if_leaderless()
         if self._should_request_join():
             self._request_join()
 
-    def _log_if_leaderless(self) -> None:
-        """Log the state of the log at intervals while it has no leader."""
-        now_ms = self.clock.monotonic_ms()
-        if self.leadership.leader_id:
-            self._leaderless_logged_ms = now_ms
-            return
-        if now_ms - self._leaderless_logged_ms < LEADERLESS_LOG_INTERVAL_MS:
-            return
-        self._leaderless_logged_ms = now_ms
-        status = self.log.status()
-        voters = [m.member.member_id for m in status.members if m.member.voter]
-        _LOG.warning(
-            "event=leaderless member=%s role=%s term=%d last_index=%d elections=%d "
-            "voters=%s refused=%r",
-            self.member_id,
-            status.role,
-            status.term,
-            status.last_index,
-            status.elections,
-            ",".join(voters) or "-",
-            status.refusal_reason,
-        )
-
     def _should_request_join(self) -> bool:
         if self.log.membership().find(self.member_id) is None:
             return True
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -98,6 +98,63 @@
     "Fills paced or moved for tasks with a latency target.",
 )
 LEADING = Metric("job_leading", "1 or 0", (), "Whether this member leads.")
+LEADER_SILENT = Metric(
+    "leader_silent_ms",
+    "milliseconds",
+    (),
+    "For how long this daemon has had no answer from a leader.",
+)
+MEMBER_REFUSES = Metric(
+    "member_refuses",
+    "1 or 0",
+    (),
+    "Whether this member refuses to take part in the group.",
+)
+VOTERS = Metric(
+    "member_voters", "members", (), "Voters of the group, as this member knows it."
+)
+VOTERS_HEARD = Metric(
+    "member_voters_heard",
+    "members",
+    (),
+    "Voters that this member hears while it leads or there is no leader, with itself.",
+)
+MEMBER_ELECTIONS = Metric(
+    "member_elections",
+    "elections",
+    (),
+    "Elections that this member has begun since its start.",
+)
+LEADERS_LOST = Metric(
+    "leaders_lost_total",
+    "events",
+    ("at_snapshot",),
+    "Leaders that this member has lost, and whether just after it stored a snapshot.",
+)
+LEASE_VALID = Metric(
+    "member_lease_valid",
+    "1 or 0",
+    (),
+    "Whether this member leads under a valid lease.",
+)
+TAKEOVER_FAILS = Metric(
+    "member_takeover_fails",
+    "1 or 0",
+    (),
+    "Whether this member could not take over the state when it last led.",
+)
+LOG_WAITS = Metric(
+    "member_log_waits_ms",
+    "milliseconds",
+    (),
+    "For how long this member's log has answered nothing.",
+)
+DISK_FREE = Metric(
+    "member_disk_free_bytes",
+    "bytes",
+    (),
+    "What is free on the disk of this member's log; -1 if unknown.",
+)
 CHECKED = Metric(
     "invariant_checks_total", "events", ("invariant",), "Checks of a promise."
 )
@@ -127,6 +184,16 @@
     STARTED_TASKS_LIMIT,
     MITIGATIONS,
     LEADING,
+    LEADER_SILENT,
+    MEMBER_REFUSES,
+    VOTERS,
+    VOTERS_HEARD,
+    MEMBER_ELECTIONS,
+    LEADERS_LOST,
+    LEASE_VALID,
+    TAKEOVER_FAILS,
+    LOG_WAITS,
+    DISK_FREE,
     CHECKED,
     VIOLATED,
 )
--- a/packages/foxspring-jobs/foxspring_jobs/_operations.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_operations.py
@@ -127,6 +127,17 @@
     members: tuple[str, ...] = ()
 
 
+class DeclineReason(NamedTuple):
+    """Why the member at a link address declines calls; sent beside some declines.
+
+    A message of its own, because a process of the version before refuses a
+    :class:`NotLeading` with more fields than it knows.
+    """
+
+    address: str
+    reason: str
+
+
 class JoinGroup(NamedTuple):
     """A process requests to become a member of the control group."""
 
@@ -155,7 +166,14 @@
     TargetLeaving,
     PingLeader,
 )
-JOB_MESSAGES: tuple[type, ...] = (Call, Reply, NotLeading, JoinGroup, JoinAnswer)
+JOB_MESSAGES: tuple[type, ...] = (
+    Call,
+    Reply,
+    NotLeading,
+    DeclineReason,
+    JoinGroup,
+    JoinAnswer,
+)
 _DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
     kind.__name__: msgspec.msgpack.Decoder(kind) for kind in OPERATIONS
 }
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -16,6 +16,7 @@
 from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._call_handler import CallHandler
 from foxspring_jobs._commands import Command, encode_command
+from foxspring_jobs._decline_reasons import DeclineReasons
 from foxspring_jobs._leader import Leader
 from foxspring_jobs._leader_context import LeaderSettings
 from foxspring_jobs._metrics import LEADING, Metrics
@@ -72,6 +73,7 @@
     """One control member's job service: leads, or refers calls to the leader.
 
     All methods meant for other threads only queue an action for the executor.
+    ``leading_error`` says why this member could not begin to lead, or is empty.
     """
 
     def __init__(
@@ -94,6 +96,8 @@
         self.leader: Leader | None = None
         self.leadership = LeadershipChange(False, 0, "", "")
         self.generation = 0
+        self.leading_error = ""
+        self.decline_reasons = DeclineReasons(send, clock)
         self.executor = _SerialExecutor.start()
         self._timers: list[tuple[int, int, Action]] = []
         self._numbers = itertools.count()
@@ -156,7 +160,9 @@
         """Begin to lead; if that fails, let another member lead, or try again."""
         try:
             self._begin_leader()
-        except Exception:
+            self.leading_error = ""
+        except Exception as error:
+            self.leading_error = f"{type(error).__name__}: {error}"
             _LOG.exception("event=leading_failed term=%d", self.leadership.term)
             self._end_leader()
             self.log.transfer_leadership(_log_transfer)
@@ -206,6 +212,7 @@
         if leader == self.own_address():
             leader = ""
         self.send(call.reply_to, NotLeading(call.call_id, leader, self.members()))
+        self.decline_reasons.explain_to(call.reply_to, self.own_address())
 
     def own_address(self) -> str:
         """Return this member's link address."""
