--- a/packages/foxspring-jobs/foxspring_jobs/_leaderless.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leaderless.py
@@ -11,6 +11,8 @@
 # Failovers and planned restarts within a minute lose fewer.
 MANY_LOSSES = 5
 MAX_REASON_CHARS = 240
+# A few segments of the log.
+LOW_DISK_BYTES = 4 * 1024 * 1024
 MAX_ERROR_CHARS = 100
 MAX_NOTE_CHARS = 60
 MAX_NOTES = 8
@@ -57,8 +59,11 @@
 
 
 def _log_waits(view: LeaderView) -> str:
-    space = "disk full" if view.free_bytes == 0 else f"{view.free_bytes} bytes free"
-    return f"log stands still for {view.log_waits_ms} ms, {space} on its disk"
+    return f"log stands still for {view.log_waits_ms} ms, {_space(view)}"
+
+
+def _space(view: LeaderView) -> str:
+    return f"{view.free_bytes} bytes free on its disk"
 
 
 def _leader_trouble(view: LeaderView) -> str:
@@ -147,6 +152,8 @@
     ]
     if view.leading_error and why != _takeover_trouble(view):
         parts.append(_takeover_trouble(view))
+    if 0 <= view.free_bytes < LOW_DISK_BYTES and view.log_waits_ms < LOG_WAIT_LIMIT_MS:
+        parts.append(_space(view))
     if view.losses.lost and view.losses.lost < MANY_LOSSES:
         parts.append(_losses_text(view.losses))
     if status.denials:
