--- a/packages/foxspring-jobs/foxspring_jobs/_leaderless.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leaderless.py
@@ -89,6 +89,11 @@
 
 def _without_leader(view: LeaderView) -> str:
     status = view.status
+    if status.leader_id:
+        return (
+            f"its log hears {status.leader_id}, not announced yet: entries applied to "
+            f"{status.applied_index} of {status.commit_index}"
+        )
     if not _is_voter(status):
         return "no voter and no leader heard"
     if status.voters_heard < status.votes_needed:
