A member that joins names the leader once it knows its address

What callers saw: a daemon that asked a member which had joined (a new one, or one whose disk was emptied) was declined without a name for as long as that leader led, and had to ask the next member. Cause: the first message of the leader reaches a joining member before any membership does, so that the leader had no address when it was announced, and it is announced once.

--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -124,6 +124,7 @@
         self.random = random.Random(f"{settings.seed}/{settings.member_id}")
         self.role = Role.FOLLOWER
         self.leader_id = ""
+        self.leader_address = ""
         self.elections = 0
         self.refusal_reason = ""
         self.votes: set[str] = set()
@@ -237,5 +238,19 @@
             return
         self.leader_id = leader_id
         self.leadership_announced = False
-        address = self.address_of(leader_id)
-        self.emit(LeaderChanged(False, self.term, leader_id, address))
+        self._announce_leader()
+
+    def announce_leader_address(self) -> None:
+        """Emit ``LeaderChanged`` again once the log names the leader's address.
+
+        A member that joins hears from the leader before it holds any membership.
+        """
+        if self.role is Role.LEADER or not self.leader_id:
+            return
+        address = self.address_of(self.leader_id)
+        if address and address != self.leader_address:
+            self._announce_leader()
+
+    def _announce_leader(self) -> None:
+        self.leader_address = self.address_of(self.leader_id)
+        self.emit(LeaderChanged(False, self.term, self.leader_id, self.leader_address))
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -91,6 +91,7 @@
             flush(state, now_ms)
     complete_member_change(state, now_ms)
     advance_transfer(state, now_ms)
+    state.announce_leader_address()
     return state, state.effects
 
 
--- a/packages/foxspring-control/foxspring_control/raft/tests/simulated_node.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/simulated_node.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from foxspring_control._replication import LogEntry
-from foxspring_control.raft import Member
+from foxspring_control.raft import LeadershipChange, Member
 from foxspring_control.raft._events import Event
 from foxspring_control.raft._runtime import Runtime
 from foxspring_control.raft._storage import Storage
@@ -120,6 +120,7 @@
         self.paused_inbox: list[Event] | None = None
         self.next_tick_ms = 0
         self.writing: SimulatedFuture | None = None
+        self.leadership = LeadershipChange(False, 0, "", "")
 
     def run_in_background(
         self, work: Callable[[], int], done_at_ms: int
--- a/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/simulation.py
@@ -308,6 +308,7 @@
             self._schedule_tick(node)
 
     def on_leadership(self, name: str, change: LeadershipChange) -> None:
+        self.nodes[name].leadership = change
         if change.is_leader:
             self._record_leader(name, change.term)
 
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
@@ -330,6 +330,17 @@
         simulation.clear_faults()
         simulation.run_until(lambda: "m4" in simulation.voter_ids())
 
+    # Issue 55: a member that joined under a leader declined calls without naming it.
+    def test_a_learner_names_the_leader_once_it_knows_its_address(self) -> None:
+        simulation = self.start()
+        leader = simulation.elect()
+        member = Member("m4", "m4")
+        simulation.add_node(member, ())
+        simulation.add_member(leader, member)
+        simulation.run_until(lambda: "m4" in simulation.voter_ids())
+        simulation.run(1_000)
+        self.assertEqual(leader, simulation.nodes["m4"].leadership.leader_address)
+
     def test_rejected_member_changes_give_a_reason(self) -> None:
         simulation = self.start()
         leader = simulation.elect()
