Log: say how long its thread has been in its batch, and in what

Nothing uses them yet.

The new test in test_disk_space.py needs the two methods, so it failed before; it passes now (5 of 5 in test_disk_space).

--- a/packages/foxspring-control/foxspring_control/raft/_disk_space.py
+++ b/packages/foxspring-control/foxspring_control/raft/_disk_space.py
@@ -25,10 +25,14 @@
 
 
 class FullDiskRetrier:
-    """Retries writes until there is space or :meth:`stop_retrying` is called."""
+    """Retries writes until there is space or :meth:`stop_retrying` is called.
+
+    ``waiting_operation`` names the write that waits for space, or is empty.
+    """
 
     def __init__(self, retry_interval_s: float = RETRY_INTERVAL_S) -> None:
         self.retry_interval_s = retry_interval_s
+        self.waiting_operation = ""
         self._retries_stopped = threading.Event()
 
     def stop_retrying(self) -> None:
@@ -56,9 +60,11 @@
                         "event=disk_full what=%s reason=%r", operation, str(error)
                     )
                 attempts += 1
+                self.waiting_operation = operation
                 self._retries_stopped.wait(self.retry_interval_s)
                 continue
             if attempts:
+                self.waiting_operation = ""
                 _LOG.warning(
                     "event=disk_space_regained what=%s attempts=%d", operation, attempts
                 )
--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -91,6 +91,7 @@
         self._lock = threading.Lock()
         self._closed = False
         self._runtime: Runtime | None = None
+        self._batch_began_ms: int | None = None
         self._snapshot_executor = ThreadPoolExecutor(
             1, f"raft-snapshot-{settings.member_id}"
         )
@@ -207,6 +208,22 @@
             raise RuntimeError("call start() before status()")
         return self._runtime.status()
 
+    def stalled_ms(self) -> int:
+        """Return how long the log's thread has been in its batch, 0 between them."""
+        began_ms = self._batch_began_ms
+        return 0 if began_ms is None else self.clock.monotonic_ms() - began_ms
+
+    def waiting_for(self) -> str:
+        """Return what the log's thread is doing, or an empty string between batches.
+
+        One of ``snapshot``, ``step``, ``write``, ``send`` and ``apply``; while a
+        write waits for space, ``disk_space:`` and the name of the write.
+        """
+        operation = self._storage.retrier.waiting_operation
+        if operation:
+            return f"disk_space:{operation}"
+        return self._runtime.stage if self._runtime is not None else ""
+
     def lease_valid(self) -> bool:
         """Return whether this member leads under a valid leader lease."""
         if self._runtime is None:
@@ -257,7 +274,9 @@
             if events is None:
                 return
             now_ms = self.clock.lease_check_ms()
+            self._batch_began_ms = now_ms
             runtime.run_batch(events, now_ms)
+            self._batch_began_ms = None
 
     def _next_batch(self, runtime: Runtime) -> list[Event] | None:
         wait_ms = next_due_ms(runtime.state) - self.clock.monotonic_ms()
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -56,7 +56,8 @@
 
     It has no thread of its own: the caller passes batches of events to
     :meth:`run_batch`. Disk errors are raised to that caller, which must not
-    call it again afterwards.
+    call it again afterwards. ``stage`` names the part of the batch in progress
+    (``snapshot``, ``step``, ``write``, ``send`` or ``apply``), or is empty.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         self.pending_callbacks: dict[int, AnswerCallback] = {}
         self.accepted_tokens: dict[int, int] = {}
         self.applied_index = 0
+        self.stage = ""
         self.snapshots = SnapshotWriter(state_machine, run_in_background)
         self.deferred: list[Effect] = []
         self._recover()
@@ -101,7 +103,9 @@
 
     def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
         """Process a batch of events: write and sync once, then send and answer."""
+        self.stage = "snapshot"
         self._collect_snapshot(now_ms)
+        self.stage = "step"
         effects: list[Effect] = []
         for event in events:
             self._check_event(event)
@@ -109,6 +113,7 @@
         effects += step(self.state, Flush(), now_ms)[1]
         while effects:
             effects = self._execute_effects(effects, now_ms)
+        self.stage = ""
 
     def _execute_effects(self, effects: list[Effect], now_ms: int) -> list[Effect]:
         entries = [
@@ -120,14 +125,18 @@
         self.storage.log_cache.append(entries)
         # Entries go to followers before the local sync: the leader counts its own
         # copy only after the sync, so all members can write in parallel.
+        self.stage = "send"
         for effect in effects:
             if isinstance(effect, SendEntries):
                 self._send_entries(effect)
+        self.stage = "write"
         self._persist(effects)
+        self.stage = "send"
         # Replies go before applying, so that the sender doesn't wait for it.
         for effect in effects:
             if isinstance(effect, Send | SendChunk):
                 self._send_message(effect)
+        self.stage = "apply"
         for effect in effects:
             self._execute_or_defer(effect)
         self._begin_snapshot_if_due()
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_disk_space.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_disk_space.py
@@ -4,17 +4,26 @@
 import os
 import shutil
 import tempfile
+import threading
 import unittest
 from collections.abc import Callable
 from concurrent.futures import Future
 from pathlib import Path
 
+from foxspring_link import ManualClock
+
 from foxspring_control._replication import LogEntry
+from foxspring_control.raft import ReplicatedLog
+from foxspring_control.raft._bench_cluster import DEADLINE_S, wait_until
 from foxspring_control.raft._compaction import SNAPSHOT_RETRY_MS, SnapshotWriter
 from foxspring_control.raft._disk_space import FullDiskRetrier
 from foxspring_control.raft._messages import Membership
 from foxspring_control.raft._storage import Storage
-from foxspring_control.raft.tests.builders import CountingStateMachine
+from foxspring_control.raft.tests.builders import (
+    CountingStateMachine,
+    members,
+    settings,
+)
 
 SEGMENT_BYTES = 500
 TAIL_BYTES = 300
@@ -86,6 +95,44 @@
             FullDiskRetrier().run(fail, "frame")
 
 
+class StalledThreadTest(unittest.TestCase):
+    # Issue 55: nothing told a member whose log's thread waits from one without peers.
+    def test_a_thread_that_waits_for_space_or_a_sync_says_so(self) -> None:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        released = threading.Event()
+        writing = threading.Event()
+        clock = ManualClock()
+
+        def sync(_descriptor: int) -> None:
+            if writing.is_set():
+                released.wait(DEADLINE_S)
+
+        log = ReplicatedLog(
+            settings("m1", folder, members(1)),
+            CountingStateMachine(),
+            lambda _address, _message: None,
+            clock,
+            lambda _change: None,
+            lambda _reason: None,
+            sync,
+        )
+        self.addCleanup(log.close)
+        self.addCleanup(released.set)
+        self.assertEqual(("", 0), (log.waiting_for(), log.stalled_ms()))
+        log.start()
+        writing.set()
+        clock.advance(2_000)
+        wait_until(lambda: log.waiting_for() == "write", "it waits for a sync")
+        clock.advance(700)
+        self.assertEqual(700, log.stalled_ms())
+        log._storage.retrier.waiting_operation = "frame"
+        self.assertEqual("disk_space:frame", log.waiting_for())
+        log._storage.retrier.waiting_operation = ""
+        released.set()
+        wait_until(lambda: log.stalled_ms() == 0, "the sync has ended")
+
+
 class FullDiskSnapshotTest(unittest.TestCase):
     def test_a_snapshot_without_space_is_dropped_and_tried_later(self) -> None:
         folder = Path(tempfile.mkdtemp())
