Clock: a pause of the thread is no suspension of the VM

The monotonic clock was read before the boot-time clock, so that a thread preempted between the two took its pause for a suspension. Read in the other order, a pause makes the difference too small, never too large; the next check sees a real suspension.

--- a/packages/foxspring-link/foxspring_link/_clock.py
+++ b/packages/foxspring-link/foxspring_link/_clock.py
@@ -25,7 +25,7 @@
         """
         now_ns = time.monotonic_ns()
         if now_ns - self.checked_ns >= SUSPENSION_CHECK_NS:
-            self._check_suspension(now_ns)
+            now_ns = self._check_suspension()
         return (now_ns + self.suspended_ns) // _NS_PER_MS
 
     def lease_check_ms(self) -> int:
@@ -33,20 +33,25 @@
 
         ``monotonic_ms`` may miss that one for ``SUSPENSION_CHECK_NS``.
         """
-        now_ns = time.monotonic_ns()
-        self._check_suspension(now_ns)
+        now_ns = self._check_suspension()
         return (now_ns + self.suspended_ns) // _NS_PER_MS
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
         return time.time_ns() // _NS_PER_MS
 
-    def _check_suspension(self, now_ns: int) -> None:
+    def _check_suspension(self) -> int:
+        """Update ``suspended_ns`` and return the monotonic time in nanoseconds."""
+        # The boot time is read first: a pause of this thread between the two
+        # readings then can't pass for a suspension of the VM.
+        boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        now_ns = time.monotonic_ns()
         self.checked_ns = now_ns
-        suspended_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME) - now_ns
+        suspended_ns = boot_ns - now_ns
         # Differences of less come from reading two clocks.
         if suspended_ns - self.suspended_ns > _NS_PER_MS:
             self.suspended_ns = suspended_ns
+        return now_ns
 
 
 class ManualClock:
--- a/packages/foxspring-link/foxspring_link/tests/test_clock.py
+++ b/packages/foxspring-link/foxspring_link/tests/test_clock.py
@@ -10,6 +10,7 @@
 
 SUSPENDED_NS = 5_000_000_000
 SUSPENSION_CHECK_S = 0.011
+PAUSE_NS = 600_000_000
 
 
 @contextmanager
@@ -25,6 +26,19 @@
         yield
 
 
+class PausingClocks:
+    """The two clocks of the system, with a pause of the thread after each reading."""
+
+    def __init__(self) -> None:
+        self.now_ns = SUSPENDED_NS
+
+    def read(self, _clock_id: int = time.CLOCK_MONOTONIC) -> int:
+        """Return the time, then let ``PAUSE_NS`` pass."""
+        now_ns = self.now_ns
+        self.now_ns += PAUSE_NS
+        return now_ns
+
+
 class SystemClockTest(unittest.TestCase):
     def test_time_in_which_the_vm_was_suspended_counts(self) -> None:
         clock = SystemClock()
@@ -44,6 +58,18 @@
             self.assertGreaterEqual(passed_ms, SUSPENDED_NS // 1_000_000)
             self.assertGreaterEqual(clock.monotonic_ms() - before_ms, passed_ms)
 
+    # Issue 55: the clock jumped ahead for good, past the leases and election timers.
+    def test_a_pause_between_two_readings_is_no_suspension(self) -> None:
+        clock = SystemClock()
+        clocks = PausingClocks()
+        with (
+            mock.patch("time.clock_gettime_ns", clocks.read),
+            mock.patch("time.monotonic_ns", clocks.read),
+        ):
+            for read_ms in (clock.lease_check_ms, clock.monotonic_ms) * 2:
+                self.assertLess(read_ms(), clocks.now_ns // 1_000_000)
+        self.assertEqual(0, clock.suspended_ns)
+
     def test_readings_never_go_back(self) -> None:
         clock = SystemClock()
         readings = [clock.monotonic_ms() for _ in range(100_000)]
