Membership of a control member in a module without thread or link

ControlMember held its link, log and service and also decided when to ask to join, whom to ask, and which joins and removals to make as leader, on a thread of its own: none of this could be run in virtual time. GroupMembership now holds it, driven by a Clock, a send function and calls of check(). Behaviour is unchanged; what logs a leaderless group stays in ControlMember.

--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -2,7 +2,6 @@
 
 import logging
 import threading
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -19,7 +18,11 @@
 from foxspring_model import Clock, LinkPing, LinkPong
 
 from foxspring_jobs._caller import ControlCaller
-from foxspring_jobs._group import Add, MemberView, Remove, join_change, surplus_member
+from foxspring_jobs._group_membership import (
+    CHECK_INTERVAL_MS,
+    GroupMembership,
+    MembershipSettings,
+)
 from foxspring_jobs._leader_context import LeaderSettings
 from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import (
@@ -36,8 +39,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-JOIN_INTERVAL_MS = 300
-LEADERLESS_TIMEOUT_MS = 2_000
 LEADERLESS_LOG_INTERVAL_MS = 5_000
 HAND_OVER_TIMEOUT_MS = 1_500
 LINK_SETTINGS = LinkSettings(ping_interval_ms=250, silence_limit_ms=900)
@@ -100,6 +101,13 @@
     )
 
 
+def membership_settings(settings: MemberSettings, member_id: str) -> MembershipSettings:
+    """Return the settings of the member's part in the membership of the group."""
+    join = JoinGroup(member_id, settings.link_address, settings.failure_domain)
+    group_size = max(len(settings.seeds), settings.group_size)
+    return MembershipSettings(join, settings.seeds, group_size)
+
+
 class ControlMember:
     """One member of the control group."""
 
@@ -145,12 +153,10 @@
             self.metrics,
         )
         self.leadership = LeadershipChange(False, 0, "", "")
-        self.leader_hint = ""
-        self.member_hint = ""
-        self._leaderless_since_ms = clock.monotonic_ms()
-        self._leaderless_logged_ms = self._leaderless_since_ms
-        self._unreachable_since: dict[str, int] = {}
-        self._group_size = max(len(settings.seeds), settings.group_size)
+        self.membership = GroupMembership(
+            membership_settings(settings, member_id), self.log, self.send, clock
+        )
+        self._leaderless_logged_ms = clock.monotonic_ms()
         self._closing = threading.Event()
         self._membership_thread = threading.Thread(
             target=self._run_membership, name="group", daemon=True
@@ -173,6 +179,7 @@
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds through which the group and its leader are found."""
         self.settings = self.settings._replace(seeds=seeds)
+        self.membership.set_seeds(seeds)
         self.caller.seeds = _members_to_ask(self.settings)
 
     def hand_over(self) -> None:
@@ -205,46 +212,31 @@
 
     def _receive(self, sender: str, message: Any) -> None:
         if type(message) in _RAFT_TYPES:
-            self._note_member(sender)
+            self.membership.note_member(sender)
             self.log.receive(sender, message)
         elif isinstance(message, Call):
             self.service.receive(message)
         elif isinstance(message, Reply | NotLeading):
             self.caller.receive(message)
         elif isinstance(message, JoinGroup):
-            self._on_join(sender, message)
+            self.membership.on_join(sender, message)
         elif isinstance(message, JoinAnswer):
-            self.leader_hint = message.leader_address
-
-    def _note_member(self, address: str) -> None:
-        """Remember a member that this process can ask to join, also without seeds.
-
-        Members send to the address of one whose disk was emptied until it is removed.
-        """
-        if self.log.membership().find(self.member_id) is None:
-            self.member_hint = address
+            self.membership.on_join_answer(message)
 
     def _on_leadership(self, change: LeadershipChange) -> None:
         self.leadership = change
-        if not change.leader_id:
-            self._leaderless_since_ms = self.clock.monotonic_ms()
+        self.membership.on_leadership(change)
         self.service.on_leadership(change)
 
     # Membership.
 
     def _run_membership(self) -> None:
-        repeat(self._check_membership, JOIN_INTERVAL_MS / 1_000, self._closing)
+        repeat(self._check_membership, CHECK_INTERVAL_MS / 1_000, self._closing)
 
     def _check_membership(self) -> None:
-        if self.leadership.is_leader:
-            change = surplus_member(self._views(), self._group_size)
-            if change is not None:
-                self._change(change)
-            return
-        self._unreachable_since.clear()
-        self._log_if_leaderless()
-        if self._should_request_join():
-            self._request_join()
+        if not self.leadership.is_leader:
+            self._log_if_leaderless()
+        self.membership.check()
 
     def _log_if_leaderless(self) -> None:
         """Log the state of the log at intervals while it has no leader."""
@@ -269,66 +261,6 @@
             status.refusal_reason,
         )
 
-    def _should_request_join(self) -> bool:
-        if self.log.membership().find(self.member_id) is None:
-            return True
-        if self.leadership.leader_id:
-            return False
-        leaderless_ms = self.clock.monotonic_ms() - self._leaderless_since_ms
-        return leaderless_ms >= LEADERLESS_TIMEOUT_MS
-
-    def _request_join(self) -> None:
-        join = JoinGroup(
-            self.member_id, self.settings.link_address, self.settings.failure_domain
-        )
-        known = {m.link_address for m in self.log.membership().members}
-        hints = {self.leader_hint, self.member_hint}
-        receivers = known | set(self.settings.seeds) | hints
-        for address in receivers - {"", self.settings.link_address}:
-            self.send(address, join)
-
-    def _on_join(self, sender: str, join: JoinGroup) -> None:
-        leader = self.leadership.leader_address
-        if not self.leadership.is_leader or not self.log.lease_valid():
-            self.send(sender, JoinAnswer(join.member_id, False, leader))
-            return
-        change = join_change(self._views(), join)
-        if change is not None:
-            self._change(change)
-        known = change is None
-        self.send(sender, JoinAnswer(join.member_id, known, leader))
-
-    def _change(self, change: Add | Remove) -> None:
-        if isinstance(change, Add):
-            join = change.join
-            member = Member(
-                join.member_id, join.link_address, True, join.failure_domain
-            )
-            self.log.add_member(member, _log_change("add", join.member_id, "asked"))
-        else:
-            done = _log_change("remove", change.member_id, change.reason)
-            self.log.remove_member(change.member_id, done)
-
-    def _views(self) -> tuple[MemberView, ...]:
-        now_ms = self.clock.monotonic_ms()
-        views = []
-        for status in self.log.status().members:
-            member = status.member
-            since_ms = now_ms
-            if status.reachable or member.member_id == self.member_id:
-                self._unreachable_since.pop(member.member_id, None)
-            else:
-                since_ms = self._unreachable_since.setdefault(member.member_id, now_ms)
-            views.append(
-                MemberView(
-                    member.member_id,
-                    member.link_address,
-                    member.voter,
-                    now_ms - since_ms,
-                )
-            )
-        return tuple(views)
-
 
 def _members_to_ask(settings: MemberSettings) -> tuple[str, ...]:
     """Return the members to ask for the leader.
@@ -336,19 +268,3 @@
     The member itself is among them, since its log names the leader without any seed.
     """
     return (*settings.seeds, settings.link_address)
-
-
-def _log_change(
-    action: str, member_id: str, reason: str
-) -> Callable[[ProposeOutcome], None]:
-    def on_done(outcome: ProposeOutcome) -> None:
-        _LOG.info(
-            "event=member_change action=%s member=%s why=%s status=%s reason=%r",
-            action,
-            member_id,
-            reason,
-            outcome.status,
-            outcome.result.decode(),
-        )
-
-    return on_done
