--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -130,6 +130,8 @@
     # Leadership.
 
     def _on_leadership(self, change: LeadershipChange) -> None:
+        if change.term != self.leadership.term:
+            self.generation = 0
         self.leadership = change
         self._end_leader()
         self.metrics.set(LEADING, int(change.is_leader))
@@ -167,11 +169,7 @@
             self._start_leading()
 
     def _begin_leader(self) -> None:
-        self.generation += 1
-        generation = self.generation % GENERATIONS_PER_TERM
-        token = (
-            self.leadership.term * TOKENS_PER_TERM + generation * TOKENS_PER_GENERATION
-        )
+        token = self._next_token()
         with self.machine.lock:
             draft, _ = decode_state(encode_state(self.machine.state, 0))
         self.leader = Leader(
@@ -179,6 +177,15 @@
         )
         self.leader.begin()
 
+    def _next_token(self) -> int:
+        """Return the first fencing token of a leadership.
+
+        The last ones of a term share theirs: targets refuse a lower one for good.
+        """
+        self.generation = min(self.generation + 1, GENERATIONS_PER_TERM - 1)
+        generation_token = self.generation * TOKENS_PER_GENERATION
+        return self.leadership.term * TOKENS_PER_TERM + generation_token
+
     # Calls.
 
     def _handle(self, call: Call) -> None:
