--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -11,6 +11,7 @@
     RunStart,
     TargetIncarnation,
     TargetLoss,
+    TaskKey,
 )
 from foxspring_jobs._crash_counts import Suspicion, suspicion_of
 from foxspring_jobs._leader_context import LeaderContext, PendingEnd
@@ -340,11 +341,10 @@
         key = end.run.task
         if end.kind == EndKind.DONE:
             session.health.note_done()
-        elif end.kind == EndKind.FAILED:
-            job = self.context.draft.jobs.get(key.job_id)
-            long_running = job is not None and job.spec.steps[key.step].long_running
-            if not long_running or not session.was_at_work(end.run):
-                session.health.note_failed(key.job_id, now_ms)
+        elif end.kind == EndKind.FAILED and not (
+            self._is_long_running(key) and session.was_at_work(end.run)
+        ):
+            session.health.note_failed(key.job_id, now_ms)
         self.context.metrics.count(ENDS, end.kind)
         _LOG.info(
             "event=run_ended job=%s task=%d.%d.%d run=%d target=%s kind=%s",
@@ -354,6 +354,14 @@
             end.kind,
         )
 
+    def _is_long_running(self, key: TaskKey) -> bool:
+        """Return whether a task is known and long-running."""
+        job = self.context.draft.jobs.get(key.job_id)
+        # A target may list any number of a step.
+        if job is None or not 0 <= key.step < len(job.spec.steps):
+            return False
+        return job.spec.steps[key.step].long_running
+
     def acknowledge_ends(self, ends: Iterable[PendingEnd]) -> None:
         """Acknowledge committed ends, so that their targets can discard them."""
         for session, number, end in ends:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_takeover.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_takeover.py
@@ -30,6 +30,12 @@
         fake.fails = rng.random() < 0.3
         for run in target.runs:
             put(fake, run, rng)
+        if state.jobs and rng.random() < 0.1:
+            # No job has so many steps.
+            key = TaskKey(rng.choice(list(state.jobs)), 0, 9, 0)
+            fake.ends += 1
+            kind = rng.choice(list(EndKind)).value
+            fake.finished.append(ReportedEnd(fake.ends, RunKey(key, 1), kind, ""))
         if rng.random() < 0.1:
             fake.running[UNKNOWN_RUN] = FakeRun(fake.now() + LONG_RUNNING_MS, "done")
     with test.assertNoLogs(LOGGER, "ERROR"):
