--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -6,7 +6,8 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from foxspring_model import Clock
 
@@ -172,16 +173,30 @@
         if self.context.deposed:
             done(False)
             return False
-        applied = self.context.draft.apply(command, self.context.clock.wall_ms())
 
         def settled(committed: bool) -> None:
             if not committed:
                 self.context.deposed = True
             done(committed)
 
-        self.context.ports.propose(command, settled)
+        with self._deposed_if_it_fails():
+            applied = self.context.draft.apply(command, self.context.clock.wall_ms())
+            self.context.ports.propose(command, settled)
         return applied.changed
 
+    @contextmanager
+    def _deposed_if_it_fails(self) -> Iterator[None]:
+        """End this leadership on an exception.
+
+        The draft may hold what is not in the log, so that it would never be done. The
+        next leadership begins from the committed state.
+        """
+        try:
+            yield
+        except Exception:
+            self.context.deposed = True
+            raise
+
     def submit(self, job_id: str, queue: Queue, spec: JobSpec, answer: Respond) -> None:
         """Accept a job; the call is answered once the job is committed.
 
@@ -290,6 +305,10 @@
         """Propose ends, lost targets, due occurrences, purged jobs and starts."""
         if self.context.deposed or self.in_flight >= MAX_IN_FLIGHT:
             return
+        with self._deposed_if_it_fails():
+            self._decide()
+
+    def _decide(self) -> None:
         ends, self.context.pending_ends = self.context.pending_ends, []
         lost_targets, self.context.lost_targets = tuple(self.context.lost_targets), []
         losses, self.context.losses = tuple(self.context.losses), []
@@ -354,16 +373,23 @@
             if not committed:
                 self.context.deposed = True
                 return
-            for job in ended_jobs:
-                self.job_log.job_ended(job)
-            for start in advance.starts:
-                self._measure_start(start)
-                self.orders.send_committed_start(start)
-            self.poller.acknowledge_ends(ends)
+            with self._deposed_if_it_fails():
+                self._carry_out(advance, ends, ended_jobs)
             self.decide()
 
         self.context.ports.propose(advance, done)
 
+    def _carry_out(
+        self, advance: Advance, ends: list[PendingEnd], ended_jobs: list[JobState]
+    ) -> None:
+        """Do what a committed decision makes due."""
+        for job in ended_jobs:
+            self.job_log.job_ended(job)
+        for start in advance.starts:
+            self._measure_start(start)
+            self.orders.send_committed_start(start)
+        self.poller.acknowledge_ends(ends)
+
     def _measure_commit(self, proposed_ms: int, committed: bool) -> None:
         took_ms = self.context.clock.monotonic_ms() - proposed_ms
         self.metrics.count(COMMITS, "applied" if committed else "unknown")
--- a/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
@@ -3,30 +3,48 @@
 import threading
 import unittest
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 from unittest import mock
 
-from foxspring_control import ProposeOutcome
+from foxspring_control import LogEntry, ProposeOutcome
 from foxspring_control.raft import LeadershipChange
 from foxspring_link import ManualClock
 
 from foxspring_jobs._leader_context import LeaderSettings
 from foxspring_jobs._metrics import Metrics
-from foxspring_jobs._operations import NotLeading, Reply, make_call
-from foxspring_jobs._orders import TargetApi
+from foxspring_jobs._operations import NotLeading, Reply, TargetReport, make_call
+from foxspring_jobs._orders import (
+    OnTargetResult,
+    PollRequest,
+    ResultKind,
+    TargetApi,
+    TargetEndpoint,
+    TargetResult,
+    TargetView,
+)
 from foxspring_jobs._service import JobService
 from foxspring_jobs._state_machine import JobStateMachine
 
 WAIT_S = 10.0
+HEARTBEAT_MS = 1_000
 OWN_ADDRESS = "a:1"
 CALLER_ADDRESS = "c:1"
 OnDone = Callable[[ProposeOutcome], None]
 
 
+class Poll(NamedTuple):
+    """A poll that a target has not answered."""
+
+    endpoint: TargetEndpoint
+    request: PollRequest
+    done: OnTargetResult
+
+
 class ServiceSite:
     """A job service whose log answers as told, on a clock that a test advances.
 
-    ``outcome`` is the status of each proposal and barrier; None leaves them open.
+    ``outcome`` is the status of each proposal and barrier; those that are ``applied``
+    change the state. ``polls`` are those that targets haven't answered.
     """
 
     def __init__(self, test: unittest.TestCase) -> None:
@@ -34,15 +52,18 @@
         self.clock = ManualClock()
         self.machine = JobStateMachine()
         self.sent: list[Reply | NotLeading] = []
-        self.outcome: str | None = "applied"
+        self.outcome = "applied"
+        self.polls: list[Poll] = []
+        self.proposed = 0
         self.is_lease_valid = True
         self.log = mock.Mock()
         self.log.settings.link_address = OWN_ADDRESS
         self.log.membership.return_value.members = ()
         self.log.lease_valid.side_effect = lambda: self.is_lease_valid
-        self.log.propose.side_effect = lambda kind, body, done: self._answer(done)
+        self.log.propose.side_effect = self._propose
         self.log.read_barrier.side_effect = self._answer
         self.api = mock.Mock(spec=TargetApi)
+        self.api.poll.side_effect = lambda *call: self.polls.append(Poll(*call))
         self.service = JobService(
             LeaderSettings(),
             self.log,
@@ -54,9 +75,16 @@
         )
         test.addCleanup(self.service.close)
 
+    def _propose(self, kind: str, body: bytes, done: OnDone) -> None:
+        self.proposed += 1
+        if self.outcome == "applied":
+            index = self.machine.applied_index() + 1
+            entry = LogEntry(index, 1, kind, body, self.clock.wall_ms())
+            self.machine.apply([entry])
+        self._answer(done)
+
     def _answer(self, done: OnDone) -> None:
-        if self.outcome is not None:
-            done(ProposeOutcome(self.outcome))
+        done(ProposeOutcome(self.outcome))
 
     def _send(self, address: str, message: Any) -> None:
         self.sent.append(message)
@@ -82,11 +110,23 @@
         self.finish()
 
     def run(self, duration_ms: int, tick_ms: int = 50) -> None:
-        """Advance the clock with the service's ticks."""
+        """Advance the clock with the service's ticks; targets keep the contract."""
         for _ in range(duration_ms // tick_ms):
             self.clock.advance(tick_ms)
+            if self.clock.now_ms % HEARTBEAT_MS < tick_ms:
+                self._report()
             self.service.queue_tick()
             self.finish()
+            polls, self.polls = self.polls, []
+            for poll in polls:
+                view = TargetView(self.clock.now_ms, (), ())
+                poll.done(TargetResult(ResultKind.OK, self.clock.now_ms, view))
+            self.finish()
+
+    def _report(self) -> None:
+        for target in list(self.machine.state.targets.values()):
+            report = TargetReport(target.registered, self.clock.now_ms, 0)
+            self.service.receive(make_call(0, CALLER_ADDRESS, report))
 
     def call(self, operation: Any) -> Reply | NotLeading:
         """Return the message that answers a call."""
