--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -129,6 +129,8 @@
         )
         runtime.pending_callbacks = self._pending_callbacks
         self._runtime = runtime
+        # Starts the thread now: a busy system can take long to start one.
+        self._snapshot_executor.submit(int)
         self._thread.start()
 
     def close(self) -> None:
@@ -250,7 +252,7 @@
         if refused:
             on_done(ProposeOutcome("not_leader"))
 
-    def _run_in_background(self, work: Callable[[], int]) -> "Future[int]":
+    def _run_in_background(self, work: Callable[[], Any]) -> "Future[Any]":
         future = self._snapshot_executor.submit(work)
         future.add_done_callback(lambda done: self._inbox.put(Tick()))
         return future
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from concurrent.futures import Future
 from typing import Any
 
 from foxspring_model import INVARIANT_CHECKS, Clock, Invariant
@@ -80,7 +81,11 @@
         self.accepted_tokens: dict[int, int] = {}
         self.applied_index = 0
         self.stage = ""
-        self.snapshots = SnapshotWriter(state_machine, run_in_background)
+        self.run_in_background = run_in_background
+        self.snapshots = SnapshotWriter(
+            state_machine, run_in_background, storage.record_snapshot
+        )
+        self.deletion: Future[None] | None = None
         self.deferred: list[Effect] = []
         self._recover()
 
@@ -104,9 +109,8 @@
     def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
         """Process a batch of events: write and sync once, then send and answer."""
         self.stage = "snapshot"
-        self._collect_snapshot(now_ms)
+        effects = self._collect_snapshot(now_ms)
         self.stage = "step"
-        effects: list[Effect] = []
         for event in events:
             self._check_event(event)
             effects += step(self.state, event, now_ms)[1]
@@ -175,6 +179,7 @@
         path = self.storage.accept_incoming(effect.snapshot)
         if effect.reset:
             self.storage.reset_log(state.term, state.voted_for, effect.snapshot)
+        self._compact(effect.snapshot.snapshot_index)
         if self.state_machine.applied_index() < effect.snapshot.state_index:
             self.state_machine.install_snapshot(path)
         self.applied_index = max(self.applied_index, effect.snapshot.snapshot_index)
@@ -320,17 +325,26 @@
         path = self.storage.snapshot_path(index)
         self.snapshots.begin(path, index, term, state.membership_at(index))
 
-    def _collect_snapshot(self, now_ms: int) -> None:
-        was_writing = self.snapshots.is_writing()
+    def _collect_snapshot(self, now_ms: int) -> list[Effect]:
+        """Take over what was finished in the background; return the effects."""
+        self._collect_deletion()
         snapshot = self.snapshots.collect(now_ms)
+        if self.deferred and not self.snapshots.is_writing():
+            self._execute_deferred()
         if snapshot is None:
-            if was_writing and not self.snapshots.is_writing():
-                self._execute_deferred()
-            return
-        self.storage.record_snapshot(snapshot)
-        step(self.state, snapshot, now_ms)
-        self.storage.log.compact(self.state.log.base_index)
-        self._execute_deferred()
+            return []
+        effects = step(self.state, snapshot, now_ms)[1]
+        self._compact(snapshot.snapshot_index)
+        return effects
+
+    def _compact(self, snapshot_index: int) -> None:
+        delete = self.storage.compaction(self.state.log.base_index, snapshot_index)
+        self.deletion = self.run_in_background(delete)
+
+    def _collect_deletion(self) -> None:
+        if self.deletion is not None and self.deletion.done():
+            self.deletion.result()
+            self.deletion = None
 
     def status(self) -> RaftStatus:
         """Return the current status of the member."""
--- a/packages/foxspring-control/foxspring_control/raft/_segments.py
+++ b/packages/foxspring-control/foxspring_control/raft/_segments.py
@@ -8,7 +8,7 @@
 import os
 from array import array
 from bisect import bisect_right
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -48,6 +48,17 @@
     sync_folder(folder.parent)
 
 
+def delete_in_order(paths: Sequence[Path]) -> None:
+    """Delete files of a folder so that no later one can be gone before an earlier.
+
+    A power loss may undo deletions that are not synced, each by itself; one sync
+    for all could leave a gap between the segments.
+    """
+    for path in paths:
+        path.unlink(missing_ok=True)
+        sync_folder(path.parent)
+
+
 class _FrameLocation(NamedTuple):
     """Location of a frame that has entries or resets the log."""
 
@@ -274,16 +285,18 @@
         Pass the base index of the log: the term of its entry is needed to check
         the entry after it.
         """
+        delete_in_order(self.forget(first_kept))
+
+    def forget(self, first_kept: int) -> list[Path]:
+        """Return the segments that :meth:`compact` deletes, and use them no more."""
         first_kept_segment = self._first_needed_segment(first_kept)
-        for number in range(self._oldest_segment, first_kept_segment):
-            self._path(number).unlink(missing_ok=True)
-            # A power loss may undo deletions that are not synced, each by itself;
-            # one sync for all could leave a gap between the segments.
-            sync_folder(self.folder)
+        forgotten = range(self._oldest_segment, first_kept_segment)
+        for number in forgotten:
             self._sizes.pop(number, None)
         if first_kept_segment > self._oldest_segment:
             self._oldest_segment = first_kept_segment
             self._frame_index.drop_segments_below(first_kept_segment)
+        return [self._path(number) for number in forgotten]
 
     def _first_needed_segment(self, first_kept: int) -> int:
         needed = self._segment
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -1,8 +1,9 @@
 """The data folder of one member: log, hard state and snapshots."""
 
+import errno
 import fcntl
 import os
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import msgspec
@@ -17,6 +18,7 @@
     SegmentLog,
     Sync,
     Write,
+    delete_in_order,
     make_folder,
     sync_folder,
 )
@@ -243,17 +245,40 @@
         return self.folder / f"state-{snapshot_index}.snapshot"
 
     def record_snapshot(self, snapshot: SnapshotStored) -> None:
-        """Record a written snapshot as the latest and delete the others."""
-        path = self.snapshot_path(snapshot.snapshot_index)
-        self._sync_file(path)
+        """Sync a written snapshot and record it as the latest.
+
+        May run on another thread than the rest.
+
+        Raises:
+            OSError: if the disk is full, nothing was recorded.
+        """
+        self._sync_file(self.snapshot_path(snapshot.snapshot_index))
         # The name must be durable before the record that refers to it.
         sync_folder(self.folder)
-        self._write_atomically(
-            self.folder / _SNAPSHOT_FILE, msgspec.json.encode(snapshot)
-        )
-        for other in self.folder.glob("state-*.snapshot"):
-            if other != path:
-                other.unlink(missing_ok=True)
+        path = self.folder / _SNAPSHOT_FILE
+        temporary = self._write_temporary(path, msgspec.json.encode(snapshot))
+        try:
+            self.retrier.run(lambda: self._replace(temporary, path), path.name)
+        except OSError as error:
+            # The record may be in place, so this isn't the error of a full disk.
+            raise OSError(errno.EIO, f"{path.name}: {error}") from error
+
+    def compaction(self, first_kept: int, snapshot_index: int) -> Callable[[], None]:
+        """Forget the entries before ``first_kept`` and return the deletion of files.
+
+        The deletion, which may run on another thread, deletes the segments and the
+        snapshots other than the one at ``snapshot_index``.
+        """
+        kept = self.snapshot_path(snapshot_index)
+        snapshots = [p for p in self.folder.glob("state-*.snapshot") if p != kept]
+        segments = self.log.forget(first_kept)
+
+        def delete() -> None:
+            for path in snapshots:
+                path.unlink(missing_ok=True)
+            delete_in_order(segments)
+
+        return delete
 
     def store_chunk(self, chunk: SnapshotChunk) -> None:
         """Write a received chunk at its offset."""
@@ -271,7 +296,7 @@
         incoming = self.folder / _INCOMING_FILE
         self._sync_file(incoming)
         os.replace(incoming, path)
-        self.record_snapshot(snapshot)
+        self.retrier.run(lambda: self.record_snapshot(snapshot), _SNAPSHOT_FILE)
         return path
 
     def read_chunk(self, snapshot_index: int, offset: int, size: int) -> bytes:
@@ -300,15 +325,23 @@
         return snapshot
 
     def _write_atomically(self, path: Path, data: bytes) -> None:
-        self.retrier.run(lambda: self._replace_file(path, data), path.name)
+        def write() -> None:
+            self._replace(self._write_temporary(path, data), path)
 
-    def _replace_file(self, path: Path, data: bytes) -> None:
+        self.retrier.run(write, path.name)
+
+    def _write_temporary(self, path: Path, data: bytes) -> Path:
         temporary = path.with_suffix(".tmp")
         with temporary.open("wb") as file:
             file.write(data)
             file.flush()
             self._sync(file.fileno())
-        os.replace(temporary, path)
+        return temporary
+
+    def _replace(self, temporary: Path, path: Path) -> None:
+        # A repeated call finds the file replaced.
+        if temporary.exists():
+            os.replace(temporary, path)
         sync_folder(self.folder)
 
     def _sync_file(self, path: Path) -> None:
--- /dev/null
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
@@ -0,0 +1,193 @@
+"""What may not hold up, or be lost on, the thread of the log."""
+
+import os
+import shutil
+import tempfile
+import unittest
+from collections.abc import Callable
+from concurrent.futures import Future
+from pathlib import Path
+from typing import Any
+
+from foxspring_link import ManualClock
+
+from foxspring_control._replication import ProposeOutcome
+from foxspring_control.raft._events import Event, Propose, Received, Tick, Transfer
+from foxspring_control.raft._messages import AppendEntries, AppendReply, VoteReply
+from foxspring_control.raft._runtime import Runtime
+from foxspring_control.raft._settings import RaftSettings
+from foxspring_control.raft._state import RaftState
+from foxspring_control.raft._storage import Storage
+from foxspring_control.raft.tests import builders
+
+SNAPSHOT_EVERY = 5
+CHUNK = b"x" * 100
+
+
+class Background:
+    """Work that runs only when a test says so, or at once."""
+
+    def __init__(self) -> None:
+        self.runs_at_once = False
+        self.waiting: list[tuple[Callable[[], Any], Future[Any]]] = []
+
+    def submit(self, work: Callable[[], Any]) -> "Future[Any]":
+        """Keep ``work`` until :meth:`run_next`."""
+        future: Future[Any] = Future()
+        self.waiting.append((work, future))
+        if self.runs_at_once:
+            self.run_next()
+        return future
+
+    def run_next(self) -> None:
+        """Run the work that was submitted first."""
+        work, future = self.waiting.pop(0)
+        try:
+            future.set_result(work())
+        except OSError as error:
+            future.set_exception(error)
+
+
+class LeadingRuntime:
+    """The runtime of ``m1``, which leads ``m1`` to ``m3``, with followers played."""
+
+    def __init__(self, folder: Path) -> None:
+        self.clock = ManualClock()
+        self.background = Background()
+        self.synced: list[str] = []
+        self.outcomes: dict[int, ProposeOutcome] = {}
+        self.sent: list[Any] = []
+        group = builders.members(3)
+        self.settings: RaftSettings = builders.settings(
+            "m1", folder, group, SNAPSHOT_EVERY
+        )
+        self.storage = Storage(folder, "m1", 1_000, 1_000, self.sync)
+        self.state = RaftState(
+            self.settings, self.storage.open(), self.clock.monotonic_ms()
+        )
+        self.runtime = Runtime(
+            self.state,
+            self.storage,
+            builders.CountingStateMachine(),
+            lambda _address, message: self.sent.append(message),
+            self.clock,
+            lambda _change: None,
+            self.background.submit,
+        )
+        self._become_leader()
+
+    def sync(self, descriptor: int) -> None:
+        """Record the name of the file."""
+        self.synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+
+    def run(self, *events: Event) -> None:
+        """Process ``events`` as one batch, as the thread of the log does."""
+        self.runtime.run_batch([*events, Tick()], self.clock.monotonic_ms())
+
+    def _become_leader(self) -> None:
+        self.clock.advance(2 * self.settings.election_timeout_ms)
+        self.run()
+        for pre_vote in (True, False):
+            votes = [VoteReply(1, m, pre_vote, True) for m in ("m2", "m3")]
+            self.run(*(Received(vote.member_id, vote) for vote in votes))
+        self.acknowledge()
+
+    def acknowledge(self) -> None:
+        """Let both followers acknowledge everything sent up to now."""
+        self.run(*self.replies())
+
+    def replies(self) -> list[Event]:
+        """Return the answers of both followers to everything sent up to now."""
+        last = self.state.log.last_index
+        sent_ms = max(m.sent_ms for m in self.sent if isinstance(m, AppendEntries))
+        replies = [AppendReply(1, m, True, last, sent_ms) for m in ("m2", "m3")]
+        return [Received(reply.member_id, reply) for reply in replies]
+
+    def propose(self, token: int) -> None:
+        """Propose an entry, which both followers acknowledge."""
+        self.runtime.pending_callbacks[token] = lambda outcome: (
+            self.outcomes.__setitem__(token, outcome)
+        )
+        self.run(Propose(token, "Test", CHUNK, 0))
+        self.acknowledge()
+
+    def status_of(self, token: int) -> str:
+        """Return the status of an answered request, empty if it waits."""
+        outcome = self.outcomes.get(token)
+        return outcome.status if outcome else ""
+
+
+class LogThreadTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.leader = LeadingRuntime(self.folder)
+        self.addCleanup(self.leader.storage.close)
+
+    def write_state(self) -> None:
+        """Propose until a snapshot is due, and write the state."""
+        for token in range(1, SNAPSHOT_EVERY + 1):
+            self.leader.propose(token)
+        self.leader.background.run_next()
+
+    # Issue 55: the leader was lost while its thread synced a snapshot of 2 MB.
+    def test_a_snapshot_is_synced_and_recorded_off_the_log_thread(self) -> None:
+        self.write_state()
+        self.leader.synced.clear()
+        self.leader.propose(90)
+        self.leader.propose(91)
+        self.assertEqual(["applied"] * 2, [self.leader.status_of(t) for t in (90, 91)])
+        suffixes = {Path(name).suffix for name in self.leader.synced}
+        self.assertEqual({".seg"}, suffixes)
+        self.assertIsNone(self.leader.state.snapshot)
+        self.leader.background.run_next()
+        self.leader.run()
+        self.assertIsNotNone(self.leader.state.snapshot)
+
+    # Issue 55: each deleted segment was a sync of the folder on the log's thread.
+    def test_old_files_are_deleted_off_the_log_thread(self) -> None:
+        snapshots = self.leader.runtime.snapshots
+        snapshots.not_before_ms = self.leader.clock.monotonic_ms() + 1
+        for token in range(200, 230):
+            self.leader.propose(token)
+        before = len(list(self.folder.glob("*.seg")))
+        self.leader.clock.advance(self.leader.settings.heartbeat_ms)
+        for _step in ("write", "record"):
+            self.leader.run()
+            self.leader.background.run_next()
+        self.leader.run()
+        self.assertEqual(before, len(list(self.folder.glob("*.seg"))))
+        self.leader.background.run_next()
+        self.assertLess(len(list(self.folder.glob("*.seg"))), before)
+
+    # Issue 55: what step answers when a snapshot is stored was lost.
+    def test_effects_of_a_stored_snapshot_are_carried_out(self) -> None:
+        leader = self.leader
+        for token in range(1, SNAPSHOT_EVERY + 1):
+            leader.propose(token)
+        leader.runtime.pending_callbacks[50] = lambda outcome: (
+            leader.outcomes.__setitem__(50, outcome)
+        )
+        leader.run(Transfer(50))
+        self.assertEqual("", leader.status_of(50))
+        leader.clock.advance(10 * leader.settings.election_timeout_ms)
+        leader.background.runs_at_once = True
+        leader.background.run_next()
+        leader.run()
+        self.assertIsNotNone(leader.state.snapshot)
+        self.assertNotEqual("", leader.status_of(50))
+
+    def test_commits_go_on_after_a_snapshot_that_found_the_disk_full(self) -> None:
+        leader = self.leader
+        for token in range(1, SNAPSHOT_EVERY + 1):
+            leader.propose(token)
+        leader.propose(60)
+        self.assertEqual("", leader.status_of(60))
+        _work, future = leader.background.waiting.pop(0)
+        future.set_exception(OSError(28, "No space left on device"))
+        leader.run()
+        self.assertEqual("applied", leader.status_of(60))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_power_loss.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_power_loss.py
@@ -115,7 +115,7 @@
         path.write_bytes(b"state")
         self.storage.record_snapshot(self.stored(index))
         self.snapshot_index = index
-        self.storage.log.compact(index)
+        self.storage.compaction(index, index)()
 
     def stored(self, index: int, term: int = 1) -> SnapshotStored:
         return SnapshotStored(index, term, index, Membership(), 5)
@@ -151,7 +151,7 @@
         self.vote = (2, "")
         for index in range(41, 60):
             self.save(entry(index, 2), term=2, voted_for="")
-        self.storage.log.compact(40)
+        self.storage.compaction(40, 40)()
 
     def test_power_loss_after_a_killed_process_has_restarted(self) -> None:
         for index in range(1, 10):
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
@@ -129,7 +129,7 @@
             storage.save(1, "m2", log_index - 1, [entry(log_index)])
             if log_index % 50 == 0:
                 self.snapshot(storage, log_index)
-                storage.log.compact(log_index - 10)
+                storage.compaction(log_index - 10, log_index)()
                 sizes.append(storage.log.disk_bytes())
         self.assertLessEqual(max(sizes), 3 * SEGMENT_BYTES)
         storage.close()
