Raft: a leader's own stall is not the silence of its followers

The quorum was judged by the time since the last answered heartbeat was sent; the stalled leader had sent none. It now counts from the end of its stall, unless that lasted for the longest election timeout, after which another member has surely begun an election. Leases are judged as before, by what was acknowledged.

--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -47,6 +47,8 @@
 _LOG = logging.getLogger(__name__)
 
 APPLY_BATCH_BYTES = 1024 * 1024
+# A leader whose thread has not run for that many heartbeats was stalled.
+MISSED_HEARTBEATS = 2
 
 SendMessage = Callable[[str, Any], object]
 AnswerCallback = Callable[[ProposeOutcome], None]
@@ -86,6 +88,7 @@
             state_machine, run_in_background, storage.record_snapshot
         )
         self.deletion: Future[None] | None = None
+        self.last_batch_ms = 0
         self.deferred: list[Effect] = []
         self._recover()
 
@@ -108,6 +111,7 @@
 
     def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
         """Process a batch of events: write and sync once, then send and answer."""
+        self._allow_for_own_stall(now_ms)
         self.stage = "snapshot"
         effects = self._collect_snapshot(now_ms)
         self.stage = "step"
@@ -119,6 +123,20 @@
             effects = self._execute_effects(effects, now_ms)
         self.stage = ""
 
+    def _allow_for_own_stall(self, now_ms: int) -> None:
+        """Let the followers of a leader answer what it sends after its own stall.
+
+        They can't have answered what it did not send. After the longest election
+        timeout they have surely begun an election.
+        """
+        state = self.state
+        stalled_ms = now_ms - self.last_batch_ms
+        self.last_batch_ms = now_ms
+        longest_timeout_ms = 2 * state.settings.election_timeout_ms
+        heartbeat_ms = state.settings.heartbeat_ms
+        if MISSED_HEARTBEATS * heartbeat_ms < stalled_ms < longest_timeout_ms:
+            state.leader_since_ms = now_ms
+
     def _execute_effects(self, effects: list[Effect], now_ms: int) -> list[Effect]:
         entries = [
             e
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -136,6 +136,7 @@
         self.synced_index = 0
         self.first_term_index = 0
         self.leadership_announced = False
+        # Also set when the thread of a leader resumes after a stall.
         self.leader_since_ms = 0
         self.pending_member_change: PendingMemberChange | None = None
         self.transfer_token: int | None = None
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
@@ -16,7 +16,7 @@
 from foxspring_control.raft._messages import AppendEntries, AppendReply, VoteReply
 from foxspring_control.raft._runtime import Runtime
 from foxspring_control.raft._settings import RaftSettings
-from foxspring_control.raft._state import RaftState
+from foxspring_control.raft._state import RaftState, Role
 from foxspring_control.raft._storage import Storage
 from foxspring_control.raft.tests import builders
 
@@ -189,5 +189,45 @@
         self.assertEqual("applied", leader.status_of(60))
 
 
+class StalledLeaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        self.leader = LeadingRuntime(folder)
+        self.addCleanup(self.leader.storage.close)
+
+    # Issue 55: a leader that was stalled gave up although all followers followed it.
+    def test_a_leader_keeps_leading_after_a_stall_of_its_own_thread(self) -> None:
+        leader = self.leader
+        stall_ms = leader.settings.election_timeout_ms + 100
+        for _ in range(3):
+            replies = leader.replies()
+            leader.clock.advance(stall_ms)
+            leader.run(*replies)
+            self.assertEqual(Role.LEADER, leader.state.role)
+            leader.acknowledge()
+
+    def test_a_stalled_leader_without_followers_steps_down_in_time(self) -> None:
+        leader = self.leader
+        leader.clock.advance(leader.settings.election_timeout_ms + 100)
+        leader.run()
+        for _ in range(leader.settings.election_timeout_ms // 100):
+            leader.clock.advance(100)
+            leader.run()
+        self.assertEqual(Role.FOLLOWER, leader.state.role)
+
+    def test_a_stall_lengthens_no_lease(self) -> None:
+        leader = self.leader
+        leader.clock.advance(leader.settings.election_timeout_ms + 100)
+        leader.run()
+        self.assertFalse(leader.state.lease_valid(leader.clock.monotonic_ms()))
+
+    def test_a_leader_suspended_for_long_steps_down(self) -> None:
+        leader = self.leader
+        leader.clock.advance(3 * leader.settings.election_timeout_ms)
+        leader.run()
+        self.assertEqual(Role.FOLLOWER, leader.state.role)
+
+
 if __name__ == "__main__":
     unittest.main()
