--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -27,6 +27,7 @@
     TargetApi,
     TargetResult,
 )
+from foxspring_jobs._restart_pauses import RestartPauses
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._snapshot import decode_state, encode_state
 from foxspring_jobs._state_machine import JobStateMachine
@@ -94,6 +95,7 @@
         self.leader: Leader | None = None
         self.leadership = LeadershipChange(False, 0, "", "")
         self.generation = 0
+        self.restart_pauses = RestartPauses(clock)
         self.executor = _SerialExecutor.start()
         self._timers: list[tuple[int, int, Action]] = []
         self._numbers = itertools.count()
@@ -317,8 +319,19 @@
             action()
         if self.leader is None:
             return
-        if self.leader.is_deposed() and self.lease_valid():
-            _LOG.warning("event=leader_restarted term=%d", self.leadership.term)
-            self._restart_leading()
+        if self.leader.is_deposed():
+            self._restart_if_due()
         else:
             self.leader.tick()
+
+    def _restart_if_due(self) -> None:
+        """Begin anew after a proposal that was not taken, if this member leads on."""
+        if not self.lease_valid() or not self.restart_pauses.is_due():
+            return
+        self.restart_pauses.note_restart()
+        _LOG.warning(
+            "event=leader_restarted term=%d restarts=%d",
+            self.leadership.term,
+            self.restart_pauses.restarts,
+        )
+        self._restart_leading()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
@@ -43,8 +43,8 @@
 class ServiceSite:
     """A job service whose log answers as told, on a clock that a test advances.
 
-    ``outcome`` is the status of each proposal and barrier; those that are ``applied``
-    change the state. ``polls`` are those that targets haven't answered.
+    ``outcome`` is the status of each proposal; those that are ``applied`` change the
+    state. Barriers depend on the lease. ``polls`` are those not answered yet.
     """
 
     def __init__(self, test: unittest.TestCase) -> None:
@@ -61,7 +61,7 @@
         self.log.membership.return_value.members = ()
         self.log.lease_valid.side_effect = lambda: self.is_lease_valid
         self.log.propose.side_effect = self._propose
-        self.log.read_barrier.side_effect = self._answer
+        self.log.read_barrier.side_effect = self._read_barrier
         self.api = mock.Mock(spec=TargetApi)
         self.api.poll.side_effect = lambda *call: self.polls.append(Poll(*call))
         self.service = JobService(
@@ -81,11 +81,11 @@
             index = self.machine.applied_index() + 1
             entry = LogEntry(index, 1, kind, body, self.clock.wall_ms())
             self.machine.apply([entry])
-        self._answer(done)
-
-    def _answer(self, done: OnDone) -> None:
         done(ProposeOutcome(self.outcome))
 
+    def _read_barrier(self, done: OnDone) -> None:
+        done(ProposeOutcome("applied" if self.is_lease_valid else "not_leader"))
+
     def _send(self, address: str, message: Any) -> None:
         self.sent.append(message)
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leading.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leading.py
@@ -6,12 +6,26 @@
 from foxspring_jobs._commands import Advance
 from foxspring_jobs._job_log import JobLog
 from foxspring_jobs._operations import Outcome, Reply, SubmitCall
+from foxspring_jobs._orders import StartOrder
 from foxspring_jobs._service import GENERATIONS_PER_TERM, TOKENS_PER_TERM
 from foxspring_jobs._state import JobPhase
-from foxspring_jobs.tests.builders import JOB, QUEUE, registered, spec, state_with
+from foxspring_jobs.tests.builders import (
+    JOB,
+    OTHER_JOB,
+    QUEUE,
+    registered,
+    run_key,
+    spec,
+    state_with,
+)
 from foxspring_jobs.tests.service_builders import OnDone, ServiceSite
 
 RECOVERED_WITHIN_MS = 8_000
+# Of the 15 s within which service has to be back after a fault.
+SERVES_WITHIN_MS = 5_000
+TARGETS = 4
+REFUSED_MS = 30_000
+MAX_RESTARTS = 15
 
 
 class TokenTest(unittest.TestCase):
@@ -82,5 +96,85 @@
         self.assertIs(self.phase(), JobPhase.ACTIVE)
 
 
+class RefusedProposalTest(unittest.TestCase):
+    """The log refuses proposals for a while although the member leads on."""
+
+    def setUp(self) -> None:
+        self.site = ServiceSite(self)
+        targets = [registered(f"t{n}", cores=1_000) for n in range(TARGETS)]
+        self.site.machine.state = state_with(*targets)
+        self.site.lead()
+        self.site.run(500)
+
+    def submit(self, job_id: str) -> Outcome:
+        path = f"{QUEUE.path_prefix}{job_id}"
+        reply = self.site.call(SubmitCall(QUEUE.host, path, spec()))
+        return reply.answer.outcome if isinstance(reply, Reply) else Outcome.UNKNOWN
+
+    def active_jobs(self) -> list[str]:
+        jobs = self.site.machine.state.jobs.values()
+        return [job.job_id for job in jobs if job.phase is JobPhase.ACTIVE]
+
+    # Issue 55: a leader with a valid lease began anew every 50 ms, each time from the
+    # whole state and with a poll of each target.
+    def test_leader_whose_proposals_are_refused_seldom_begins_anew(self) -> None:
+        self.site.outcome = "not_leader"
+        first = self.site.service.generation
+        for number in range(REFUSED_MS // 1_000):
+            # A call or a poll brings something to propose at any time.
+            for _ in range(20):
+                self.submit(f"{number:016x}")
+                self.site.run(50)
+        self.assertLessEqual(self.site.service.generation - first, MAX_RESTARTS)
+
+    def test_member_serves_again_soon_after_proposals_are_taken(self) -> None:
+        for refused_ms in (100, 1_000, REFUSED_MS):
+            with self.subTest(refused_ms=refused_ms):
+                job_id = f"{refused_ms:016x}"
+                self.assertIs(self.submit(job_id), Outcome.OK)
+                self.site.outcome = "not_leader"
+                for _ in range(refused_ms // 100):
+                    self.submit(JOB)
+                    self.site.run(100)
+                self.site.outcome = "applied"
+                self.site.run(SERVES_WITHIN_MS)
+                self.assertIs(self.submit(JOB), Outcome.OK)
+                self.site.run(500)
+                self.assertIn(job_id, self.active_jobs())
+                self.assertIn(JOB, self.active_jobs())
+
+    def test_lease_that_is_not_valid_for_a_while_ends_no_leadership_for_good(
+        self,
+    ) -> None:
+        self.site.outcome, self.site.is_lease_valid = "not_leader", False
+        for _ in range(20):
+            self.submit(JOB)
+            self.site.run(100)
+        self.site.outcome, self.site.is_lease_valid = "applied", True
+        self.site.run(SERVES_WITHIN_MS)
+        self.assertIs(self.submit(JOB), Outcome.OK)
+        self.site.run(500)
+        self.assertEqual(self.active_jobs(), [JOB])
+
+    def test_run_that_was_committed_is_not_started_again(self) -> None:
+        self.assertIs(self.submit(JOB), Outcome.OK)
+        self.site.run(500)
+        self.assertEqual(self.active_jobs(), [JOB])
+        self.site.outcome = "not_leader"
+        for _ in range(50):
+            self.submit(OTHER_JOB)
+            self.site.run(100)
+        self.site.outcome = "applied"
+        self.site.run(SERVES_WITHIN_MS)
+        task = self.site.machine.state.jobs[JOB].occurrences[0][0].tasks[0]
+        self.assertEqual(list(task.runs), [1])
+        runs = {
+            call.args[1].run
+            for call in self.site.api.order.call_args_list
+            if isinstance(call.args[1], StartOrder)
+        }
+        self.assertEqual(runs, {run_key()})
+
+
 if __name__ == "__main__":
     unittest.main()
