A member behind by large entries catches up message after message

One way there, played with real processes: configurations of 290 kB, three a second for 34 s (36 MB of log), a member's disk is emptied, 6 s after its return all processes are killed and two other disks are emptied. The member was still a learner: two of four voters were left. Entries: known=5 hint=- declined=58 unanswered=0, as in the incident.

Cause: the leader asked for up to 256 entries a message and counted them all as sent, while Runtime put at most 256 KiB into it. The next message left a gap or was empty and waited for the next heartbeat, was rejected, and the search began anew: some two messages a heartbeat of 150 ms, however idle the machine.

Fix: the leader continues after the last entry that the message held.

--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -54,6 +54,13 @@
         progress.in_flight += 1
 
 
+def note_partly_sent(state: RaftState, sent: SendEntries, last_sent: int) -> None:
+    """Continue after ``last_sent``: a message had no room for the later entries."""
+    progress = state.progress.get(sent.header.to_member)
+    if progress is not None and progress.next_index == sent.last_index + 1:
+        progress.next_index = last_sent + 1
+
+
 def _send_heartbeat(
     state: RaftState, member_id: str, progress: Progress, now_ms: int
 ) -> None:
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -7,6 +7,7 @@
 from foxspring_model import INVARIANT_CHECKS, Clock, Invariant
 
 from foxspring_control._replication import LogEntry, ProposeOutcome, StateMachine
+from foxspring_control.raft._appending import note_partly_sent
 from foxspring_control.raft._compaction import (
     RunInBackground,
     SnapshotWriter,
@@ -228,6 +229,8 @@
     def _send_entries(self, effect: SendEntries) -> None:
         limit = self.state.settings.max_append_bytes
         entries = self.storage.read(effect.first_index, effect.last_index, limit)
+        if entries and entries[-1].log_index < effect.last_index:
+            note_partly_sent(self.state, effect, entries[-1].log_index)
         self.send(effect.address, effect.header._replace(entries=tuple(entries)))
 
     def _send_message(self, effect: Send | SendChunk) -> None:
