--- a/packages/foxspring-control/foxspring_control/raft/_election.py
+++ b/packages/foxspring-control/foxspring_control/raft/_election.py
@@ -164,6 +164,7 @@
 def _become_leader(state: RaftState, now_ms: int) -> None:
     state.role = Role.LEADER
     state.leader_id = state.member_id
+    state.leader_address = state.settings.link_address
     state.leader_since_ms = now_ms
     state.leadership_announced = False
     state.synced_index = 0
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -124,6 +124,7 @@
         self.random = random.Random(f"{settings.seed}/{settings.member_id}")
         self.role = Role.FOLLOWER
         self.leader_id = ""
+        self.leader_address = ""
         self.elections = 0
         self.refusal_reason = ""
         self.votes: set[str] = set()
@@ -232,10 +233,16 @@
         self.effects.append(effect)
 
     def set_leader(self, leader_id: str) -> None:
-        """Record the current leader and emit ``LeaderChanged`` if it changed."""
-        if leader_id == self.leader_id and not self.leadership_announced:
+        """Record the current leader and emit ``LeaderChanged`` if it changed.
+
+        A new member learns the leader's address later than its id, with the membership.
+        """
+        known = self.leader_address if leader_id == self.leader_id else ""
+        address = self.address_of(leader_id) or known
+        is_same = (leader_id, address) == (self.leader_id, self.leader_address)
+        if is_same and not self.leadership_announced:
             return
         self.leader_id = leader_id
+        self.leader_address = address
         self.leadership_announced = False
-        address = self.address_of(leader_id)
         self.emit(LeaderChanged(False, self.term, leader_id, address))
