--- a/packages/foxspring-jobs/foxspring_jobs/_group.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_group.py
@@ -1,7 +1,8 @@
 """Decides on changes to the control group: joins and lost members.
 
 Failure pattern: a member's disk is emptied and it returns at its old address; a member
-is replaced by one at another address; a removed member resumes.
+is replaced by one at another address; a removed member resumes; a replaced member
+stops as planned.
 """
 
 from typing import NamedTuple
@@ -50,6 +51,20 @@
     return Add(join)
 
 
+def leave_change(
+    members: tuple[MemberView, ...], member_id: str, group_size: int
+) -> Remove | None:
+    """Return the removal of a member that stops, or None if it has to stay.
+
+    A member that only restarts can't be told from one that has been replaced, so a
+    voter leaves only while there are more than ``group_size``.
+    """
+    voters = [member.member_id for member in members if member.voter]
+    if member_id not in voters or len(voters) <= group_size:
+        return None
+    return Remove(member_id, "leaves")
+
+
 def surplus_member(members: tuple[MemberView, ...], group_size: int) -> Remove | None:
     """Return a lost voter to remove once other voters have replaced it, or None."""
     voters = [member for member in members if member.voter]
--- a/packages/foxspring-jobs/foxspring_jobs/_group_membership.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_group_membership.py
@@ -12,13 +12,23 @@
 from foxspring_control.raft import LeadershipChange, Member, Membership, RaftStatus
 from foxspring_model import Clock
 
-from foxspring_jobs._group import Add, MemberView, Remove, join_change, surplus_member
-from foxspring_jobs._operations import JoinAnswer, JoinGroup
+from foxspring_jobs._group import (
+    Add,
+    MemberView,
+    Remove,
+    join_change,
+    leave_change,
+    surplus_member,
+)
+from foxspring_jobs._operations import JoinAnswer, JoinGroup, LeaveAnswer, LeaveGroup
 
 _LOG = logging.getLogger(__name__)
 
 CHECK_INTERVAL_MS = 300
 LEADERLESS_TIMEOUT_MS = 2_000
+LEAVE_INTERVAL_MS = 50
+# Long enough for one election.
+LEAVE_TIMEOUT_MS = 2_000
 
 
 class GroupLog(Protocol):
@@ -71,6 +81,9 @@
         self.member_hint = ""
         self.leaderless_since_ms = clock.monotonic_ms()
         self._unreachable_since: dict[str, int] = {}
+        self.is_stopping = False
+        self._leave_answered = False
+        self._leave_until_ms = 0
 
     @property
     def member_id(self) -> str:
@@ -111,6 +124,55 @@
         """Note the leader that another member named."""
         self.leader_hint = answer.leader_address
 
+    def begin_stop(self) -> None:
+        """Ask for nothing any more but to leave the group, see :meth:`try_leave`."""
+        self.is_stopping = True
+        self._leave_until_ms = self.clock.monotonic_ms() + LEAVE_TIMEOUT_MS
+
+    def try_leave(self) -> bool:
+        """Ask the leader to leave the group; return whether to go on with the stop.
+
+        Call it every ``LEAVE_INTERVAL_MS`` until it returns true: at once if the group
+        has no voter too many, else with the leader's answer or ``LEAVE_TIMEOUT_MS``
+        after :meth:`begin_stop`.
+        """
+        timed_out = self.clock.monotonic_ms() >= self._leave_until_ms
+        if self._leave_answered or timed_out or not self._is_surplus():
+            return True
+        leader = self.leadership.leader_address
+        if leader and not self.leadership.is_leader:
+            self.send(leader, LeaveGroup(self.member_id))
+        return False
+
+    def _is_surplus(self) -> bool:
+        voters = self.log.membership().voters()
+        return self.member_id in voters and len(voters) > self.settings.group_size
+
+    def on_leave(self, sender: str, leave: LeaveGroup) -> None:
+        """Remove a member that stops, if this member leads and others replace it."""
+        if not self.leadership.is_leader or not self.log.lease_valid():
+            return
+        if self.log.membership().find(leave.member_id) is None:
+            # Its removal may still be uncommitted; it is answered at the commit.
+            return
+        change = leave_change(self._views(), leave.member_id, self.settings.group_size)
+        if change is None:
+            self.send(sender, LeaveAnswer(leave.member_id, False))
+            return
+        log_outcome = _log_change("remove", change.member_id, change.reason)
+
+        def on_done(outcome: ProposeOutcome) -> None:
+            log_outcome(outcome)
+            if outcome.status == "applied":
+                self.send(sender, LeaveAnswer(leave.member_id, True))
+
+        self.log.remove_member(change.member_id, on_done)
+
+    def on_leave_answer(self, answer: LeaveAnswer) -> None:
+        """Note that the leader has decided on the request to leave."""
+        if answer.member_id == self.member_id:
+            self._leave_answered = True
+
     def check(self) -> None:
         """Remove a surplus member as leader, or request to join the group if needed."""
         if self.leadership.is_leader:
@@ -119,6 +181,8 @@
                 self._change(change)
             return
         self._unreachable_since.clear()
+        if self.is_stopping:
+            return
         if self._should_request_join():
             self._request_join()
 
@@ -135,7 +199,7 @@
         known = {m.link_address for m in self.log.membership().members}
         hints = {self.leader_hint, self.member_hint}
         receivers = known | set(self.settings.seeds) | hints
-        for address in receivers - {"", join.link_address}:
+        for address in sorted(receivers - {"", join.link_address}):
             self.send(address, join)
 
     def _change(self, change: Add | Remove) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -20,6 +20,7 @@
 from foxspring_jobs._caller import ControlCaller
 from foxspring_jobs._group_membership import (
     CHECK_INTERVAL_MS,
+    LEAVE_INTERVAL_MS,
     GroupMembership,
     MembershipSettings,
 )
@@ -30,6 +31,8 @@
     Call,
     JoinAnswer,
     JoinGroup,
+    LeaveAnswer,
+    LeaveGroup,
     NotLeading,
     Reply,
 )
@@ -183,7 +186,17 @@
         self.caller.seeds = _members_to_ask(self.settings)
 
     def hand_over(self) -> None:
-        """Transfer the leadership to another member, if this member has it."""
+        """Leave the group for a planned stop, as far as the group allows it.
+
+        The leadership is transferred first. A member stays in the group unless there
+        are more voters than the group needs: it may only be restarting.
+        """
+        self.membership.begin_stop()
+        self._transfer_leadership()
+        while not self.membership.try_leave():
+            self._closing.wait(LEAVE_INTERVAL_MS / 1_000)
+
+    def _transfer_leadership(self) -> None:
         if self.log.status().role != "leader":
             return
         done = threading.Event()
@@ -222,6 +235,10 @@
             self.membership.on_join(sender, message)
         elif isinstance(message, JoinAnswer):
             self.membership.on_join_answer(message)
+        elif isinstance(message, LeaveGroup):
+            self.membership.on_leave(sender, message)
+        elif isinstance(message, LeaveAnswer):
+            self.membership.on_leave_answer(message)
 
     def _on_leadership(self, change: LeadershipChange) -> None:
         self.leadership = change
--- a/packages/foxspring-jobs/foxspring_jobs/_operations.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_operations.py
@@ -144,6 +144,19 @@
     members: tuple[str, ...] = ()
 
 
+class LeaveGroup(NamedTuple):
+    """A member that stops for good asks the leader to remove it from the group."""
+
+    member_id: str
+
+
+class LeaveAnswer(NamedTuple):
+    """Whether the member was removed; otherwise it stays a member while it is down."""
+
+    member_id: str
+    removed: bool
+
+
 OPERATIONS: tuple[type, ...] = (
     SubmitCall,
     CancelCall,
@@ -155,7 +168,15 @@
     TargetLeaving,
     PingLeader,
 )
-JOB_MESSAGES: tuple[type, ...] = (Call, Reply, NotLeading, JoinGroup, JoinAnswer)
+JOB_MESSAGES: tuple[type, ...] = (
+    Call,
+    Reply,
+    NotLeading,
+    JoinGroup,
+    JoinAnswer,
+    LeaveGroup,
+    LeaveAnswer,
+)
 _DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
     kind.__name__: msgspec.msgpack.Decoder(kind) for kind in OPERATIONS
 }
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_group.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group.py
@@ -8,6 +8,7 @@
     MemberView,
     Remove,
     join_change,
+    leave_change,
     surplus_member,
 )
 from foxspring_jobs._health import (
@@ -52,6 +53,19 @@
         self.assertIsNone(surplus_member((*GROUP, view("d")), 3))
 
 
+class LeaveTest(unittest.TestCase):
+    def test_member_leaves_only_while_there_are_more_voters_than_needed(self) -> None:
+        group = (*GROUP, view("d"))
+        self.assertEqual(leave_change(group, "a", 3), Remove("a", "leaves"))
+        self.assertIsNone(leave_change(group, "a", 4))
+        self.assertIsNone(leave_change(GROUP, "a", 3))
+
+    def test_learner_does_not_count_and_does_not_leave(self) -> None:
+        group = (*GROUP, view("d", voter=False))
+        self.assertIsNone(leave_change(group, "a", 3))
+        self.assertIsNone(leave_change((*group, view("e")), "d", 3))
+
+
 class IdentityTest(unittest.TestCase):
     def settings(self, folder: str, founding: bool, address: str) -> MemberSettings:
         seeds = ("10.0.0.1:1", "10.0.0.2:1")
--- /dev/null
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
@@ -0,0 +1,107 @@
+"""Losses that the pages allow, on a simulated control group, each told in full."""
+
+import unittest
+
+from foxspring_jobs.tests.group_faults import CATCH_UP_MS, RECOVERY_MS, STOP_MS
+from foxspring_jobs.tests.group_simulation import GroupSimulation, Machine
+
+STOP_LIMIT_MS = 3_000
+
+
+class GroupLossTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.simulation = GroupSimulation(seed=1)
+        self.addCleanup(self.simulation.__exit__)
+        for machine in self.machines():
+            self.simulation.start(machine)
+            machine.founding = False
+        self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+        self.simulation.run(CATCH_UP_MS)
+
+    def machines(self) -> list[Machine]:
+        return list(self.simulation.machines.values())
+
+    def start_successor(self, old: Machine) -> Machine:
+        seeds = tuple(m.address for m in self.machines() if m is not old)
+        address = f"{old.address}1"
+        successor = self.simulation.add_machine(address, old.domain, seeds[:3])
+        self.simulation.start(successor)
+        return successor
+
+    def follower(self) -> Machine:
+        leader = self.simulation.leader()
+        return next(m for m in self.machines() if m.process is not leader)
+
+    def lose_all(self, *emptied: Machine) -> None:
+        """Empty disks while all other machines lose power, and start all again."""
+        for machine in self.machines():
+            if machine in emptied:
+                self.simulation.empty_disk(machine)
+            else:
+                self.simulation.lose_power(machine)
+        for machine in self.machines():
+            self.simulation.run(1_000)
+            self.simulation.start(machine)
+
+    def voters(self) -> tuple[str, ...]:
+        leader = self.simulation.leader()
+        assert leader is not None
+        return leader.state.voters()
+
+    # Issue 55: a planned stop left its voter in the group, so that two emptied disks
+    # took the quorum: three of six.
+    def test_replaced_member_leaves_before_it_stops(self) -> None:
+        for leads in (False, True):
+            with self.subTest(leads=leads):
+                self.setUp()
+                leader = self.simulation.leader()
+                assert leader is not None
+                old = leader.machine if leads else self.follower()
+                successor = self.start_successor(old)
+                self.simulation.run(CATCH_UP_MS)
+                self.assertEqual(len(self.voters()), 6)
+                self.simulation.stop(old)
+                self.simulation.run(STOP_MS)
+                self.assertIsNone(old.process)
+                old.is_removed = True
+                others = [m for m in self.machines() if m not in (old, successor)]
+                self.lose_all(*others[:2])
+                self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+
+    def test_restart_of_a_member_does_not_shrink_the_group(self) -> None:
+        for machine in self.machines():
+            self.simulation.stop(machine)
+            self.simulation.run(STOP_MS)
+            self.assertIsNone(machine.process)
+            self.simulation.run_until(self.simulation.leader, RECOVERY_MS)
+            self.assertEqual(len(self.voters()), 5)
+            self.simulation.start(machine)
+            self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+
+    def test_replaced_member_without_leader_stops_in_a_bounded_time(self) -> None:
+        old = self.follower()
+        self.start_successor(old)
+        self.simulation.run(CATCH_UP_MS)
+        for machine in self.machines():
+            if machine is not old:
+                self.simulation.kill(machine)
+        self.simulation.stop(old)
+        self.simulation.run(STOP_LIMIT_MS)
+        self.assertIsNone(old.process)
+
+    def test_member_that_left_and_starts_again_joins_within_the_catch_up_time(
+        self,
+    ) -> None:
+        old = self.follower()
+        self.start_successor(old)
+        self.simulation.run(CATCH_UP_MS)
+        self.simulation.stop(old)
+        self.simulation.run(STOP_MS)
+        self.assertEqual(len(self.voters()), 5)
+        self.simulation.start(old)
+        self.simulation.run(CATCH_UP_MS)
+        self.assertEqual(len(self.voters()), 6)
+
+
+if __name__ == "__main__":
+    unittest.main()
