--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -236,24 +236,16 @@
         self.effects.append(effect)
 
     def set_leader(self, leader_id: str) -> None:
-        """Record the current leader and emit ``LeaderChanged`` if it changed."""
-        if leader_id == self.leader_id and not self.leadership_announced:
-            return
-        self.leader_id = leader_id
-        self.leadership_announced = False
-        self._announce_leader()
-
-    def announce_leader_address(self) -> None:
-        """Emit ``LeaderChanged`` again once the log names the leader's address.
+        """Record the current leader and emit ``LeaderChanged`` if it changed.
 
-        A member that joins hears from the leader before it holds any membership.
+        A new member learns the leader's address later than its id, with the membership.
         """
-        if self.role is Role.LEADER or not self.leader_id:
+        known = self.leader_address if leader_id == self.leader_id else ""
+        address = self.address_of(leader_id) or known
+        is_same = (leader_id, address) == (self.leader_id, self.leader_address)
+        if is_same and not self.leadership_announced:
             return
-        address = self.address_of(self.leader_id)
-        if address and address != self.leader_address:
-            self._announce_leader()
-
-    def _announce_leader(self) -> None:
-        self.leader_address = self.address_of(self.leader_id)
-        self.emit(LeaderChanged(False, self.term, self.leader_id, self.leader_address))
+        self.leader_id = leader_id
+        self.leader_address = address
+        self.leadership_announced = False
+        self.emit(LeaderChanged(False, self.term, leader_id, address))
