--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -2,11 +2,13 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from concurrent.futures import Future
 from typing import Any
 
 from foxspring_model import INVARIANT_CHECKS, Clock, Invariant
 
 from foxspring_control._replication import LogEntry, ProposeOutcome, StateMachine
+from foxspring_control.raft._appending import note_partly_sent
 from foxspring_control.raft._compaction import (
     RunInBackground,
     SnapshotWriter,
@@ -46,6 +48,8 @@
 _LOG = logging.getLogger(__name__)
 
 APPLY_BATCH_BYTES = 1024 * 1024
+# A leader whose thread has not run for that many heartbeats was stalled.
+MISSED_HEARTBEATS = 2
 
 SendMessage = Callable[[str, Any], object]
 AnswerCallback = Callable[[ProposeOutcome], None]
@@ -56,7 +60,8 @@
 
     It has no thread of its own: the caller passes batches of events to
     :meth:`run_batch`. Disk errors are raised to that caller, which must not
-    call it again afterwards.
+    call it again afterwards. ``stage`` names the part of the batch in progress
+    (``snapshot``, ``step``, ``write``, ``send`` or ``apply``), or is empty.
     """
 
     def __init__(
@@ -78,7 +83,13 @@
         self.pending_callbacks: dict[int, AnswerCallback] = {}
         self.accepted_tokens: dict[int, int] = {}
         self.applied_index = 0
-        self.snapshots = SnapshotWriter(state_machine, run_in_background)
+        self.stage = ""
+        self.run_in_background = run_in_background
+        self.snapshots = SnapshotWriter(
+            state_machine, run_in_background, storage.record_snapshot
+        )
+        self.deletion: Future[None] | None = None
+        self.last_batch_ms = 0
         self.deferred: list[Effect] = []
         self._recover()
 
@@ -101,14 +112,31 @@
 
     def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
         """Process a batch of events: write and sync once, then send and answer."""
-        self._collect_snapshot(now_ms)
-        effects: list[Effect] = []
+        self._allow_for_own_stall(now_ms)
+        self.stage = "snapshot"
+        effects = self._collect_snapshot(now_ms)
+        self.stage = "step"
         for event in events:
             self._check_event(event)
             effects += step(self.state, event, now_ms)[1]
         effects += step(self.state, Flush(), now_ms)[1]
         while effects:
             effects = self._execute_effects(effects, now_ms)
+        self.stage = ""
+
+    def _allow_for_own_stall(self, now_ms: int) -> None:
+        """Let the followers of a leader answer what it sends after its own stall.
+
+        They can't have answered what it did not send. After the longest election
+        timeout they have surely begun an election.
+        """
+        state = self.state
+        stalled_ms = now_ms - self.last_batch_ms
+        self.last_batch_ms = now_ms
+        longest_timeout_ms = 2 * state.settings.election_timeout_ms
+        heartbeat_ms = state.settings.heartbeat_ms
+        if MISSED_HEARTBEATS * heartbeat_ms < stalled_ms < longest_timeout_ms:
+            state.leader_since_ms = now_ms
 
     def _execute_effects(self, effects: list[Effect], now_ms: int) -> list[Effect]:
         entries = [
@@ -120,14 +148,18 @@
         self.storage.log_cache.append(entries)
         # Entries go to followers before the local sync: the leader counts its own
         # copy only after the sync, so all members can write in parallel.
+        self.stage = "send"
         for effect in effects:
             if isinstance(effect, SendEntries):
                 self._send_entries(effect)
+        self.stage = "write"
         self._persist(effects)
+        self.stage = "send"
         # Replies go before applying, so that the sender doesn't wait for it.
         for effect in effects:
             if isinstance(effect, Send | SendChunk):
                 self._send_message(effect)
+        self.stage = "apply"
         for effect in effects:
             self._execute_or_defer(effect)
         self._begin_snapshot_if_due()
@@ -166,6 +198,7 @@
         path = self.storage.accept_incoming(effect.snapshot)
         if effect.reset:
             self.storage.reset_log(state.term, state.voted_for, effect.snapshot)
+        self._compact(effect.snapshot.snapshot_index)
         if self.state_machine.applied_index() < effect.snapshot.state_index:
             self.state_machine.install_snapshot(path)
         self.applied_index = max(self.applied_index, effect.snapshot.snapshot_index)
@@ -228,6 +261,8 @@
     def _send_entries(self, effect: SendEntries) -> None:
         limit = self.state.settings.max_append_bytes
         entries = self.storage.read(effect.first_index, effect.last_index, limit)
+        if entries and entries[-1].log_index < effect.last_index:
+            note_partly_sent(self.state, effect, entries[-1].log_index)
         self.send(effect.address, effect.header._replace(entries=tuple(entries)))
 
     def _send_message(self, effect: Send | SendChunk) -> None:
@@ -311,17 +346,26 @@
         path = self.storage.snapshot_path(index)
         self.snapshots.begin(path, index, term, state.membership_at(index))
 
-    def _collect_snapshot(self, now_ms: int) -> None:
-        was_writing = self.snapshots.is_writing()
+    def _collect_snapshot(self, now_ms: int) -> list[Effect]:
+        """Take over what was finished in the background; return the effects."""
+        self._collect_deletion()
         snapshot = self.snapshots.collect(now_ms)
+        if self.deferred and not self.snapshots.is_writing():
+            self._execute_deferred()
         if snapshot is None:
-            if was_writing and not self.snapshots.is_writing():
-                self._execute_deferred()
-            return
-        self.storage.record_snapshot(snapshot)
-        step(self.state, snapshot, now_ms)
-        self.storage.log.compact(self.state.log.base_index)
-        self._execute_deferred()
+            return []
+        effects = step(self.state, snapshot, now_ms)[1]
+        self._compact(snapshot.snapshot_index)
+        return effects
+
+    def _compact(self, snapshot_index: int) -> None:
+        delete = self.storage.compaction(self.state.log.base_index, snapshot_index)
+        self.deletion = self.run_in_background(delete)
+
+    def _collect_deletion(self) -> None:
+        if self.deletion is not None and self.deletion.done():
+            self.deletion.result()
+            self.deletion = None
 
     def status(self) -> RaftStatus:
         """Return the current status of the member."""
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_power_loss.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_power_loss.py
@@ -115,7 +115,7 @@
         path.write_bytes(b"state")
         self.storage.record_snapshot(self.stored(index))
         self.snapshot_index = index
-        self.storage.log.compact(index)
+        self.storage.compaction(index, index)()
 
     def stored(self, index: int, term: int = 1) -> SnapshotStored:
         return SnapshotStored(index, term, index, Membership(), 5)
@@ -127,6 +127,7 @@
         self.save(entry(20, 2), term=2, voted_for="m3")
         self.assertGreater(self.crashes, 30)
 
+    # Issue 55: the record of a snapshot could be kept while the snapshot was lost.
     def test_snapshot_and_compaction_of_several_segments(self) -> None:
         for index in range(1, 40):
             self.save(entry(index))
@@ -150,7 +151,7 @@
         self.vote = (2, "")
         for index in range(41, 60):
             self.save(entry(index, 2), term=2, voted_for="")
-        self.storage.log.compact(40)
+        self.storage.compaction(40, 40)()
 
     def test_power_loss_after_a_killed_process_has_restarted(self) -> None:
         for index in range(1, 10):
--- a/packages/foxspring-jobs/foxspring_jobs/_operations.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_operations.py
@@ -155,6 +155,19 @@
     members: tuple[str, ...] = ()
 
 
+class LeaveGroup(NamedTuple):
+    """A member that stops for good asks the leader to remove it from the group."""
+
+    member_id: str
+
+
+class LeaveAnswer(NamedTuple):
+    """Whether the member was removed; otherwise it stays a member while it is down."""
+
+    member_id: str
+    removed: bool
+
+
 OPERATIONS: tuple[type, ...] = (
     SubmitCall,
     CancelCall,
@@ -173,6 +186,8 @@
     DeclineReason,
     JoinGroup,
     JoinAnswer,
+    LeaveGroup,
+    LeaveAnswer,
 )
 _DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
     kind.__name__: msgspec.msgpack.Decoder(kind) for kind in OPERATIONS
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -28,6 +28,7 @@
     TargetApi,
     TargetResult,
 )
+from foxspring_jobs._restart_pauses import RestartPauses
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._snapshot import decode_state, encode_state
 from foxspring_jobs._state_machine import JobStateMachine
@@ -98,6 +99,7 @@
         self.generation = 0
         self.leading_error = ""
         self.decline_reasons = DeclineReasons(send, clock)
+        self.restart_pauses = RestartPauses(clock)
         self.executor = _SerialExecutor.start()
         self._timers: list[tuple[int, int, Action]] = []
         self._numbers = itertools.count()
@@ -134,6 +136,8 @@
     # Leadership.
 
     def _on_leadership(self, change: LeadershipChange) -> None:
+        if change.term != self.leadership.term:
+            self.generation = 0
         self.leadership = change
         self._end_leader()
         self.metrics.set(LEADING, int(change.is_leader))
@@ -173,11 +177,7 @@
             self._start_leading()
 
     def _begin_leader(self) -> None:
-        self.generation += 1
-        generation = self.generation % GENERATIONS_PER_TERM
-        token = (
-            self.leadership.term * TOKENS_PER_TERM + generation * TOKENS_PER_GENERATION
-        )
+        token = self._next_token()
         with self.machine.lock:
             draft, _ = decode_state(encode_state(self.machine.state, 0))
         self.leader = Leader(
@@ -185,6 +185,15 @@
         )
         self.leader.begin()
 
+    def _next_token(self) -> int:
+        """Return the first fencing token of a leadership.
+
+        The last ones of a term share theirs: targets refuse a lower one for good.
+        """
+        self.generation = min(self.generation + 1, GENERATIONS_PER_TERM - 1)
+        generation_token = self.generation * TOKENS_PER_GENERATION
+        return self.leadership.term * TOKENS_PER_TERM + generation_token
+
     # Calls.
 
     def _handle(self, call: Call) -> None:
@@ -317,8 +326,19 @@
             action()
         if self.leader is None:
             return
-        if self.leader.is_deposed() and self.lease_valid():
-            _LOG.warning("event=leader_restarted term=%d", self.leadership.term)
-            self._restart_leading()
+        if self.leader.is_deposed():
+            self._restart_if_due()
         else:
             self.leader.tick()
+
+    def _restart_if_due(self) -> None:
+        """Begin anew after a proposal that was not taken, if this member leads on."""
+        if not self.lease_valid() or not self.restart_pauses.is_due():
+            return
+        self.restart_pauses.note_restart()
+        _LOG.warning(
+            "event=leader_restarted term=%d restarts=%d",
+            self.leadership.term,
+            self.restart_pauses.restarts,
+        )
+        self._restart_leading()
