--- a/packages/foxspring-jobs/foxspring_jobs/_leader_watch.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader_watch.py
@@ -15,7 +15,6 @@
     trouble,
     votes_text,
 )
-from foxspring_jobs._log_probe import LogProbe
 from foxspring_jobs._log_text import log_text
 from foxspring_jobs._metrics import (
     DISK_FREE,
@@ -63,7 +62,6 @@
         self.data_folder = data_folder
         self.log_interval_ms = log_interval_ms
         self.leadership = LeadershipChange(False, 0, "", "")
-        self.probe = LogProbe(log.read_barrier, clock)
         self.losses = LeaderLosses()
         self.free_bytes = UNKNOWN_BYTES
         self._trouble_since_ms: int | None = None
@@ -84,7 +82,6 @@
 
     def check(self) -> None:
         """Set the metrics; log why no leader serves if none has for an interval."""
-        self.probe.check()
         self.free_bytes = self._read_free_bytes()
         view = self.view()
         now_ms = self.clock.monotonic_ms()
@@ -116,7 +113,8 @@
             self.service.leader is not None,
             self.log.lease_valid(),
             self.service.leading_error,
-            self.probe.waited_ms(),
+            self.log.stalled_ms(),
+            self.log.waiting_for(),
             self.free_bytes,
             self.losses.counts(now_ms),
         )
@@ -156,8 +154,8 @@
         _LOG.warning(
             "event=leaderless member=%s why=%r role=%s term=%d commit_index=%d "
             "last_index=%d elections=%d leaders_lost=%d lost_at_snapshot=%d "
-            "log_waits_ms=%d free_bytes=%d voters=%s votes=%r denials=%r refused=%r "
-            "leading_error=%r",
+            "log_waits_ms=%d waiting_for=%s free_bytes=%d voters=%s votes=%r "
+            "denials=%r refused=%r leading_error=%r",
             status.member_id,
             log_text(self._why, MAX_WHY_CHARS),
             status.role,
@@ -168,6 +166,7 @@
             view.losses.lost,
             view.losses.at_snapshot,
             view.log_waits_ms,
+            view.waiting_for or "-",
             view.free_bytes,
             ",".join(voters) or "-",
             log_text(votes_text(status), MAX_WHY_CHARS),
--- a/packages/foxspring-jobs/foxspring_jobs/_leaderless.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leaderless.py
@@ -23,8 +23,9 @@
     """What a member knows about its leader.
 
     ``began`` is whether the member's service leads, ``leading_error`` why it could not
-    begin, if so. ``log_waits_ms`` is for how long the log has answered nothing and
-    ``free_bytes`` what is free on its disk, -1 if unknown.
+    begin, if so. ``log_waits_ms`` is for how long the log's thread has been
+    in its batch and ``waiting_for`` in what, see ``ReplicatedLog``; ``free_bytes`` is
+    what is free on its disk, -1 if unknown.
     """
 
     status: RaftStatus
@@ -33,6 +34,7 @@
     lease_valid: bool
     leading_error: str
     log_waits_ms: int
+    waiting_for: str
     free_bytes: int
     losses: LossCounts
 
@@ -59,7 +61,10 @@
 
 
 def _log_waits(view: LeaderView) -> str:
-    return f"log stands still for {view.log_waits_ms} ms, {_space(view)}"
+    return (
+        f"log stands still for {view.log_waits_ms} ms in {view.waiting_for or '-'}, "
+        f"{_space(view)}"
+    )
 
 
 def _space(view: LeaderView) -> str:
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -147,7 +147,7 @@
     "member_log_waits_ms",
     "milliseconds",
     (),
-    "For how long this member's log has answered nothing.",
+    "For how long the thread of this member's log has been in its batch.",
 )
 DISK_FREE = Metric(
     "member_disk_free_bytes",
--- a/packages/foxspring-jobs/foxspring_jobs/tests/leader_views.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/leader_views.py
@@ -58,6 +58,7 @@
         lease_valid=False,
         leading_error="",
         log_waits_ms=0,
+        waiting_for="",
         free_bytes=PLENTY_BYTES,
         losses=LossCounts(0, 0),
     )
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leaderless.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leaderless.py
@@ -27,7 +27,9 @@
 class TroubleTest(unittest.TestCase):
     # Issue 55: declines told none of these from the others.
     def test_each_cause_has_a_reason_of_its_own(self) -> None:
-        late = leader_view(log_waits_ms=LOG_WAIT_LIMIT_MS, free_bytes=0)
+        late = leader_view(
+            log_waits_ms=LOG_WAIT_LIMIT_MS, waiting_for="write", free_bytes=0
+        )
         refusing = leader_view(raft_status("follower", refusal_reason="empty folder"))
         failing = leader_view(leadership=LEADS, leading_error="ValueError: odd")
         failed = leader_view(leading_error="ValueError: odd")
@@ -40,7 +42,7 @@
             leadership=FOLLOWS, losses=LossCounts(MANY_LOSSES, MANY_LOSSES - 1)
         )
         cases = (
-            (late, "log stands still for 1000 ms, 0 bytes free"),
+            (late, "log stands still for 1000 ms in write, 0 bytes free"),
             (refusing, "refuses to take part: empty folder"),
             (failing, "could not take over the state: ValueError: odd"),
             (failed, "could not take over the state: ValueError: odd"),
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leaderless_lines.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leaderless_lines.py
@@ -100,7 +100,7 @@
             cast(Any, member.log)._storage.log._write_partial = full
         self.patch(shutil, "disk_usage", lambda _folder: NO_SPACE)
         group.start()
-        cause = r"log stands still for \d{4} ms, 0 bytes free on its disk"
+        cause = r"log stands still for \d{4} ms in disk_space:\w+, 0 bytes free"
         self.check_lines(group, {"a": cause, ENTRY: cause})
 
     def test_lease_that_is_never_valid_is_named(self) -> None:
