--- a/packages/foxspring-jobs/foxspring_jobs/_search_record.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_search_record.py
@@ -8,6 +8,7 @@
 MAX_MEMBERS = 8
 MAX_ANSWER_CHARS = 250
 NO_ANSWER = "no answer"
+DECLINES = "declines"
 
 
 class SearchSummary(NamedTuple):
@@ -35,8 +36,10 @@
         """Record a decline; ``hint`` is the leader that the member named, if any."""
         with self._lock:
             self._declined += 1
-            if self._answers.get(member, NO_ANSWER) == NO_ANSWER:
-                self._note(member, f"names {hint}" if hint else "declines")
+            answer = f"names {hint}" if hint else DECLINES
+            former = self._answers.get(member, NO_ANSWER)
+            if former == NO_ANSWER or (hint and former == DECLINES):
+                self._note(member, answer)
 
     def note_unanswered(self, member: str) -> None:
         """Record an attempt without an answer."""
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_decline_reasons.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_decline_reasons.py
@@ -90,10 +90,12 @@
         record.note_declined("a", "b")
         record.note_unanswered("a")
         record.note_unanswered("b")
+        record.note_declined("c", "")
         record.note_declined("c", "b")
+        record.note_declined("c", "")
         summary = record.take()
         self.assertEqual(summary.reasons, "a: no quorum | b: no answer | c: names b")
-        self.assertEqual((summary.declined, summary.unanswered), (3, 2))
+        self.assertEqual((summary.declined, summary.unanswered), (5, 2))
         self.assertEqual(record.take().reasons, "")
 
     def test_text_is_cut(self) -> None:
