--- a/packages/foxspring-jobs/foxspring_jobs/_leader_watch.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader_watch.py
@@ -36,6 +36,7 @@
 # A leader that serves for less is not counted as found.
 TROUBLE_ENDS_AFTER_MS = 2_000
 MAX_WHY_CHARS = 160
+STARTING = "reads its log"
 UNKNOWN_BYTES = -1
 
 
@@ -121,6 +122,8 @@
 
     def reason(self) -> str:
         """Return why this member declines calls, at most ``REASON_MAX_AGE_MS`` old."""
+        if not self.log.is_started():
+            return STARTING
         now_ms = self.clock.monotonic_ms()
         if now_ms >= self._reason_until_ms:
             self._reason = decline_reason(self.view())
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leader_watch.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leader_watch.py
@@ -15,7 +15,14 @@
     LeaderWatch,
 )
 from foxspring_jobs._metrics import Metrics
+from foxspring_jobs._operations import (
+    DeclineReason,
+    NotLeading,
+    PingLeader,
+    make_call,
+)
 from foxspring_jobs.tests.leader_views import NO_LEADER, raft_status
+from foxspring_jobs.tests.small_group import ENTRY, SmallGroup, wait_until
 
 CHECK_MS = 300
 INTERVAL_MS = 5_000
@@ -89,6 +96,20 @@
         self.lines_in(TROUBLE_ENDS_AFTER_MS + CHECK_MS)
         self.assertEqual(self.lines_in(4 * INTERVAL_MS), 0)
 
+    # Seen in the soak: a call that came before the log was read ended as action_failed.
+    def test_member_that_starts_declines_with_a_reason(self) -> None:
+        group = SmallGroup("a")
+        answers: list[Any] = []
+        with group, self.assertNoLogs("foxspring_jobs", "ERROR"):
+            member = group.members["a"]
+            cast(Any, member.link).send = lambda _address, answer: answers.append(
+                answer
+            )
+            member.service.receive(make_call(1, ENTRY, PingLeader()))
+            wait_until(lambda: len(answers) == 2, "a decline and its reason")
+        self.assertEqual(answers[0], NotLeading(1, ""))
+        self.assertEqual(answers[1], DeclineReason("a", "reads its log"))
+
     def test_reason_is_computed_a_few_times_a_second_at_most(self) -> None:
         for _ in range(600):
             self.watch.reason()
