--- a/packages/foxspring-jobs/foxspring_jobs/_call_handler.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_call_handler.py
@@ -35,35 +35,58 @@
 
 
 class CallHandler:
-    """Handles one call on the leader's thread."""
+    """Handles one call on the leader's thread.
+
+    ``leader`` is None if this member leads and has not taken the state over, for the
+    reason ``leading_error`` if that lasts. It answers what needs the committed state
+    only.
+    """
 
     def __init__(
         self,
-        leader: Leader,
+        leader: Leader | None,
         machine: JobStateMachine,
         log: ReplicatedLog,
         post: Callable[[Action], None],
+        leading_error: str = "",
     ) -> None:
         self.leader = leader
         self.machine = machine
         self.log = log
         self.post = post
+        self.leading_error = leading_error
 
     def handle(self, operation: Any, respond: Respond, decline: Action) -> None:
         """Answer an operation, or decline it if this member may not be the leader."""
+        match operation:
+            case PingLeader():
+                self._if_lease_valid(lambda: respond(Answer(Outcome.OK)), decline)
+            case ReadCall():
+                self._after_barrier(lambda: respond(self._read(operation)), decline)
+            case CheckCall():
+                self._after_barrier(lambda: respond(self._check(operation)), decline)
+            case ReadTableCall():
+                self._after_barrier(lambda: respond(self._read_table()), decline)
+            case _ if self.leader is not None:
+                self._handle_as(self.leader, operation, respond, decline)
+            case _ if self.leading_error:
+                refusal = Answer(Outcome.UNAVAILABLE, self.leading_error)
+                self._if_lease_valid(lambda: respond(refusal), decline)
+            case _:
+                decline()
+
+    def _handle_as(
+        self, leader: Leader, operation: Any, respond: Respond, decline: Action
+    ) -> None:
         match operation:
             case TargetReport():
-                self._if_lease_valid(
-                    lambda: self.leader.report(operation, respond), decline
-                )
+                self._if_lease_valid(lambda: leader.report(operation, respond), decline)
             case TargetLeaving():
-                self.leader.target_leaving(
+                leader.target_leaving(
                     operation.target_id, operation.incarnation_ms, respond
                 )
-            case PingLeader():
-                self._if_lease_valid(lambda: respond(Answer(Outcome.OK)), decline)
             case _:
-                action = self._action_for(operation, respond)
+                action = self._change(leader, operation, respond)
                 self._after_barrier(action, decline)
 
     def _if_lease_valid(self, action: Action, decline: Action) -> None:
@@ -79,20 +102,14 @@
 
         self.log.read_barrier(done)
 
-    def _action_for(self, operation: Any, respond: Respond) -> Action:
+    def _change(self, leader: Leader, operation: Any, respond: Respond) -> Action:
         match operation:
             case SubmitCall():
-                return lambda: self._submit(operation, respond)
+                return lambda: self._submit(leader, operation, respond)
             case CancelCall():
-                return lambda: self._cancel(operation, respond)
-            case ReadCall():
-                return lambda: respond(self._read(operation))
-            case CheckCall():
-                return lambda: respond(self._check(operation))
+                return lambda: self._cancel(leader, operation, respond)
             case ReplaceTableCall():
-                return lambda: self._replace(operation, respond)
-            case ReadTableCall():
-                return lambda: respond(self._read_table())
+                return lambda: self._replace(leader, operation, respond)
             case _:
                 return lambda: respond(Answer(Outcome.INVALID, "unknown call"))
 
@@ -109,7 +126,7 @@
         """Return the committed state."""
         return self.machine.state
 
-    def _submit(self, call: SubmitCall, respond: Respond) -> None:
+    def _submit(self, leader: Leader, call: SubmitCall, respond: Respond) -> None:
         with self.machine.lock:
             routed = self._route(call.host, call.path)
         if isinstance(routed, Answer):
@@ -122,9 +139,9 @@
         elif problem:
             respond(Answer(Outcome.INVALID, problem))
         else:
-            self.leader.submit(job_id, queue, call.spec, respond)
+            leader.submit(job_id, queue, call.spec, respond)
 
-    def _cancel(self, call: CancelCall, respond: Respond) -> None:
+    def _cancel(self, leader: Leader, call: CancelCall, respond: Respond) -> None:
         with self.machine.lock:
             routed = self._route(call.host, call.path)
         if isinstance(routed, Answer):
@@ -132,7 +149,7 @@
             return
         job_id = routed[1]
         if is_job_id(job_id):
-            self.leader.cancel(job_id, respond)
+            leader.cancel(job_id, respond)
         else:
             respond(BAD_ID)
 
@@ -164,12 +181,14 @@
             return routed
         return Answer(Outcome.INVALID, "the body can't be read")
 
-    def _replace(self, call: ReplaceTableCall, respond: Respond) -> None:
+    def _replace(
+        self, leader: Leader, call: ReplaceTableCall, respond: Respond
+    ) -> None:
         problem = table_problem(call.table)
         if problem:
             respond(Answer(Outcome.INVALID, problem))
         else:
-            self.leader.replace_table(ReplaceTable(call.table), respond)
+            leader.replace_table(ReplaceTable(call.table), respond)
 
     def _read_table(self) -> Answer:
         with self.machine.lock:
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -98,6 +98,12 @@
     "Fills paced or moved for tasks with a latency target.",
 )
 LEADING = Metric("job_leading", "1 or 0", (), "Whether this member leads.")
+LEADING_FAILED = Metric(
+    "job_leading_failed_total",
+    "events",
+    (),
+    "Attempts to lead that failed, because the state could not be taken over.",
+)
 CHECKED = Metric(
     "invariant_checks_total", "events", ("invariant",), "Checks of a promise."
 )
@@ -127,6 +133,7 @@
     STARTED_TASKS_LIMIT,
     MITIGATIONS,
     LEADING,
+    LEADING_FAILED,
     CHECKED,
     VIOLATED,
 )
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -18,7 +18,8 @@
 from foxspring_jobs._commands import Command, encode_command
 from foxspring_jobs._leader import Leader
 from foxspring_jobs._leader_context import LeaderSettings
-from foxspring_jobs._metrics import LEADING, Metrics
+from foxspring_jobs._leading_attempts import LeadingAttempts
+from foxspring_jobs._metrics import LEADING, LEADING_FAILED, Metrics
 from foxspring_jobs._operations import Answer, Call, NotLeading, Reply, operation_of
 from foxspring_jobs._orders import (
     Order,
@@ -35,7 +36,7 @@
 _LOG = logging.getLogger(__name__)
 
 TICK_MS = 50
-LEADING_RETRY_MS = 1_000
+MAX_ERROR_LENGTH = 200
 TOKENS_PER_GENERATION = 1_000
 GENERATIONS_PER_TERM = 1_000
 TOKENS_PER_TERM = TOKENS_PER_GENERATION * GENERATIONS_PER_TERM
@@ -65,13 +66,12 @@
     return True
 
 
-def _log_transfer(outcome: ProposeOutcome) -> None:
-    _LOG.info("event=leadership_handed_over status=%s", outcome.status)
-
-
 class JobService:
     """One control member's job service: leads, or refers calls to the leader.
 
+    ``leading_error`` is why this member, which leads, can't take the state over; it is
+    empty if there is no such reason. Such a member answers what is read.
+
     All methods meant for other threads only queue an action for the executor.
     """
 
@@ -96,6 +96,9 @@
         self.leadership = LeadershipChange(False, 0, "", "")
         self.generation = 0
         self.restart_pauses = RestartPauses(clock)
+        self.attempts = LeadingAttempts(clock)
+        self.leading_error = ""
+        self.handing_over = False
         self.executor = _SerialExecutor.start()
         self._timers: list[tuple[int, int, Action]] = []
         self._numbers = itertools.count()
@@ -134,7 +137,10 @@
     def _on_leadership(self, change: LeadershipChange) -> None:
         if change.term != self.leadership.term:
             self.generation = 0
+        self.attempts.note_change(self.leadership)
         self.leadership = change
+        self.leading_error = ""
+        self.handing_over = False
         self._end_leader()
         self.metrics.set(LEADING, int(change.is_leader))
         _LOG.info(
@@ -160,14 +166,43 @@
         """Begin to lead; if that fails, let another member lead, or try again."""
         try:
             self._begin_leader()
-        except Exception:
-            _LOG.exception("event=leading_failed term=%d", self.leadership.term)
+        except Exception as error:
             self._end_leader()
-            self.log.transfer_leadership(_log_transfer)
-            self.call_later(LEADING_RETRY_MS, self._retry_leading)
-
-    def _retry_leading(self) -> None:
-        if self.leadership.is_leader and self.leader is None:
+            self._on_failed_attempt(error)
+        else:
+            self.leading_error = ""
+            self.attempts.note_begun()
+
+    def _on_failed_attempt(self, error: Exception) -> None:
+        attempt = self.attempts.note_failed()
+        self.leading_error = f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH]
+        self.metrics.count(LEADING_FAILED)
+        _LOG.exception(
+            "event=leading_failed term=%d failures=%d hands_over=%s retry_ms=%d "
+            "reason=%r",
+            self.leadership.term,
+            self.attempts.failures,
+            attempt.hands_over,
+            attempt.retry_ms,
+            self.leading_error,
+        )
+        failures = self.attempts.failures
+        self.call_later(attempt.retry_ms, lambda: self._retry_leading(failures))
+        if attempt.hands_over:
+            self.handing_over = True
+            self.log.transfer_leadership(self._on_handed_over)
+
+    def _on_handed_over(self, outcome: ProposeOutcome) -> None:
+        _LOG.info("event=leadership_handed_over status=%s", outcome.status)
+        self.post(self._end_hand_over)
+
+    def _end_hand_over(self) -> None:
+        self.handing_over = False
+
+    def _retry_leading(self, failures: int) -> None:
+        """Try again, unless that was done since the attempt that planned it."""
+        is_newest = failures == self.attempts.failures
+        if is_newest and self.leadership.is_leader and self.leader is None:
             self._start_leading()
 
     def _begin_leader(self) -> None:
@@ -196,10 +231,14 @@
         except (KeyError, *UNDECODABLE) as error:
             _LOG.error("event=call_malformed kind=%s reason=%r", call.kind, str(error))
             return
-        if self.leader is None or self.leader.is_deposed():
+        if self.leader is None and not self.leadership.is_leader:
             self._decline(call)
             return
-        handler = CallHandler(self.leader, self.machine, self.log, self.post)
+        leader = self.leader
+        if leader is not None and leader.is_deposed():
+            leader = None
+        reason = "" if self.handing_over else self.leading_error
+        handler = CallHandler(leader, self.machine, self.log, self.post, reason)
         handler.handle(
             operation,
             lambda answer: self._reply(call, answer),
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_service_ticks.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_service_ticks.py
@@ -10,8 +10,9 @@
 
 from foxspring_jobs import _service
 from foxspring_jobs._leader_context import LeaderSettings
+from foxspring_jobs._leading_attempts import RETRY_MS
 from foxspring_jobs._metrics import Metrics
-from foxspring_jobs._service import LEADING_RETRY_MS, JobService
+from foxspring_jobs._service import JobService
 from foxspring_jobs._state_machine import JobStateMachine
 
 WAIT_S = 10.0
@@ -110,7 +111,7 @@
         self.assertIn("event=leading_failed term=3", logs.output[0])
         self.assertIsNone(service.leader)
         log.transfer_leadership.assert_called_once()
-        clock.advance(LEADING_RETRY_MS)
+        clock.advance(RETRY_MS)
         service.queue_tick()
         finish_actions(self, service)
         self.assertIsNotNone(service.leader)
