--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -205,12 +205,27 @@
         if target_result.clock_ms is not None:
             session.clock.add_sample(target_result.clock_ms, now_ms)
         if target_result.kind is ResultKind.OK and target_result.view is not None:
-            session.failed_polls = 0
-            self._process_view(session, target_result.view, now_ms)
+            self._process_view_or_fail(session, target_result.view, now_ms)
         else:
             self._on_failed_poll(session, target_result.kind)
         self.context.decide()
 
+    def _process_view_or_fail(
+        self, session: TargetSession, view: TargetView, now_ms: int
+    ) -> None:
+        """Process a view; after an unexpected error the poll counts as failed.
+
+        The target is polled on in any case. If none of its views can be processed, its
+        leases expire and the work goes on elsewhere.
+        """
+        failed_polls, session.failed_polls = session.failed_polls, 0
+        try:
+            self._process_view(session, view, now_ms)
+        except Exception:
+            _LOG.exception("event=view_failed target=%s", session.incarnation.target_id)
+            session.failed_polls = failed_polls
+            self._on_failed_poll(session, ResultKind.MALFORMED)
+
     def _on_failed_poll(self, session: TargetSession, result: ResultKind) -> None:
         session.failed_polls += 1
         if session.failed_polls == 1:
