--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -104,6 +104,12 @@
     (),
     "Attempts to lead that failed, because the state could not be taken over.",
 )
+NOT_TAKEN_OVER = Metric(
+    "job_targets_not_taken_over_total",
+    "events",
+    (),
+    "Targets that a new leader could not take over; each attempt counts.",
+)
 CHECKED = Metric(
     "invariant_checks_total", "events", ("invariant",), "Checks of a promise."
 )
@@ -134,6 +140,7 @@
     MITIGATIONS,
     LEADING,
     LEADING_FAILED,
+    NOT_TAKEN_OVER,
     CHECKED,
     VIOLATED,
 )
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -143,6 +143,13 @@
         session.closed = True
         self.context.ports.release(session)
 
+    def discard_session(self, incarnation: TargetIncarnation) -> None:
+        """Close and drop the session with a target, if there is one."""
+        session = self.context.sessions.get(incarnation.target_id)
+        if session is not None and session.incarnation == incarnation:
+            del self.context.sessions[incarnation.target_id]
+            self.close_session(session)
+
     def adopt(self, registration: RegisterTarget) -> None:
         """Fence orders to the earlier incarnation before its runs are given up.
 
