--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -87,6 +87,8 @@
         self.snapshots = SnapshotWriter(
             state_machine, run_in_background, storage.record_snapshot
         )
+        self.appended_at_begin = 0
+        self.appended_at_snapshot = 0
         self.deletion: Future[None] | None = None
         self.last_batch_ms = 0
         self.deferred: list[Effect] = []
@@ -198,6 +200,7 @@
         if effect.reset:
             self.storage.reset_log(state.term, state.voted_for, effect.snapshot)
         self._compact(effect.snapshot.snapshot_index)
+        self.appended_at_snapshot = self.storage.log.appended_bytes
         if self.state_machine.applied_index() < effect.snapshot.state_index:
             self.state_machine.install_snapshot(path)
         self.applied_index = max(self.applied_index, effect.snapshot.snapshot_index)
@@ -332,13 +335,23 @@
         member = self.state.member_id
         _LOG.warning("event=%s member=%s %s", effect.event, member, effect.detail)
 
+    def _is_snapshot_due(self, index: int) -> bool:
+        settings, snapshot = self.state.settings, self.state.snapshot
+        last_index = snapshot.snapshot_index if snapshot else 0
+        if index - last_index >= settings.snapshot_every_entries:
+            return True
+        last_bytes = snapshot.total if snapshot else 0
+        appended = self.storage.log.appended_bytes - self.appended_at_snapshot
+        is_large = appended >= max(settings.snapshot_min_bytes, last_bytes)
+        return is_large and index > last_index
+
     def _begin_snapshot_if_due(self) -> None:
         state = self.state
-        last_snapshot_index = state.snapshot.snapshot_index if state.snapshot else 0
         index = self.applied_index
-        due = index - last_snapshot_index >= state.settings.snapshot_every_entries
-        if not due or not self.snapshots.may_begin(self.clock.monotonic_ms()):
+        may_begin = self.snapshots.may_begin(self.clock.monotonic_ms())
+        if not may_begin or not self._is_snapshot_due(index):
             return
+        self.appended_at_begin = self.storage.log.appended_bytes
         term = state.log.term_at(index) or 0
         path = self.storage.snapshot_path(index)
         self.snapshots.begin(path, index, term, state.membership_at(index))
@@ -351,6 +364,10 @@
             self._execute_deferred()
         if snapshot is None:
             return []
+        self.appended_at_snapshot = self.appended_at_begin
+        self.state.oldest_retainable = self.storage.log.first_index_of_newest(
+            self.state.settings.retained_bytes
+        )
         effects = step(self.state, snapshot, now_ms)[1]
         self._compact(snapshot.snapshot_index)
         return effects
--- a/packages/foxspring-control/foxspring_control/raft/_segments.py
+++ b/packages/foxspring-control/foxspring_control/raft/_segments.py
@@ -7,7 +7,7 @@
 
 import os
 from array import array
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import NamedTuple
@@ -97,6 +97,11 @@
         del self.segments[:dropped]
         del self.offsets[:dropped]
 
+    def first_index_from(self, segment: int) -> int:
+        position = bisect_left(self.segments, segment)
+        found = self.first_indexes[position : position + 1]
+        return int(found[0]) if found else 0
+
     def position(self, log_index: int) -> int:
         return bisect_right(self.first_indexes, log_index) - 1
 
@@ -109,6 +114,7 @@
 
     Not thread-safe. Writes wait while the disk is full. Every method may raise
     ``OSError``; afterwards no write may be acknowledged any more.
+    ``appended_bytes`` counts what was loaded and written.
     """
 
     def __init__(
@@ -125,6 +131,7 @@
         self._write_partial = write
         self.sync_count = 0
         self.torn_bytes = 0
+        self.appended_bytes = 0
         self._sync = sync
         self._frame_index = _FrameIndex()
         self._reset_location = _FrameLocation(0, 0, 0)
@@ -150,6 +157,7 @@
             is_last = number == numbers[-1]
             sequence = self._load_segment(number, is_last, sequence, on_frame)
         self._oldest_segment = numbers[0] if numbers else 1
+        self.appended_bytes = self.disk_bytes()
         newest = numbers[-1] if numbers else 1
         self.retrier.run(lambda: self._open(newest), "segment")
         # An earlier process may have ended between a write and its sync.
@@ -222,6 +230,7 @@
         self._record_location(frame, self._segment, self._sizes[self._segment])
         self.retrier.run(lambda: self._append(data), "frame")
         self._sizes[self._segment] += len(data)
+        self.appended_bytes += len(data)
 
     def _append(self, data: bytes) -> None:
         """Write all of ``data`` at the segment's end, or truncate what was written."""
@@ -310,6 +319,19 @@
             needed = min(needed, self._reset_location.segment)
         return max(needed, self._oldest_segment)
 
+    def first_index_of_newest(self, max_bytes: int) -> int:
+        """Return the first index in the newest segments of at most ``max_bytes``.
+
+        The newest segment counts in any case; 0 if it holds no entry.
+        """
+        total, first_segment = self._sizes[self._segment], self._segment
+        while first_segment > self._oldest_segment:
+            total += self._sizes[first_segment - 1]
+            if total > max_bytes:
+                break
+            first_segment -= 1
+        return self._frame_index.first_index_from(first_segment)
+
     def disk_bytes(self) -> int:
         """Return the total size of all segments."""
         return sum(list(self._sizes.values()))
--- a/packages/foxspring-control/foxspring_control/raft/_settings.py
+++ b/packages/foxspring-control/foxspring_control/raft/_settings.py
@@ -25,6 +25,10 @@
     ``election_timeout_ms`` and twice that. A leader lease lasts
     ``lease_percent`` of ``election_timeout_ms``; the rest is the margin for
     clock drift.
+
+    A snapshot is due after ``snapshot_every_entries``, or once the log has grown
+    by ``snapshot_min_bytes`` and by the size of the last snapshot. At most
+    ``retained_entries`` of ``retained_bytes`` are kept before it.
     """
 
     member_id: str
@@ -43,6 +47,10 @@
     segment_bytes: int = 1 * MIB
     log_cache_bytes: int = 1 * MIB
     seed: int = 0
+    # Small beside the disk of a control member, large beside most states.
+    snapshot_min_bytes: int = 8 * MIB
+    # A follower that is further behind gets the snapshot, which is faster.
+    retained_bytes: int = 4 * MIB
 
     def lease_ms(self) -> int:
         """Return how long a leader lease lasts after the heartbeats were sent."""
--- a/packages/foxspring-control/foxspring_control/raft/_snapshots.py
+++ b/packages/foxspring-control/foxspring_control/raft/_snapshots.py
@@ -153,7 +153,10 @@
 def on_snapshot_stored(state: RaftState, snapshot: SnapshotStored) -> None:
     """Compact the log up to a snapshot that this member wrote."""
     state.snapshot = snapshot
-    keep_from = snapshot.snapshot_index - state.settings.retained_entries
+    retained_from = snapshot.snapshot_index - state.settings.retained_entries
+    # The entry at the base of the log is compacted as well.
+    keep_from = max(retained_from, state.oldest_retainable - 1)
+    keep_from = min(keep_from, snapshot.snapshot_index)
     state.log.compact(max(keep_from, state.log.base_index))
     while len(state.memberships) > 1 and state.memberships[1][0] <= keep_from:
         state.memberships.pop(0)
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -142,6 +142,8 @@
         self.transfer_token: int | None = None
         self.transfer_target = ""
         self.transfer_due_ms = 0
+        # Entries before it take more space than may be retained.
+        self.oldest_retainable = 0
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.effects: list[Effect] = []
         self._cached_voters: tuple[Membership, tuple[str, ...]] = (Membership(), ())
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
@@ -4,15 +4,16 @@
 import shutil
 import tempfile
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future
 from pathlib import Path
 from typing import Any
 
 from foxspring_link import ManualClock
 
-from foxspring_control._replication import ProposeOutcome
+from foxspring_control._replication import LogEntry, ProposeOutcome
 from foxspring_control.raft._events import Event, Propose, Received, Tick, Transfer
+from foxspring_control.raft._frames import Frame, encode_frame
 from foxspring_control.raft._messages import AppendEntries, AppendReply, VoteReply
 from foxspring_control.raft._runtime import Runtime
 from foxspring_control.raft._settings import RaftSettings
@@ -51,7 +52,12 @@
 class LeadingRuntime:
     """The runtime of ``m1``, which leads ``m1`` to ``m3``, with followers played."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        machine: builders.CountingStateMachine | None = None,
+        **changed_settings: Any,
+    ) -> None:
         self.clock = ManualClock()
         self.background = Background()
         self.synced: list[str] = []
@@ -60,7 +66,7 @@
         group = builders.members(3)
         self.settings: RaftSettings = builders.settings(
             "m1", folder, group, SNAPSHOT_EVERY
-        )
+        )._replace(**changed_settings)
         self.storage = Storage(folder, "m1", 1_000, 1_000, self.sync)
         self.state = RaftState(
             self.settings, self.storage.open(), self.clock.monotonic_ms()
@@ -68,7 +74,7 @@
         self.runtime = Runtime(
             self.state,
             self.storage,
-            builders.CountingStateMachine(),
+            machine or builders.CountingStateMachine(),
             lambda _address, message: self.sent.append(message),
             self.clock,
             lambda _change: None,
@@ -189,6 +195,86 @@
         self.assertEqual("applied", leader.status_of(60))
 
 
+class LatestStateMachine(builders.CountingStateMachine):
+    """Holds a state of ``size`` bytes, however many entries were applied."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__()
+        self.size = size
+        self.written_bytes = 0
+
+    def apply(self, entries: Sequence[LogEntry]) -> list[bytes]:
+        """Keep nothing but the index."""
+        results = super().apply(entries)
+        self.bodies = [b"s" * self.size]
+        return results
+
+    def write_snapshot(self, path: Path) -> int:
+        """Write the state and count its bytes."""
+        self.written_bytes += self.size
+        return super().write_snapshot(path)
+
+
+class LogSizeTest(unittest.TestCase):
+    """Entries of 100 bytes in segments of 1,000, a snapshot for each 2,000."""
+
+    MIN_BYTES = 2_000
+
+    def run_group(self, state_bytes: int, entries: int) -> LatestStateMachine:
+        """Propose ``entries`` and record the largest size of the folder."""
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        machine = LatestStateMachine(state_bytes)
+        leader = LeadingRuntime(
+            folder,
+            machine,
+            snapshot_every_entries=5_000,
+            retained_entries=1_000,
+            snapshot_min_bytes=self.MIN_BYTES,
+            retained_bytes=self.MIN_BYTES,
+        )
+        self.addCleanup(leader.storage.close)
+        leader.background.runs_at_once = True
+        self.largest = 0
+        for token in range(entries):
+            leader.propose(token)
+            size = sum(path.stat().st_size for path in folder.iterdir())
+            self.largest = max(self.largest, size)
+        self.assertEqual("applied", leader.status_of(entries - 1))
+        entry = LogEntry(300, 1, "Test", CHUNK, 0)
+        frame = Frame(300, 1, "m1", 299, entries=(entry,))
+        self.appended = entries * len(encode_frame(frame))
+        self.leader = leader
+        return machine
+
+    # Issue 55, review/1: large configurations filled the disks of all members.
+    def test_a_log_of_large_entries_is_bounded_by_its_bytes(self) -> None:
+        self.run_group(state_bytes=100, entries=500)
+        self.assertGreater(self.appended, 30 * self.MIN_BYTES)
+        self.assertLess(self.largest, 4 * self.MIN_BYTES)
+        log = self.leader.state.log
+        self.assertLess(log.last_index - log.base_index, 60)
+
+    def test_a_large_state_is_not_written_more_often_than_the_log(self) -> None:
+        machine = self.run_group(state_bytes=20_000, entries=500)
+        # The first one is due before the size of the state is known.
+        self.assertLessEqual(machine.written_bytes, self.appended + machine.size)
+        self.assertGreater(machine.written_bytes, 0)
+        self.assertLess(self.largest, 4 * machine.size)
+
+    def test_the_retained_log_still_serves_after_a_restart(self) -> None:
+        self.run_group(state_bytes=100, entries=200)
+        last = self.leader.state.log.last_index
+        first = self.leader.state.log.base_index + 1
+        self.leader.storage.close()
+        storage = Storage(self.leader.settings.data_folder, "m1", 1_000, 1_000)
+        self.addCleanup(storage.close)
+        stored = storage.open()
+        self.assertEqual(last, stored.log.last_index)
+        found = storage.log.read(first, last, 1 << 20)
+        self.assertEqual(list(range(first, last + 1)), [e.log_index for e in found])
+
+
 class StalledLeaderTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = Path(tempfile.mkdtemp())
