--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -168,7 +168,9 @@
         make_folder(self.folder)
         self._lock()
         self._check_identity()
-        replay = _Replay(self._load_snapshot())
+        snapshot = self._load_snapshot()
+        self._delete_partial_files(snapshot)
+        replay = _Replay(snapshot)
         self.log.load(replay.on_frame)
         stored = replay.result()
         self._sequence = replay.sequence
@@ -324,6 +326,14 @@
             )
         return snapshot
 
+    def _delete_partial_files(self, snapshot: SnapshotStored | None) -> None:
+        """Delete what an earlier process had not finished or not yet deleted."""
+        kept = self.snapshot_path(snapshot.snapshot_index) if snapshot else None
+        for pattern in (_INCOMING_FILE, "*.tmp", "state-*.snapshot"):
+            for path in self.folder.glob(pattern):
+                if path != kept:
+                    path.unlink(missing_ok=True)
+
     def _write_atomically(self, path: Path, data: bytes) -> None:
         def write() -> None:
             self._replace(self._write_temporary(path, data), path)
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_storage.py
@@ -175,6 +175,22 @@
         self.assertEqual(new_entries, storage.read(snapshot_index + 1, 999, 1 << 20))
         storage.close()
 
+    # Issue 55: partial files of an interrupted process took space for good.
+    def test_files_of_interrupted_writes_are_deleted_at_the_start(self) -> None:
+        storage, _ = self.open()
+        self.snapshot(storage, 10)
+        storage.close()
+        partial = ("incoming.part", "snapshot.tmp", "member.tmp")
+        for name in (*partial, "state-5.snapshot", "state-20.snapshot"):
+            (self.folder / name).write_bytes(b"part")
+        kept = {"lock", "member.json", "snapshot.json", "state-10.snapshot"}
+        storage, stored = self.open()
+        assert stored.snapshot is not None
+        self.assertEqual(10, stored.snapshot.snapshot_index)
+        names = {path.name for path in self.folder.iterdir() if path.suffix != ".seg"}
+        self.assertEqual(kept, names)
+        storage.close()
+
     def test_a_lost_snapshot_file_is_refused(self) -> None:
         storage, _ = self.open()
         self.snapshot(storage, 10)
