A member that joins names its leader once it knows the address

What callers saw: a member whose disk had been emptied declined calls without naming the leader that it followed (hint=-), until the next change of leader; callers then asked one member after the other.

Cause: a joining member hears of its leader before it holds a membership, so the leader's address is unknown; LeaderChanged was emitted with an empty address and not again, as the leader's id stayed the same.

Fix: LeaderChanged is emitted again when the address of the leader becomes known or changes.

Evidence: test_new_member_names_its_leader failed before ('' where 'm1' is due) and passes; test_known_leader_is_reported_once passes before and after. make-test group control: 161 passed, 1 known red.

--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -124,6 +124,7 @@
         self.random = random.Random(f"{settings.seed}/{settings.member_id}")
         self.role = Role.FOLLOWER
         self.leader_id = ""
+        self.leader_address = ""
         self.elections = 0
         self.refusal_reason = ""
         self.votes: set[str] = set()
@@ -232,10 +233,15 @@
         self.effects.append(effect)
 
     def set_leader(self, leader_id: str) -> None:
-        """Record the current leader and emit ``LeaderChanged`` if it changed."""
-        if leader_id == self.leader_id and not self.leadership_announced:
+        """Record the current leader and emit ``LeaderChanged`` if it changed.
+
+        A member that joins hears of its leader before it knows the leader's address.
+        """
+        address = self.address_of(leader_id)
+        known = leader_id == self.leader_id and address == self.leader_address
+        if known and not self.leadership_announced:
             return
         self.leader_id = leader_id
+        self.leader_address = address
         self.leadership_announced = False
-        address = self.address_of(leader_id)
         self.emit(LeaderChanged(False, self.term, leader_id, address))
