--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -25,10 +25,12 @@
     MembershipSettings,
 )
 from foxspring_jobs._leader_context import LeaderSettings
+from foxspring_jobs._leader_watch import LeaderWatch
 from foxspring_jobs._metrics import Metrics
 from foxspring_jobs._operations import (
     JOB_MESSAGES,
     Call,
+    DeclineReason,
     JoinAnswer,
     JoinGroup,
     LeaveAnswer,
@@ -148,6 +150,15 @@
             self.metrics,
         )
         self.machine.on_reset = self.service.on_reset
+        self.watch = LeaderWatch(
+            self.log,
+            self.service,
+            clock,
+            self.metrics,
+            settings.data_folder,
+            LEADERLESS_LOG_INTERVAL_MS,
+        )
+        self.service.decline_reasons.reason = self.watch.reason
         self.caller = ControlCaller(
             settings.link_address,
             _members_to_ask(settings),
@@ -159,7 +170,6 @@
         self.membership = GroupMembership(
             membership_settings(settings, member_id), self.log, self.send, clock
         )
-        self._leaderless_logged_ms = clock.monotonic_ms()
         self._closing = threading.Event()
         self._membership_thread = threading.Thread(
             target=self._run_membership, name="group", daemon=True
@@ -229,7 +239,7 @@
             self.log.receive(sender, message)
         elif isinstance(message, Call):
             self.service.receive(message)
-        elif isinstance(message, Reply | NotLeading):
+        elif isinstance(message, Reply | NotLeading | DeclineReason):
             self.caller.receive(message)
         elif isinstance(message, JoinGroup):
             self.membership.on_join(sender, message)
@@ -242,6 +252,7 @@
 
     def _on_leadership(self, change: LeadershipChange) -> None:
         self.leadership = change
+        self.watch.note_leadership(change)
         self.membership.on_leadership(change)
         self.service.on_leadership(change)
 
@@ -251,32 +262,8 @@
         repeat(self._check_membership, CHECK_INTERVAL_MS / 1_000, self._closing)
 
     def _check_membership(self) -> None:
-        if not self.leadership.is_leader:
-            self._log_if_leaderless()
         self.membership.check()
-
-    def _log_if_leaderless(self) -> None:
-        """Log the state of the log at intervals while it has no leader."""
-        now_ms = self.clock.monotonic_ms()
-        if self.leadership.leader_id:
-            self._leaderless_logged_ms = now_ms
-            return
-        if now_ms - self._leaderless_logged_ms < LEADERLESS_LOG_INTERVAL_MS:
-            return
-        self._leaderless_logged_ms = now_ms
-        status = self.log.status()
-        voters = [m.member.member_id for m in status.members if m.member.voter]
-        _LOG.warning(
-            "event=leaderless member=%s role=%s term=%d last_index=%d elections=%d "
-            "voters=%s refused=%r",
-            self.member_id,
-            status.role,
-            status.term,
-            status.last_index,
-            status.elections,
-            ",".join(voters) or "-",
-            status.refusal_reason,
-        )
+        self.watch.check()
 
 
 def _members_to_ask(settings: MemberSettings) -> tuple[str, ...]:
--- a/packages/foxspring-jobs/foxspring_jobs/_operations.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_operations.py
@@ -127,6 +127,17 @@
     members: tuple[str, ...] = ()
 
 
+class DeclineReason(NamedTuple):
+    """Why the member at a link address declines calls; sent beside some declines.
+
+    A message of its own, because a process of the version before refuses a
+    :class:`NotLeading` with more fields than it knows.
+    """
+
+    address: str
+    reason: str
+
+
 class JoinGroup(NamedTuple):
     """A process requests to become a member of the control group."""
 
@@ -172,6 +183,7 @@
     Call,
     Reply,
     NotLeading,
+    DeclineReason,
     JoinGroup,
     JoinAnswer,
     LeaveGroup,
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -16,6 +16,7 @@
 from foxspring_jobs._advice import AdviceCall
 from foxspring_jobs._call_handler import CallHandler
 from foxspring_jobs._commands import Command, encode_command
+from foxspring_jobs._decline_reasons import DeclineReasons
 from foxspring_jobs._leader import Leader
 from foxspring_jobs._leader_context import LeaderSettings
 from foxspring_jobs._leading_attempts import LeadingAttempts
@@ -95,6 +96,7 @@
         self.leader: Leader | None = None
         self.leadership = LeadershipChange(False, 0, "", "")
         self.generation = 0
+        self.decline_reasons = DeclineReasons(send, clock)
         self.restart_pauses = RestartPauses(clock)
         self.attempts = LeadingAttempts(clock)
         self.leading_error = ""
@@ -254,6 +256,7 @@
         if leader == self.own_address():
             leader = ""
         self.send(call.reply_to, NotLeading(call.call_id, leader, self.members()))
+        self.decline_reasons.explain_to(call.reply_to, self.own_address())
 
     def own_address(self) -> str:
         """Return this member's link address."""
