--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -98,6 +98,18 @@
     "Fills paced or moved for tasks with a latency target.",
 )
 LEADING = Metric("job_leading", "1 or 0", (), "Whether this member leads.")
+LEADING_FAILED = Metric(
+    "job_leading_failed_total",
+    "events",
+    (),
+    "Attempts to lead that failed, because the state could not be taken over.",
+)
+NOT_TAKEN_OVER = Metric(
+    "job_targets_not_taken_over_total",
+    "events",
+    (),
+    "Targets that a new leader could not take over; each attempt counts.",
+)
 LEADER_SILENT = Metric(
     "leader_silent_ms",
     "milliseconds",
@@ -184,6 +196,8 @@
     STARTED_TASKS_LIMIT,
     MITIGATIONS,
     LEADING,
+    LEADING_FAILED,
+    NOT_TAKEN_OVER,
     LEADER_SILENT,
     MEMBER_REFUSES,
     VOTERS,
