--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -9,6 +9,7 @@
 from foxspring_link import repeat
 from foxspring_model import Clock
 
+from foxspring_jobs._log_text import log_text
 from foxspring_jobs._metrics import CALL_SECONDS, CALLS, LEADER_SILENT, Metrics
 from foxspring_jobs._operations import (
     Answer,
@@ -25,6 +26,8 @@
 
 _LOG = logging.getLogger(__name__)
 
+MAX_DETAIL_CHARS = 250
+
 
 class CallerSettings(NamedTuple):
     """Settings of a caller; times are in milliseconds.
@@ -33,7 +36,8 @@
     idempotent, so an unanswered call is sent again. Once no leader has answered
     anything for ``leader_lost_ms``, calls are refused at once while pings continue,
     and how the search goes is logged each ``search_log_interval_ms``. Refused calls,
-    and those given up, are logged as often at most, with their number by kind.
+    those given up and those that the leader refuses are logged as often at most, with
+    their number by kind.
     """
 
     attempt_timeout_ms: int = 400
@@ -83,6 +87,7 @@
         self._search_logged_ms = self.last_answer_ms
         self._refused_lines = RepeatLimit(self.settings.search_log_interval_ms)
         self._given_up_lines = RepeatLimit(self.settings.search_log_interval_ms)
+        self._unavailable_lines = RepeatLimit(self.settings.search_log_interval_ms)
         self._pinger = threading.Thread(target=self._ping, name="ping", daemon=True)
 
     def start(self) -> None:
@@ -185,6 +190,8 @@
             message = pending.message
             if isinstance(message, Reply):
                 self._note_leader(message.leader_address)
+                if message.answer.outcome is Outcome.UNAVAILABLE:
+                    self._log_unavailable(operation, message)
                 if message.answer.outcome is not Outcome.UNKNOWN:
                     return _without_false_denial(
                         operation, message.answer, may_have_run
@@ -247,6 +254,21 @@
             return Answer(Outcome.UNKNOWN, "no answer from control in time")
         return Answer(Outcome.UNAVAILABLE, "no control leader")
 
+    def _log_unavailable(self, operation: Any, reply: Reply) -> None:
+        """Log a call that the leader refuses, unless one was logged shortly before."""
+        kind = type(operation).__name__
+        calls = self._unavailable_lines.note(kind, self.clock.monotonic_ms())
+        if not calls:
+            return
+        _LOG.warning(
+            "event=leader_refuses kind=%s path=%s leader=%s reason=%r calls=%s",
+            kind,
+            _path_of(operation),
+            reply.leader_address,
+            log_text(reply.answer.detail, MAX_DETAIL_CHARS),
+            calls,
+        )
+
     def _log_given_up(self, operation: Any, may_have_run: bool, attempts: int) -> None:
         """Log a call without an answer, unless one was logged shortly before."""
         self._calls_failed = True
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -169,6 +169,20 @@
         total = 'job_calls_total{call="SubmitCall",outcome="unavailable"} 600'
         self.assertIn(total, text)
 
+    # Issue 55: a daemon logged nothing of calls that a leader refused for good.
+    def test_calls_that_the_leader_refuses_are_logged_with_its_reason(self) -> None:
+        refusal = Answer(Outcome.UNAVAILABLE, "ValueError: 'odd' state")
+        caller = self.caller(
+            a=[lambda call: Reply(call.call_id, refusal, "a", ("a", "b"))], b=[no_reply]
+        )
+        with self.assertLogs("foxspring_jobs", "WARNING") as logs:
+            for _ in range(60):
+                caller.call(SUBMIT, 1_000)
+        refused = [line for line in logs.output if "event=leader_refuses" in line]
+        self.assertEqual(len(refused), 2)
+        self.assertIn("leader=a reason='ValueError: `odd` state'", refused[0])
+        self.assertIn("calls=SubmitCall:50", refused[1])
+
     # Issue 55: so did calls that found no leader before their deadline.
     def test_calls_given_up_do_not_drive_out_other_lines(self) -> None:
         caller = self.caller(a=[redirects_to("")], b=[redirects_to("")])
