--- a/packages/foxspring-jobs/foxspring_jobs/_leader_watch.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader_watch.py
@@ -15,7 +15,6 @@
     trouble,
     votes_text,
 )
-from foxspring_jobs._log_probe import LogProbe
 from foxspring_jobs._log_text import log_text
 from foxspring_jobs._metrics import (
     DISK_FREE,
@@ -37,6 +36,7 @@
 # A leader that serves for less is not counted as found.
 TROUBLE_ENDS_AFTER_MS = 2_000
 MAX_WHY_CHARS = 160
+STARTING = "reads its log"
 UNKNOWN_BYTES = -1
 
 
@@ -63,7 +63,6 @@
         self.data_folder = data_folder
         self.log_interval_ms = log_interval_ms
         self.leadership = LeadershipChange(False, 0, "", "")
-        self.probe = LogProbe(log.read_barrier, clock)
         self.losses = LeaderLosses()
         self.free_bytes = UNKNOWN_BYTES
         self._trouble_since_ms: int | None = None
@@ -84,7 +83,6 @@
 
     def check(self) -> None:
         """Set the metrics; log why no leader serves if none has for an interval."""
-        self.probe.check()
         self.free_bytes = self._read_free_bytes()
         view = self.view()
         now_ms = self.clock.monotonic_ms()
@@ -116,13 +114,16 @@
             self.service.leader is not None,
             self.log.lease_valid(),
             self.service.leading_error,
-            self.probe.waited_ms(),
+            self.log.stalled_ms(),
+            self.log.waiting_for(),
             self.free_bytes,
             self.losses.counts(now_ms),
         )
 
     def reason(self) -> str:
         """Return why this member declines calls, at most ``REASON_MAX_AGE_MS`` old."""
+        if not self.log.is_started():
+            return STARTING
         now_ms = self.clock.monotonic_ms()
         if now_ms >= self._reason_until_ms:
             self._reason = decline_reason(self.view())
@@ -156,8 +157,8 @@
         _LOG.warning(
             "event=leaderless member=%s why=%r role=%s term=%d commit_index=%d "
             "last_index=%d elections=%d leaders_lost=%d lost_at_snapshot=%d "
-            "log_waits_ms=%d free_bytes=%d voters=%s votes=%r denials=%r refused=%r "
-            "leading_error=%r",
+            "log_waits_ms=%d waiting_for=%s free_bytes=%d voters=%s votes=%r "
+            "denials=%r refused=%r leading_error=%r",
             status.member_id,
             log_text(self._why, MAX_WHY_CHARS),
             status.role,
@@ -168,6 +169,7 @@
             view.losses.lost,
             view.losses.at_snapshot,
             view.log_waits_ms,
+            view.waiting_for or "-",
             view.free_bytes,
             ",".join(voters) or "-",
             log_text(votes_text(status), MAX_WHY_CHARS),
