--- a/packages/foxspring-jobs/foxspring_jobs/_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_caller.py
@@ -83,6 +83,7 @@
         self._search_logged_ms = self.last_answer_ms
         self._refused_lines = RepeatLimit(self.settings.search_log_interval_ms)
         self._given_up_lines = RepeatLimit(self.settings.search_log_interval_ms)
+        self._unserved_lines = RepeatLimit(self.settings.search_log_interval_ms)
         self._pinger = threading.Thread(target=self._ping, name="ping", daemon=True)
 
     def start(self) -> None:
@@ -151,6 +152,21 @@
             calls,
         )
 
+    def _log_unserved(self, operation: Any, reply: Reply) -> None:
+        """Log a call that its leader can't serve, unless one was logged lately."""
+        kind = type(operation).__name__
+        calls = self._unserved_lines.note(kind, self.clock.monotonic_ms())
+        if not calls:
+            return
+        _LOG.warning(
+            "event=call_unserved kind=%s path=%s leader=%s reason=%r calls=%s",
+            kind,
+            _path_of(operation),
+            reply.leader_address,
+            reply.answer.detail,
+            calls,
+        )
+
     def _call_leader(self, operation: Any, timeout_ms: int) -> Answer:
         deadline_ms = self.clock.monotonic_ms() + timeout_ms
         call_id = next(self._numbers)
@@ -185,6 +201,8 @@
             message = pending.message
             if isinstance(message, Reply):
                 self._note_leader(message.leader_address)
+                if message.answer.outcome is Outcome.UNAVAILABLE:
+                    self._log_unserved(operation, message)
                 if message.answer.outcome is not Outcome.UNKNOWN:
                     return _without_false_denial(
                         operation, message.answer, may_have_run
