--- a/packages/foxspring-jobs/foxspring_jobs/_group_membership.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_group_membership.py
@@ -139,11 +139,22 @@
         timed_out = self.clock.monotonic_ms() >= self._leave_until_ms
         if self._leave_answered or timed_out or not self._is_surplus():
             return True
-        leader = self.leadership.leader_address
-        if leader and not self.leadership.is_leader:
-            self.send(leader, LeaveGroup(self.member_id))
+        if self.leadership.is_leader:
+            # It was elected again because the transfer had failed.
+            self._remove_self()
+        elif self.leadership.leader_address:
+            leave = LeaveGroup(self.member_id)
+            self.send(self.leadership.leader_address, leave)
         return False
 
+    def _remove_self(self) -> None:
+        change = Remove(self.member_id, "leaves")
+
+        def on_applied() -> None:
+            self._leave_answered = True
+
+        self._remove(change, on_applied)
+
     def _is_surplus(self) -> bool:
         voters = self.log.membership().voters()
         return self.member_id in voters and len(voters) > self.settings.group_size
@@ -159,12 +170,16 @@
         if change is None:
             self.send(sender, LeaveAnswer(leave.member_id, False))
             return
+        answer = LeaveAnswer(leave.member_id, True)
+        self._remove(change, lambda: self.send(sender, answer))
+
+    def _remove(self, change: Remove, on_applied: Callable[[], object]) -> None:
         log_outcome = _log_change("remove", change.member_id, change.reason)
 
         def on_done(outcome: ProposeOutcome) -> None:
             log_outcome(outcome)
             if outcome.status == "applied":
-                self.send(sender, LeaveAnswer(leave.member_id, True))
+                on_applied()
 
         self.log.remove_member(change.member_id, on_done)
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
@@ -343,23 +343,24 @@
         self.note(f"stop {process.state.member_id}")
         process.membership_duty.begin_stop()
         if process.state.role is not Role.LEADER:
-            self._leave(process)
+            self.leave(process)
             return
         ended: list[ProposeOutcome] = []
 
         def end(outcome: ProposeOutcome | None) -> None:
             if not ended and machine.process is process:
                 ended.append(outcome or ProposeOutcome("unknown"))
-                self.at(0, process, lambda: self._leave(process))
+                self.at(0, process, lambda: self.leave(process))
 
         process.transfer_leadership(end)
         self.at(HAND_OVER_TIMEOUT_MS, process, lambda: end(None))
 
-    def _leave(self, process: Process) -> None:
+    def leave(self, process: Process) -> None:
+        """Let a process that stops leave the group, as far as it may, and end."""
         if process.membership_duty.try_leave():
             self.kill(process.machine)
             return
-        self.at(LEAVE_INTERVAL_MS, process, lambda: self._leave(process))
+        self.at(LEAVE_INTERVAL_MS, process, lambda: self.leave(process))
 
     # The run.
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
@@ -68,6 +68,19 @@
                 self.lose_all(*others[:2])
                 self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
 
+    # Issue 55: a member that stopped was elected again, after its transfer had failed.
+    def test_stopping_member_that_leads_again_leaves_the_group(self) -> None:
+        leader = self.simulation.leader()
+        assert leader is not None
+        self.start_successor(leader.machine)
+        self.simulation.run(CATCH_UP_MS)
+        leader.membership_duty.begin_stop()
+        self.simulation.leave(leader)
+        self.simulation.run(STOP_MS)
+        self.assertIsNone(leader.machine.process)
+        self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+        self.assertEqual(len(self.voters()), 5)
+
     # Issue 55: each new leader waited 5 s anew before it removed a voter that is gone.
     def test_lost_member_is_out_when_its_successor_counts_in_spite_of_new_leaders(
         self,
