--- a/packages/foxspring-control/foxspring_control/raft/_appending.py
+++ b/packages/foxspring-control/foxspring_control/raft/_appending.py
@@ -8,8 +8,9 @@
     Diagnosed,
     Send,
     SendEntries,
+    StoreIdentity,
 )
-from foxspring_control.raft._messages import AppendEntries, AppendReply
+from foxspring_control.raft._messages import AppendEntries, AppendReply, Membership
 from foxspring_control.raft._snapshots import needs_snapshot, send_chunk
 from foxspring_control.raft._state import Progress, RaftState, Role
 
@@ -137,6 +138,23 @@
     return bool(state.refusal_reason)
 
 
+def renew_identity(state: RaftState, member_id: str) -> None:
+    """Take a new id if the data of this member was lost, else do nothing.
+
+    The group may rely on votes and entries of the former id, so that nothing is sent
+    under it any more. A member with a new id is in no group and has to be added.
+    """
+    if not state.refusal_reason:
+        return
+    former_id = state.member_id
+    state.emit(Diagnosed("identity_renewed", f"former_member={former_id}"))
+    state.settings = state.settings._replace(member_id=member_id, initial_members=())
+    state.member_id = member_id
+    state.memberships = [(0, Membership())]
+    state.refusal_reason = ""
+    state.emit(StoreIdentity(member_id))
+
+
 def _conflict_hint(state: RaftState, message: AppendEntries) -> int:
     if message.prev_index > state.log.last_index:
         return state.log.last_index
--- a/packages/foxspring-control/foxspring_control/raft/_events.py
+++ b/packages/foxspring-control/foxspring_control/raft/_events.py
@@ -60,6 +60,12 @@
     token: int
 
 
+class RenewIdentity(NamedTuple):
+    """Take part under a new id, after the data of the former id was lost."""
+
+    member_id: str
+
+
 class Synced(NamedTuple):
     """The leader of ``term`` has synced its log up to ``log_index``."""
 
@@ -93,6 +99,7 @@
     | AddMember
     | RemoveMember
     | Transfer
+    | RenewIdentity
     | Synced
     | SnapshotStored
     | Flush
@@ -121,6 +128,12 @@
     last_index: int
 
 
+class StoreIdentity(NamedTuple):
+    """Store the new id of this member before anything is sent under it."""
+
+    member_id: str
+
+
 class SendChunk(NamedTuple):
     """Send ``header`` with the snapshot's data at its offset."""
 
@@ -190,6 +203,7 @@
     | Send
     | SendEntries
     | SendChunk
+    | StoreIdentity
     | StoreChunk
     | InstallSnapshot
     | Commit
--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -23,6 +23,7 @@
     ReadBarrier,
     Received,
     RemoveMember,
+    RenewIdentity,
     Tick,
     Transfer,
 )
@@ -101,7 +102,9 @@
     @property
     def member_id(self) -> str:
         """Return the id of this member."""
-        return self.settings.member_id
+        if self._runtime is None:
+            return self.settings.member_id
+        return self._runtime.state.member_id
 
     def is_started(self) -> bool:
         """Return whether :meth:`start` has read the data folder."""
@@ -197,6 +200,13 @@
         """
         self._submit(on_done, Transfer)
 
+    def renew_identity(self, member_id: str) -> None:
+        """Take part under a new id, if this member refuses because it lost its data.
+
+        :meth:`status` shows the refusal; the member has to be added under the new id.
+        """
+        self._inbox.put(RenewIdentity(member_id))
+
     def status(self) -> RaftStatus:
         """Return the status of this member.
 
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -29,6 +29,7 @@
     SendChunk,
     SendEntries,
     StoreChunk,
+    StoreIdentity,
     Synced,
 )
 from foxspring_control.raft._frames import DamagedLogError
@@ -143,6 +144,8 @@
             match effect:
                 case AppendLog():
                     pending += effect.entries
+                case StoreIdentity():
+                    self.storage.renew_identity(effect.member_id)
                 case StoreChunk():
                     self.storage.store_chunk(effect.chunk)
                 case InstallSnapshot():
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -9,6 +9,7 @@
     on_append_reply,
     pause_if_unresponsive,
     refuses_after_data_loss,
+    renew_identity,
 )
 from foxspring_control.raft._election import (
     become_follower,
@@ -28,6 +29,7 @@
     ReadReady,
     Received,
     RemoveMember,
+    RenewIdentity,
     SnapshotStored,
     Synced,
     Tick,
@@ -83,6 +85,8 @@
             on_remove_member(state, event, now_ms)
         case Transfer():
             on_transfer(state, event, now_ms)
+        case RenewIdentity():
+            renew_identity(state, event.member_id)
         case Synced():
             _on_synced(state, event)
         case SnapshotStored():
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -200,6 +200,12 @@
                 "set the member id back or use another data folder"
             )
 
+    def renew_identity(self, member_id: str) -> None:
+        """Give the folder, which holds no log, to a member with another id."""
+        path = self.folder / _IDENTITY_FILE
+        self._write_atomically(path, msgspec.json.encode(member_id))
+        self.member_id = member_id
+
     def save(
         self,
         term: int,
--- a/packages/foxspring-jobs/foxspring_jobs/_group_membership.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_group_membership.py
@@ -31,9 +31,18 @@
 LEAVE_TIMEOUT_MS = 2_000
 
 
+def new_member_id(link_address: str, wall_ms: int) -> str:
+    """Return an id that no member at this address had before."""
+    return f"{link_address}#{wall_ms}"
+
+
 class GroupLog(Protocol):
     """What the membership needs of the replicated log, see ``ReplicatedLog``."""
 
+    @property
+    def member_id(self) -> str:
+        """The id of this member."""
+
     def membership(self) -> Membership:
         """Return the latest membership in this member's log."""
 
@@ -49,15 +58,19 @@
     def remove_member(self, member_id: str, on_done: ProposeCallback) -> None:
         """Remove a member."""
 
+    def renew_identity(self, member_id: str) -> None:
+        """Take part under a new id, if this member refuses because it lost its data."""
+
 
 class MembershipSettings(NamedTuple):
     """The member itself and the group that it belongs to.
 
-    ``join`` is the member's request to join. A lost member is removed only while there
-    are more voters than ``group_size``.
+    A member is removed, or leaves, only while there are more voters than
+    ``group_size``.
     """
 
-    join: JoinGroup
+    link_address: str
+    failure_domain: str
     seeds: tuple[str, ...]
     group_size: int
 
@@ -88,7 +101,7 @@
     @property
     def member_id(self) -> str:
         """The id of this member."""
-        return self.settings.join.member_id
+        return self.log.member_id
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replace the seeds through which the group is found."""
@@ -198,9 +211,16 @@
         self._unreachable_since.clear()
         if self.is_stopping:
             return
+        if self.log.status().refusal_reason:
+            self._renew_identity()
+            return
         if self._should_request_join():
             self._request_join()
 
+    def _renew_identity(self) -> None:
+        address = self.settings.link_address
+        self.log.renew_identity(new_member_id(address, self.clock.wall_ms()))
+
     def _should_request_join(self) -> bool:
         if self.log.membership().find(self.member_id) is None:
             return True
@@ -210,12 +230,14 @@
         return leaderless_ms >= LEADERLESS_TIMEOUT_MS
 
     def _request_join(self) -> None:
-        join = self.settings.join
+        settings = self.settings
+        address = settings.link_address
+        join = JoinGroup(self.member_id, address, settings.failure_domain)
         known = {m.link_address for m in self.log.membership().members}
         hints = {self.leader_hint, self.member_hint}
-        receivers = known | set(self.settings.seeds) | hints
-        for address in sorted(receivers - {"", join.link_address}):
-            self.send(address, join)
+        receivers = known | set(settings.seeds) | hints
+        for receiver in sorted(receivers - {"", address}):
+            self.send(receiver, join)
 
     def _change(self, change: Add | Remove) -> None:
         if isinstance(change, Add):
--- a/packages/foxspring-jobs/foxspring_jobs/_member.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_member.py
@@ -23,6 +23,7 @@
     LEAVE_INTERVAL_MS,
     GroupMembership,
     MembershipSettings,
+    new_member_id,
 )
 from foxspring_jobs._leader_context import LeaderSettings
 from foxspring_jobs._metrics import Metrics
@@ -86,7 +87,7 @@
         return msgspec.json.decode(path.read_bytes(), type=str)
     if settings.founding and settings.link_address in settings.seeds:
         return settings.link_address
-    return f"{settings.link_address}#{wall_ms}"
+    return new_member_id(settings.link_address, wall_ms)
 
 
 def raft_settings(settings: MemberSettings, member_id: str) -> RaftSettings:
@@ -104,11 +105,12 @@
     )
 
 
-def membership_settings(settings: MemberSettings, member_id: str) -> MembershipSettings:
+def membership_settings(settings: MemberSettings) -> MembershipSettings:
     """Return the settings of the member's part in the membership of the group."""
-    join = JoinGroup(member_id, settings.link_address, settings.failure_domain)
     group_size = max(len(settings.seeds), settings.group_size)
-    return MembershipSettings(join, settings.seeds, group_size)
+    return MembershipSettings(
+        settings.link_address, settings.failure_domain, settings.seeds, group_size
+    )
 
 
 class ControlMember:
@@ -120,7 +122,6 @@
         self.settings = settings
         self.clock = clock
         member_id = choose_member_id(settings, clock.wall_ms())
-        self.member_id = member_id
         self.machine = JobStateMachine()
         self.metrics = Metrics()
         self.link = Link(
@@ -157,7 +158,7 @@
         )
         self.leadership = LeadershipChange(False, 0, "", "")
         self.membership = GroupMembership(
-            membership_settings(settings, member_id), self.log, self.send, clock
+            membership_settings(settings), self.log, self.send, clock
         )
         self._leaderless_logged_ms = clock.monotonic_ms()
         self._closing = threading.Event()
@@ -165,6 +166,11 @@
             target=self._run_membership, name="group", daemon=True
         )
 
+    @property
+    def member_id(self) -> str:
+        """The id of this member, which is new after its data was lost."""
+        return self.log.member_id
+
     def start(self) -> None:
         """Participate in the group, or request to join it."""
         self.link.start()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/group_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/group_faults.py
@@ -86,7 +86,8 @@
 
     def _end_founding(self) -> None:
         for machine in self.simulation.machines.values():
-            machine.founding = self.settings.founding_again
+            is_founder = machine.address in machine.seeds
+            machine.founding = is_founder and self.settings.founding_again
         for slot in self.slots:
             self._lose(slot, 0)
 
@@ -240,7 +241,13 @@
         return machine
 
     def _start(self, machine: Machine) -> None:
-        """Start a machine with a lagging list of seeds, which is replaced later."""
+        """Start a machine with a lagging list of seeds, which is replaced later.
+
+        A machine that starts as a founder again has the founders as its seeds.
+        """
+        if machine.founding:
+            self.simulation.start(machine)
+            return
         known = list(self.simulation.machines)
         machine.seeds = tuple(self.rng.sample(known, self.rng.randint(0, SEEDS)))
         self.simulation.start(machine)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
@@ -28,6 +28,7 @@
     Propose,
     Received,
     RemoveMember,
+    RenewIdentity,
     Tick,
     Transfer,
 )
@@ -138,7 +139,7 @@
         machine.disk.record_sizes()
         state = RaftState(raft, stored, self.clock.monotonic_ms())
         self.membership_duty = GroupMembership(
-            membership_settings(settings, member_id), self, self.send, self.clock
+            membership_settings(settings), self, self.send, self.clock
         )
         self.runtime = Runtime(
             state,
@@ -182,6 +183,11 @@
 
     # The log as the membership uses it.
 
+    @property
+    def member_id(self) -> str:
+        """The id of this member."""
+        return self.state.member_id
+
     def membership(self) -> Membership:
         """Return the latest membership."""
         return self.state.membership
@@ -204,6 +210,12 @@
         """Remove a member."""
         self._submit(on_done, lambda token: RemoveMember(token, member_id, 0))
 
+    def renew_identity(self, member_id: str) -> None:
+        """Take part under a new id."""
+        self.simulation.at(
+            0, self, lambda: self.simulation.feed(self, RenewIdentity(member_id))
+        )
+
     def transfer_leadership(self, on_done: ProposeCallback) -> None:
         """Transfer the leadership."""
         self._submit(on_done, Transfer)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
@@ -99,6 +99,40 @@
         self.lose_all(*others[:2])
         self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
 
+    # Issue 55: a voter without data refused for good, and the group had one voter less.
+    def test_founder_with_an_emptied_disk_comes_back_under_a_new_id(self) -> None:
+        emptied = self.machines()[:2]
+        for machine in emptied:
+            machine.founding = True
+            self.simulation.empty_disk(machine)
+            self.simulation.start(machine)
+        self.simulation.run(CATCH_UP_MS)
+        self.assertEqual(len(self.voters()), 5)
+        for machine in emptied:
+            process = machine.process
+            assert process is not None
+            self.assertEqual(process.state.refusal_reason, "")
+            self.assertNotEqual(process.member_id, machine.address)
+            self.assertIn(process.member_id, self.voters())
+        self.lose_all(*self.machines()[2:4])
+        self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+
+    def test_renewed_id_outlasts_a_restart(self) -> None:
+        machine = self.machines()[0]
+        machine.founding = True
+        self.simulation.empty_disk(machine)
+        self.simulation.start(machine)
+        self.simulation.run(CATCH_UP_MS)
+        process = machine.process
+        assert process is not None
+        renewed = process.member_id
+        self.simulation.lose_power(machine)
+        self.simulation.start(machine)
+        process = machine.process
+        assert process is not None
+        self.assertEqual(process.member_id, renewed)
+        self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+
     def test_restart_of_a_member_does_not_shrink_the_group(self) -> None:
         for machine in self.machines():
             self.simulation.stop(machine)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_random_groups.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_random_groups.py
@@ -12,6 +12,9 @@
 SEEDS = (*range(10), 43, 85, 92, 1143, 1298)
 
 
+FOUNDING_SEEDS = (1, 2, 4, 7, 8, 9)
+
+
 class RandomGroupTest(unittest.TestCase):
     # Issue 55: after all processes had begun anew no member led for 90 s.
     def test_group_serves_again_after_each_series_of_faults(self) -> None:
@@ -20,6 +23,12 @@
                 simulation = run_random(seed, RunSettings())
                 self.assertGreater(simulation.steps, 200)
 
+    # Issue 55: a voter without data refused for good.
+    def test_group_serves_again_although_founders_start_as_founders_again(self) -> None:
+        for seed in FOUNDING_SEEDS:
+            with self.subTest(seed=seed):
+                run_random(seed, RunSettings(founding_again=True))
+
 
 def play(first: int, last: int) -> list[int]:
     """Play the seeds from ``first`` to ``last`` and return those that failed."""
