--- a/packages/foxspring-jobs/foxspring_jobs/_restart_pauses.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_restart_pauses.py
@@ -8,7 +8,7 @@
 from foxspring_model import Clock
 
 FIRST_PAUSE_MS = 200
-MAX_PAUSE_MS = 5_000
+MAX_PAUSE_MS = 2_000
 # A leadership that lasts as long has not ended for the reason of the one before.
 LASTING_MS = 10_000
 
--- a/packages/foxspring-jobs/foxspring_jobs/_service.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_service.py
@@ -20,7 +20,15 @@
 from foxspring_jobs._leader_context import LeaderSettings
 from foxspring_jobs._leading_attempts import LeadingAttempts
 from foxspring_jobs._metrics import LEADING, LEADING_FAILED, Metrics
-from foxspring_jobs._operations import Answer, Call, NotLeading, Reply, operation_of
+from foxspring_jobs._operations import (
+    Answer,
+    Call,
+    NotLeading,
+    Outcome,
+    PingLeader,
+    Reply,
+    operation_of,
+)
 from foxspring_jobs._orders import (
     Order,
     PollRequest,
@@ -32,6 +40,7 @@
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._snapshot import decode_state, encode_state
 from foxspring_jobs._state_machine import JobStateMachine
+from foxspring_jobs._waiting_calls import WaitingCalls
 
 _LOG = logging.getLogger(__name__)
 
@@ -40,6 +49,7 @@
 TOKENS_PER_GENERATION = 1_000
 GENERATIONS_PER_TERM = 1_000
 TOKENS_PER_TERM = TOKENS_PER_GENERATION * GENERATIONS_PER_TERM
+TOO_MANY_CALLS = Answer(Outcome.UNAVAILABLE, "too many calls wait")
 Action = Callable[[], object]
 Send = Callable[[str, Any], object]
 
@@ -97,6 +107,7 @@
         self.generation = 0
         self.restart_pauses = RestartPauses(clock)
         self.attempts = LeadingAttempts(clock)
+        self.waiting_calls = WaitingCalls(clock)
         self.leading_error = ""
         self.handing_over = False
         self.executor = _SerialExecutor.start()
@@ -239,11 +250,24 @@
             leader = None
         reason = "" if self.handing_over else self.leading_error
         handler = CallHandler(leader, self.machine, self.log, self.post, reason)
-        handler.handle(
-            operation,
-            lambda answer: self._reply(call, answer),
-            lambda: self._decline(call),
-        )
+        waiting = self.waiting_calls.begin(self.log.settings.max_pending)
+        if waiting is None and not isinstance(operation, PingLeader):
+            self._reply(call, TOO_MANY_CALLS)
+            return
+
+        def respond(answer: Answer) -> None:
+            self._end_waiting(waiting)
+            self._reply(call, answer)
+
+        def decline() -> None:
+            self._end_waiting(waiting)
+            self._decline(call)
+
+        handler.handle(operation, respond, decline)
+
+    def _end_waiting(self, waiting: int | None) -> None:
+        if waiting is not None:
+            self.waiting_calls.end(waiting)
 
     def _reply(self, call: Call, answer: Answer) -> None:
         reply = Reply(call.call_id, answer, self.own_address(), self.members())
--- a/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
@@ -27,6 +27,7 @@
 
 WAIT_S = 10.0
 HEARTBEAT_MS = 1_000
+MAX_PENDING = 8
 OWN_ADDRESS = "a:1"
 CALLER_ADDRESS = "c:1"
 OnDone = Callable[[ProposeOutcome], None]
@@ -58,6 +59,7 @@
         self.is_lease_valid = True
         self.log = mock.Mock()
         self.log.settings.link_address = OWN_ADDRESS
+        self.log.settings.max_pending = MAX_PENDING
         self.log.membership.return_value.members = ()
         self.log.lease_valid.side_effect = lambda: self.is_lease_valid
         self.log.propose.side_effect = self._propose
@@ -128,8 +130,8 @@
             report = TargetReport(target.registered, self.clock.now_ms, 0)
             self.service.receive(make_call(0, CALLER_ADDRESS, report))
 
-    def call(self, operation: Any) -> Reply | NotLeading:
-        """Return the message that answers a call."""
+    def call(self, operation: Any) -> Any:
+        """Return the message that answers a call: ``Reply`` or ``NotLeading``."""
         before = len(self.sent)
         self.service.receive(make_call(1, CALLER_ADDRESS, operation))
         self.finish()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_failed_takeover.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_failed_takeover.py
@@ -4,9 +4,6 @@
 """
 
 import itertools
-import pathlib
-import socket
-import tempfile
 import time
 import unittest
 from collections.abc import Callable
@@ -14,11 +11,8 @@
 from unittest import mock
 
 from foxspring_control import ProposeOutcome
-from foxspring_link import SystemClock
 
 from foxspring_jobs import _service
-from foxspring_jobs._leader_context import LeaderSettings
-from foxspring_jobs._member import ControlMember, MemberSettings
 from foxspring_jobs._operations import (
     Answer,
     CancelCall,
@@ -44,6 +38,7 @@
     state_with,
     submit,
 )
+from foxspring_jobs.tests.real_group import RealGroup
 from foxspring_jobs.tests.service_builders import ServiceSite
 
 PATH = f"{QUEUE.path_prefix}{JOB}"
@@ -215,51 +210,16 @@
         self.assertIsInstance(self.site.call(SUBMIT), NotLeading)
 
 
-def free_addresses(count: int) -> tuple[str, ...]:
-    """Return addresses that nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = tuple(f"127.0.0.1:{s.getsockname()[1]}" for s in sockets)
-    for opened in sockets:
-        opened.close()
-    return addresses
-
-
 class RealGroupTest(unittest.TestCase):
     """Three members with their own links, logs and disks."""
 
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        seeds = free_addresses(3)
-        self.members = []
-        for number, address in enumerate(seeds):
-            settings = MemberSettings(
-                address,
-                pathlib.Path(folder.name) / str(number),
-                f"fd-{number}",
-                seeds,
-                True,
-                LeaderSettings(),
-            )
-            member = ControlMember(settings, b"", mock.Mock(), SystemClock())
-            member.start()
-            self.addCleanup(member.stop)
-            self.members.append(member)
-
-    def wait_until(self, condition: Callable[[], bool]) -> None:
-        deadline = time.monotonic() + DEADLINE_S
-        while not condition():
-            self.assertLess(time.monotonic(), deadline, "not in time")
-            time.sleep(0.02)
-
-    def call(self, operation: Any) -> Answer:
-        return self.members[0].caller.call(operation, 3_000)
-
-    def leads(self) -> bool:
-        return any(member.service.leader is not None for member in self.members)
+        self.group = RealGroup(self, 3)
+        self.members = self.group.members
+        self.wait_until = self.group.wait_until
+        self.call = self.group.call
 
     def test_reads_are_answered_and_work_goes_on_once_a_member_can_begin(self) -> None:
-        self.wait_until(self.leads)
         self.wait_until(
             lambda: self.call(ReplaceTableCall(TABLE)).outcome is Outcome.OK
         )
@@ -280,7 +240,7 @@
                 line for line in logs.output[refused:] if "hands_over=True" in line
             ]
             self.assertLessEqual(len(handed_over), 1)
-        self.wait_until(self.leads)
+        self.wait_until(self.group.leads)
         other = SubmitCall(QUEUE.host, QUEUE.path_prefix + OTHER_JOB, spec())
         self.wait_until(lambda: self.call(other).outcome is Outcome.OK)
         self.assertEqual(self.call(READ).phase, "pending")
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leading.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leading.py
@@ -3,12 +3,23 @@
 import unittest
 from unittest import mock
 
+from foxspring_control import ProposeOutcome
+
+from foxspring_jobs._call_handler import NO_TABLE
 from foxspring_jobs._commands import Advance
 from foxspring_jobs._job_log import JobLog
-from foxspring_jobs._operations import Outcome, Reply, SubmitCall
+from foxspring_jobs._operations import (
+    Outcome,
+    PingLeader,
+    ReadTableCall,
+    Reply,
+    SubmitCall,
+    make_call,
+)
 from foxspring_jobs._orders import StartOrder
 from foxspring_jobs._service import GENERATIONS_PER_TERM, TOKENS_PER_TERM
 from foxspring_jobs._state import JobPhase
+from foxspring_jobs._waiting_calls import CALLS_PERCENT, MAX_WAIT_MS, PERCENT
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
@@ -18,14 +29,14 @@
     spec,
     state_with,
 )
-from foxspring_jobs.tests.service_builders import OnDone, ServiceSite
+from foxspring_jobs.tests.service_builders import MAX_PENDING, OnDone, ServiceSite
 
 RECOVERED_WITHIN_MS = 8_000
 # Of the 15 s within which service has to be back after a fault.
-SERVES_WITHIN_MS = 5_000
+SERVES_WITHIN_MS = 3_000
 TARGETS = 4
 REFUSED_MS = 30_000
-MAX_RESTARTS = 15
+MAX_RESTARTS = 20
 
 
 class TokenTest(unittest.TestCase):
@@ -96,6 +107,42 @@
         self.assertIs(self.phase(), JobPhase.ACTIVE)
 
 
+class WaitingCallsTest(unittest.TestCase):
+    # Issue 55: as many calls as may wait for the log left no room for the leader's
+    # decisions; each one that was refused ended a leadership.
+    def test_calls_leave_room_for_decisions(self) -> None:
+        site = ServiceSite(self)
+        site.machine.state = state_with(registered("t1"))
+        site.lead()
+        waiting: list[OnDone] = []
+        site.log.read_barrier.side_effect = waiting.append
+        calls = [make_call(n, "c:1", ReadTableCall()) for n in range(MAX_PENDING)]
+        for call in calls:
+            site.service.receive(call)
+        site.finish()
+        self.assertEqual(len(waiting), MAX_PENDING * CALLS_PERCENT // PERCENT)
+        refused = [m for m in site.sent if isinstance(m, Reply)]
+        self.assertEqual(len(refused), MAX_PENDING - len(waiting))
+        self.assertEqual({m.answer.outcome for m in refused}, {Outcome.UNAVAILABLE})
+        self.assertIs(site.call(PingLeader()).answer.outcome, Outcome.OK)
+        for done in waiting:
+            done(ProposeOutcome("applied"))
+        site.finish()
+        site.log.read_barrier.side_effect = lambda done: done(ProposeOutcome("applied"))
+        self.assertIs(site.call(ReadTableCall()).answer.outcome, Outcome.OK)
+
+    def test_calls_that_are_never_answered_do_not_count_for_good(self) -> None:
+        site = ServiceSite(self)
+        site.lead()
+        site.log.read_barrier.side_effect = lambda done: None
+        for number in range(MAX_PENDING):
+            site.service.receive(make_call(number, "c:1", ReadTableCall()))
+        site.finish()
+        site.clock.advance(MAX_WAIT_MS)
+        site.log.read_barrier.side_effect = lambda done: done(ProposeOutcome("applied"))
+        self.assertEqual(site.call(ReadTableCall()).answer, NO_TABLE)
+
+
 class RefusedProposalTest(unittest.TestCase):
     """The log refuses proposals for a while although the member leads on."""
 
