--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -24,8 +24,10 @@
     RunStart,
     SubmitJob,
     TargetIncarnation,
+    TargetLoss,
 )
 from foxspring_jobs._crash_log import CrashLog
+from foxspring_jobs._decision_size import count_of_next_ends
 from foxspring_jobs._due_occurrences import due_occurrences
 from foxspring_jobs._interrupted_log import InterruptedLog
 from foxspring_jobs._job_log import JobLog
@@ -354,9 +356,7 @@
             self._decide()
 
     def _decide(self) -> None:
-        ends, self.context.pending_ends = self.context.pending_ends, []
-        lost_targets, self.context.lost_targets = tuple(self.context.lost_targets), []
-        losses, self.context.losses = tuple(self.context.losses), []
+        ends, losses, lost_targets = self._take_ends()
         opened, self.opened = self.opened, ()
         purged, self.purged = self.purged, ()
         forgetting, self.forgetting = self.forgetting, False
@@ -389,6 +389,25 @@
         self.context.stage_times.note_starts(starts)
         self._commit(settled._replace(starts=starts), ends, ended_jobs)
 
+    def _take_ends(
+        self,
+    ) -> tuple[list[PendingEnd], tuple[TargetLoss, ...], tuple[TargetIncarnation, ...]]:
+        """Take the next ends of runs and, after the last ones, the lost targets.
+
+        The loss of a target ends the runs on it as if they had not ended before.
+        """
+        context = self.context
+        count = count_of_next_ends(context.pending_ends)
+        ends, context.pending_ends = (
+            context.pending_ends[:count],
+            context.pending_ends[count:],
+        )
+        if context.pending_ends:
+            return ends, (), ()
+        losses, context.losses = tuple(context.losses), []
+        lost_targets, context.lost_targets = tuple(context.lost_targets), []
+        return ends, losses, lost_targets
+
     def _settle(self, settled: Advance) -> list[JobState]:
         """Apply ends and other changes to the draft; return the jobs that they end."""
         draft = self.context.draft
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -14,12 +14,14 @@
     TaskKey,
 )
 from foxspring_jobs._crash_counts import Suspicion, suspicion_of
+from foxspring_jobs._decision_size import is_too_large
 from foxspring_jobs._leader_context import LeaderContext, PendingEnd
 from foxspring_jobs._metrics import ENDS, LOST, POLLS
 from foxspring_jobs._operations import Answer
 from foxspring_jobs._orders import (
     PaceOrder,
     PollRequest,
+    ReportedEnd,
     ResultKind,
     StopOrder,
     TargetResult,
@@ -351,13 +353,28 @@
                 continue
             session.last_seen_end = row.number
             new_ends = True
-            end = RunEnd(row.run, session.incarnation, row.kind, row.checkpoint)
+            checkpoint = self._usable_checkpoint(session, row)
+            end = RunEnd(row.run, session.incarnation, row.kind, checkpoint)
             self.context.pending_ends.append(PendingEnd(session, row.number, end))
             self._record_end(session, end)
         if not new_ends and view.finished and session.cursor < session.last_seen_end:
             return True
         return new_ends
 
+    def _usable_checkpoint(self, session: TargetSession, row: ReportedEnd) -> str:
+        """Return the checkpoint of an end, or nothing if it can't be kept."""
+        if not is_too_large(row.checkpoint):
+            return row.checkpoint
+        _LOG.warning(
+            "event=checkpoint_too_large job=%s task=%d.%d.%d run=%d target=%s "
+            "length=%d",
+            *row.run.task,
+            row.run.number,
+            session.incarnation.target_id,
+            len(row.checkpoint),
+        )
+        return ""
+
     def _record_end(self, session: TargetSession, end: RunEnd) -> None:
         now_ms = self.context.clock.monotonic_ms()
         key = end.run.task
--- a/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/service_builders.py
@@ -8,6 +8,7 @@
 
 from foxspring_control import LogEntry, ProposeOutcome
 from foxspring_control.raft import LeadershipChange
+from foxspring_control.raft._replicated_log import MAX_BODY_BYTES
 from foxspring_link import ManualClock
 
 from foxspring_jobs._leader_context import LeaderSettings
@@ -16,6 +17,7 @@
 from foxspring_jobs._orders import (
     OnTargetResult,
     PollRequest,
+    ReportedEnd,
     ResultKind,
     TargetApi,
     TargetEndpoint,
@@ -45,7 +47,8 @@
     """A job service whose log answers as told, on a clock that a test advances.
 
     ``outcome`` is the status of each proposal; those that are ``applied`` change the
-    state. Barriers depend on the lease. ``polls`` are those not answered yet.
+    state. Barriers depend on the lease. ``polls`` are those not answered yet; each
+    target lists the ends in ``finished``.
     """
 
     def __init__(self, test: unittest.TestCase) -> None:
@@ -55,6 +58,7 @@
         self.sent: list[Reply | NotLeading] = []
         self.outcome = "applied"
         self.polls: list[Poll] = []
+        self.finished: tuple[ReportedEnd, ...] = ()
         self.proposed = 0
         self.is_lease_valid = True
         self.log = mock.Mock()
@@ -79,6 +83,8 @@
 
     def _propose(self, kind: str, body: bytes, done: OnDone) -> None:
         self.proposed += 1
+        if len(body) > MAX_BODY_BYTES:
+            raise ValueError("too large")
         if self.outcome == "applied":
             index = self.machine.applied_index() + 1
             entry = LogEntry(index, 1, kind, body, self.clock.wall_ms())
@@ -121,7 +127,9 @@
             self.finish()
             polls, self.polls = self.polls, []
             for poll in polls:
-                view = TargetView(self.clock.now_ms, (), ())
+                cursor = poll.request.cursor
+                ends = tuple(row for row in self.finished if row.number > cursor)
+                view = TargetView(self.clock.now_ms, (), ends)
                 poll.done(TargetResult(ResultKind.OK, self.clock.now_ms, view))
             self.finish()
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_leading.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_leading.py
@@ -4,10 +4,14 @@
 from unittest import mock
 
 from foxspring_control import ProposeOutcome
+from foxspring_control.raft._replicated_log import MAX_BODY_BYTES
+from foxspring_model import Resources
 
 from foxspring_jobs._call_handler import NO_TABLE
-from foxspring_jobs._commands import Advance
+from foxspring_jobs._commands import Advance, RunEnd, TargetLoss
+from foxspring_jobs._decision_size import END_LENGTH, MAX_ENDS_LENGTH
 from foxspring_jobs._job_log import JobLog
+from foxspring_jobs._leader_context import PendingEnd
 from foxspring_jobs._operations import (
     Outcome,
     PingLeader,
@@ -16,9 +20,9 @@
     SubmitCall,
     make_call,
 )
-from foxspring_jobs._orders import StartOrder
+from foxspring_jobs._orders import ReportedEnd, StartOrder
 from foxspring_jobs._service import GENERATIONS_PER_TERM, TOKENS_PER_TERM
-from foxspring_jobs._state import JobPhase
+from foxspring_jobs._state import EndKind, JobPhase
 from foxspring_jobs._waiting_calls import CALLS_PERCENT, MAX_WAIT_MS, PERCENT
 from foxspring_jobs.tests.builders import (
     JOB,
@@ -27,14 +31,20 @@
     registered,
     run_key,
     spec,
+    start,
     state_with,
+    step,
+    submit,
 )
+from foxspring_jobs.tests.fake_cluster import FakeCluster
 from foxspring_jobs.tests.service_builders import MAX_PENDING, OnDone, ServiceSite
 
 RECOVERED_WITHIN_MS = 8_000
 # Of the 15 s within which service has to be back after a fault.
 SERVES_WITHIN_MS = 3_000
 TARGETS = 4
+LARGE_ENDS = 400
+CHECKPOINT_LENGTH = 50_000
 REFUSED_MS = 30_000
 MAX_RESTARTS = 20
 
@@ -143,6 +153,55 @@
         self.assertEqual(site.call(ReadTableCall()).answer, NO_TABLE)
 
 
+class LargeDecisionTest(unittest.TestCase):
+    # Found beside issue 55: ends with checkpoints of more than the log takes at once
+    # were proposed together, again and again, by each leader.
+    def test_many_large_checkpoints_are_committed(self) -> None:
+        site = ServiceSite(self)
+        state = site.machine.state = state_with(registered("t1", cores=1_000_000))
+        small = Resources(cores_milli=1, memory_mb=1)
+        submit(state, spec(step(LARGE_ENDS, resources=small, checkpoints=True)))
+        for number in range(LARGE_ENDS):
+            start(state, run_key(number))
+        site.finished = tuple(
+            ReportedEnd(n + 1, run_key(n), EndKind.DONE, "x" * CHECKPOINT_LENGTH)
+            for n in range(LARGE_ENDS)
+        )
+        site.lead()
+        site.run(5_000)
+        self.assertIs(state.jobs[JOB].phase, JobPhase.COMPLETED)
+
+    def test_end_whose_checkpoint_is_too_large_is_committed_without_it(self) -> None:
+        site = ServiceSite(self)
+        state = site.machine.state = state_with(registered("t1", cores=1_000_000))
+        submit(state, spec(step(1, checkpoints=True)))
+        start(state, run_key())
+        checkpoint = "x" * (MAX_BODY_BYTES + 1)
+        site.finished = (ReportedEnd(1, run_key(), EndKind.DONE, checkpoint),)
+        site.lead()
+        with self.assertLogs("foxspring_jobs", "WARNING") as logs:
+            site.run(3_000)
+        self.assertIn("event=checkpoint_too_large", "".join(logs.output))
+        self.assertIs(state.jobs[JOB].phase, JobPhase.COMPLETED)
+
+    def test_ends_of_a_target_are_committed_before_its_loss(self) -> None:
+        cluster = FakeCluster(registered("t1"))
+        cluster.run(1_500)
+        cluster.submit(spec(step(3)))
+        cluster.run(200)
+        context = cluster.leader.context
+        session = context.sessions["t1"]
+        checkpoint = "x" * (MAX_ENDS_LENGTH - END_LENGTH)
+        for number in range(3):
+            done = RunEnd(run_key(number), session.incarnation, "done", checkpoint)
+            context.pending_ends.append(PendingEnd(session, number + 1, done))
+        context.losses.append(TargetLoss(session.incarnation, crashed=False))
+        cluster.leader.decide()
+        cluster.run(200)
+        self.assertIs(cluster.phase(), JobPhase.COMPLETED)
+        self.assertFalse(cluster.committed.targets)
+
+
 class RefusedProposalTest(unittest.TestCase):
     """The log refuses proposals for a while although the member leads on."""
 
