--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_cluster.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import Any
 
 from foxspring_link import ManualClock
@@ -42,6 +43,17 @@
 POLL_MARGIN_MS = 700
 
 
+class LogState(Enum):
+    """What the log does with a proposal of a leader that keeps its lease.
+
+    ``REFUSING``: it does not take it. ``UNKNOWN``: it commits it without saying so.
+    """
+
+    SERVING = auto()
+    REFUSING = auto()
+    UNKNOWN = auto()
+
+
 class LeaderPorts:
     """Delivers one leader's proposals and orders to the cluster.
 
@@ -59,12 +71,15 @@
 
     def propose(self, command: Command, done: Callable[[bool], None]) -> None:
         """Commit after a delay, unless the leadership is lost by then."""
+        if self.cluster.log_state is LogState.REFUSING:
+            self.cluster.call_later(CALL_MS, lambda: done(False))
+            return
         self.cluster.call_later(COMMIT_MS, lambda: self._commit(command, done))
 
     def _commit(self, command: Command, done: Callable[[bool], None]) -> None:
         if self.leads:
             self.cluster.committed.apply(command, self.cluster.clock.wall_ms())
-        done(self.leads)
+        done(self.leads and self.cluster.log_state is not LogState.UNKNOWN)
 
     def lease_valid(self) -> bool:
         """Return whether this leader still leads."""
@@ -228,6 +243,7 @@
         self.down_ms: int | None = 3_300
         self.keeps_id = False
         self.heartbeats = True
+        self.log_state = LogState.SERVING
         for target in registered:
             self.add(target)
         self.begin_leadership()
