--- a/packages/foxspring-control/foxspring_control/raft/_membership.py
+++ b/packages/foxspring-control/foxspring_control/raft/_membership.py
@@ -176,8 +176,11 @@
 
 
 def _transfer_target(state: RaftState, now_ms: int) -> str:
+    """Return the next voter in order, so that repeated transfers reach all of them."""
     timeout = state.settings.election_timeout_ms
-    for member_id in state.voters():
+    voters = sorted(state.voters())
+    after = [member_id for member_id in voters if member_id > state.member_id]
+    for member_id in (*after, *voters):
         progress = state.progress.get(member_id)
         if progress is None or now_ms - progress.acked_sent_ms >= timeout:
             continue
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_failures.py
@@ -352,6 +352,18 @@
         simulation.await_leader_other_than(leader)
         self.assertNotIn(leader, simulation.voter_ids())
 
+    # Issue 55: two members that could not serve handed the leadership to each other.
+    def test_repeated_transfers_reach_every_member(self) -> None:
+        simulation = self.start(5)
+        leaders = {simulation.elect()}
+        for _ in range(4):
+            leader = simulation.elect()
+            simulation.commit(1)
+            simulation.run(500)
+            simulation.transfer(leader)
+            leaders.add(simulation.await_leader_other_than(leader))
+        self.assertEqual(set(simulation.voter_ids()), leaders)
+
     def test_a_leadership_transfer_is_faster_than_an_election(self) -> None:
         simulation = self.start()
         leader = simulation.elect()
