--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_random_cluster.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_random_cluster.py
@@ -8,6 +8,7 @@
 from foxspring_model import INVARIANT_CHECKS
 
 from foxspring_jobs._commands import TaskKey
+from foxspring_jobs._specs import JobSpec
 from foxspring_jobs._state import JobPhase
 from foxspring_jobs.tests.builders import registered, spec, step
 from foxspring_jobs.tests.fake_cluster import HEARTBEAT_MS, FakeCluster
@@ -148,10 +149,13 @@
             self.speculative.add(job_id)
         kind = step(count, long_running=long_running, speculative=speculative)
         self.cluster.submit(spec(kind), job_id)
-        # An answer is lost with its leader, so the caller asks again.
         self.cluster.run(200)
+        self.submit_again(spec(kind), job_id)
+
+    def submit_again(self, job: JobSpec, job_id: str) -> None:
+        """Submit a job again: an answer is lost with its leader."""
         if job_id not in self.cluster.committed.jobs:
-            self.cluster.submit(spec(kind), job_id)
+            self.cluster.submit(job, job_id)
             self.cluster.run(200)
 
     def any_target(self) -> FakeTarget:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_random_refusals.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_random_refusals.py
@@ -5,7 +5,7 @@
 
 from foxspring_model import INVARIANT_CHECKS
 
-from foxspring_jobs.tests.builders import spec, step
+from foxspring_jobs._specs import JobSpec
 from foxspring_jobs.tests.fake_cluster import LogState
 from foxspring_jobs.tests.test_random_cluster import RandomCluster
 
@@ -46,11 +46,8 @@
             self.restarts += 1
             self.cluster.change_leader()
 
-    def submit(self) -> None:
+    def submit_again(self, job: JobSpec, job_id: str) -> None:
         """Submit a job until it is committed."""
-        super().submit()
-        job_id = self.jobs[-1]
-        job = spec(step(self.rng.randint(1, 5)))
         for _ in range(MAX_SUBMISSIONS):
             if job_id in self.cluster.committed.jobs:
                 return
