Raft: a member with a full disk votes, leads and refuses

Callers got declines without a leader.

The log keeps a reserve, a file of 4 MiB. The first write without space gives it up and is repeated, so that what was accepted (a batch is 1 MiB and one entry at most) and terms and votes are stored.

Events: disk_reserve_given_up, disk_reserve_made.

Not covered: an entry of over 3 MiB accepted just as the disk fills waits as before, and so does a vote once something else has taken the space given up.

--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -27,6 +27,7 @@
     Transfer,
 )
 from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._full_disk import body_bytes
 from foxspring_control.raft._messages import Membership
 from foxspring_control.raft._runtime import Runtime, SendMessage
 from foxspring_control.raft._segments import Sync
@@ -39,6 +40,8 @@
 _LOG = logging.getLogger(__name__)
 
 MAX_BATCH_EVENTS = 512
+# With one large entry more it must fit in the reserve of a full disk.
+MAX_BATCH_BYTES = 1024 * 1024
 MAX_WAIT_MS = 1_000
 MAX_BODY_BYTES = 16 * 1024 * 1024
 EXIT_STORAGE_FAILED = 74
@@ -84,6 +87,7 @@
             settings.segment_bytes,
             settings.log_cache_bytes,
             sync,
+            reserve_bytes=settings.reserve_bytes,
         )
         self._inbox: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
         self._tokens = itertools.count(1)
@@ -283,11 +287,16 @@
     def _next_batch(self, runtime: Runtime) -> list[Event] | None:
         wait_ms = next_due_ms(runtime.state) - self.clock.monotonic_ms()
         events: list[Event] = []
+        batch_bytes = 0
         try:
             event = self._inbox.get(timeout=min(max(wait_ms, 1), MAX_WAIT_MS) / 1_000)
             while event is not None:
                 events.append(event)
-                if len(events) >= MAX_BATCH_EVENTS or self._inbox.empty():
+                batch_bytes += body_bytes(event)
+                is_full = (
+                    len(events) >= MAX_BATCH_EVENTS or batch_bytes >= MAX_BATCH_BYTES
+                )
+                if is_full or self._inbox.empty():
                     break
                 event = self._inbox.get()
             if event is None:
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -33,6 +33,11 @@
     Synced,
 )
 from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._full_disk import (
+    DISK_FULL_REASON,
+    NewEntry,
+    without_new_entries,
+)
 from foxspring_control.raft._messages import AppendEntries
 from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
 from foxspring_control.raft._status import (
@@ -49,6 +54,7 @@
 APPLY_BATCH_BYTES = 1024 * 1024
 # A leader whose thread has not run for that many heartbeats was stalled.
 MISSED_HEARTBEATS = 2
+RESERVE_RETRY_MS = 1_000
 
 SendMessage = Callable[[str, Any], object]
 AnswerCallback = Callable[[ProposeOutcome], None]
@@ -91,6 +97,7 @@
         self.appended_at_snapshot = 0
         self.deletion: Future[None] | None = None
         self.last_batch_ms = 0
+        self.reserve_due_ms = 0
         self.deferred: list[Effect] = []
         self._recover()
 
@@ -117,7 +124,7 @@
         self.stage = "snapshot"
         effects = self._collect_snapshot(now_ms)
         self.stage = "step"
-        for event in events:
+        for event in self._accepted(events, now_ms):
             self._check_event(event)
             effects += step(self.state, event, now_ms)[1]
         effects += step(self.state, Flush(), now_ms)[1]
@@ -125,6 +132,33 @@
             effects = self._execute_effects(effects, now_ms)
         self.stage = ""
 
+    def _accepted(self, events: Iterable[Event], now_ms: int) -> Iterable[Event]:
+        """Return the events, while the disk is full without new entries."""
+        reserve = self.storage.reserve
+        if not reserve.is_missing():
+            return events
+        if now_ms >= self.reserve_due_ms:
+            self.reserve_due_ms = now_ms + RESERVE_RETRY_MS
+            reserve.make()
+        if not reserve.is_missing():
+            _LOG.warning("event=disk_reserve_made bytes=%d", reserve.size)
+            return events
+        return self._without_new_entries(events)
+
+    def _without_new_entries(self, events: Iterable[Event]) -> list[Event]:
+        accepted = []
+        for event in events:
+            if isinstance(event, NewEntry):
+                leader = self.state.leader_id
+                self._answer(
+                    Answer(event.token, "not_leader", leader, DISK_FULL_REASON)
+                )
+                continue
+            kept = without_new_entries(self.state, event)
+            if kept is not None:
+                accepted.append(kept)
+        return accepted
+
     def _allow_for_own_stall(self, now_ms: int) -> None:
         """Let the followers of a leader answer what it sends after its own stall.
 
@@ -341,9 +375,11 @@
         if index - last_index >= settings.snapshot_every_entries:
             return True
         last_bytes = snapshot.total if snapshot else 0
+        due_bytes = max(settings.snapshot_min_bytes, last_bytes)
+        if self.storage.reserve.is_missing():
+            due_bytes = settings.reserve_bytes
         appended = self.storage.log.appended_bytes - self.appended_at_snapshot
-        is_large = appended >= max(settings.snapshot_min_bytes, last_bytes)
-        return is_large and index > last_index
+        return appended >= due_bytes and index > last_index
 
     def _begin_snapshot_if_due(self) -> None:
         state = self.state
--- a/packages/foxspring-control/foxspring_control/raft/_settings.py
+++ b/packages/foxspring-control/foxspring_control/raft/_settings.py
@@ -28,7 +28,9 @@
 
     A snapshot is due after ``snapshot_every_entries``, or once the log has grown
     by ``snapshot_min_bytes`` and by the size of the last snapshot. At most
-    ``retained_entries`` of ``retained_bytes`` are kept before it.
+    ``retained_entries`` of ``retained_bytes`` are kept before it. With
+    ``reserve_bytes`` terms and votes are stored when the disk is full; without,
+    they wait for space.
     """
 
     member_id: str
@@ -51,6 +53,8 @@
     snapshot_min_bytes: int = 8 * MIB
     # A follower that is further behind gets the snapshot, which is faster.
     retained_bytes: int = 4 * MIB
+    # Room for one batch of entries and many thousands of votes on a full disk.
+    reserve_bytes: int = 4 * MIB
 
     def lease_ms(self) -> int:
         """Return how long a leader lease lasts after the heartbeats were sent."""
--- a/packages/foxspring-control/foxspring_control/raft/_storage.py
+++ b/packages/foxspring-control/foxspring_control/raft/_storage.py
@@ -9,7 +9,12 @@
 import msgspec
 
 from foxspring_control._replication import LogEntry
-from foxspring_control.raft._disk_space import FullDiskRetrier
+from foxspring_control.raft._disk_space import (
+    Allocate,
+    DiskReserve,
+    FullDiskRetrier,
+    allocate_space,
+)
 from foxspring_control.raft._events import SnapshotStored
 from foxspring_control.raft._frames import DamagedLogError, Frame
 from foxspring_control.raft._log_cache import LogCache
@@ -32,6 +37,7 @@
 _IDENTITY_FILE = "member.json"
 _SNAPSHOT_FILE = "snapshot.json"
 _INCOMING_FILE = "incoming.part"
+_RESERVE_FILE = "reserve"
 FRAME_BODY_BYTES = 4 * 1024 * 1024
 
 
@@ -135,8 +141,9 @@
 class Storage:
     """One member's log, hard state and latest snapshot in its data folder.
 
-    Not thread-safe. Writes wait while the disk is full. After an ``OSError`` no
-    write may be acknowledged any more and the process must exit.
+    Not thread-safe. Writes wait while the disk is full, unless the reserve, which
+    the first of them gives up, has room for them. After an ``OSError`` no write
+    may be acknowledged any more and the process must exit.
     """
 
     def __init__(
@@ -147,10 +154,13 @@
         log_cache_bytes: int,
         sync: Sync = os.fdatasync,
         write: Write = os.write,
+        reserve_bytes: int = 0,
+        allocate: Allocate = allocate_space,
     ) -> None:
         self.folder = folder
         self.member_id = member_id
-        self.retrier = FullDiskRetrier()
+        self.reserve = DiskReserve(folder / _RESERVE_FILE, reserve_bytes, allocate)
+        self.retrier = FullDiskRetrier(reserve=self.reserve)
         self.log = SegmentLog(folder, segment_bytes, sync, self.retrier, write)
         self.log_cache = LogCache(log_cache_bytes)
         self._sync = sync
@@ -168,6 +178,7 @@
         make_folder(self.folder)
         self._lock()
         self._check_identity()
+        self.reserve.make()
         snapshot = self._load_snapshot()
         self._delete_partial_files(snapshot)
         replay = _Replay(snapshot)
