--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -5,6 +5,7 @@
 import os
 import queue
 import threading
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
@@ -90,6 +91,7 @@
             reserve_bytes=settings.reserve_bytes,
         )
         self._inbox: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
+        self._held_proposals: deque[Propose] = deque()
         self._tokens = itertools.count(1)
         self._pending_callbacks: dict[int, ProposeCallback] = {}
         self._lock = threading.Lock()
@@ -285,18 +287,25 @@
             self._batch_began_ms = None
 
     def _next_batch(self, runtime: Runtime) -> list[Event] | None:
+        """Wait for events and return them, ``None`` once the log is closed.
+
+        Proposals over ``MAX_BATCH_BYTES`` are held for the next batch, but no
+        message is: a leader has to read what its followers have answered.
+        """
+        events, batch_bytes = self._take_held()
         wait_ms = next_due_ms(runtime.state) - self.clock.monotonic_ms()
-        events: list[Event] = []
-        batch_bytes = 0
+        wait_s = min(max(wait_ms, 1), MAX_WAIT_MS) / 1_000
         try:
-            event = self._inbox.get(timeout=min(max(wait_ms, 1), MAX_WAIT_MS) / 1_000)
+            event = self._inbox.get(timeout=0 if events else wait_s)
             while event is not None:
-                events.append(event)
-                batch_bytes += body_bytes(event)
-                is_full = (
-                    len(events) >= MAX_BATCH_EVENTS or batch_bytes >= MAX_BATCH_BYTES
-                )
-                if is_full or self._inbox.empty():
+                if isinstance(event, Propose) and (
+                    self._held_proposals or batch_bytes >= MAX_BATCH_BYTES
+                ):
+                    self._held_proposals.append(event)
+                else:
+                    events.append(event)
+                    batch_bytes += body_bytes(event)
+                if len(events) >= MAX_BATCH_EVENTS or self._inbox.empty():
                     break
                 event = self._inbox.get()
             if event is None:
@@ -305,6 +314,20 @@
             pass
         return [*events, Tick()]
 
+    def _take_held(self) -> tuple[list[Event], int]:
+        """Return the proposals held by earlier batches, up to the limits of one."""
+        events: list[Event] = []
+        taken_bytes = 0
+        while (
+            self._held_proposals
+            and taken_bytes < MAX_BATCH_BYTES
+            and len(events) < MAX_BATCH_EVENTS
+        ):
+            event = self._held_proposals.popleft()
+            events.append(event)
+            taken_bytes += len(event.body)
+        return events, taken_bytes
+
     def _fail_pending_callbacks(self) -> None:
         with self._lock:
             self._closed = True
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
@@ -12,6 +12,7 @@
 from foxspring_link import ManualClock
 
 from foxspring_control._replication import LogEntry, ProposeOutcome
+from foxspring_control.raft import ReplicatedLog
 from foxspring_control.raft._events import Event, Propose, Received, Tick, Transfer
 from foxspring_control.raft._frames import Frame, encode_frame
 from foxspring_control.raft._messages import AppendEntries, AppendReply, VoteReply
@@ -195,6 +196,51 @@
         self.assertEqual("applied", leader.status_of(60))
 
 
+class BatchTest(unittest.TestCase):
+    BODY = b"x" * 700_000
+
+    def setUp(self) -> None:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        self.leader = LeadingRuntime(folder / "leader")
+        self.addCleanup(self.leader.storage.close)
+        self.log = ReplicatedLog(
+            self.leader.settings,
+            builders.CountingStateMachine(),
+            lambda _address, _message: None,
+            self.leader.clock,
+            lambda _change: None,
+        )
+
+    def batch(self) -> list[Event]:
+        """Return the next batch without its last event, which is a ``Tick``."""
+        events = self.log._next_batch(self.leader.runtime)
+        assert events is not None
+        return events[:-1]
+
+    def bodies(self, events: list[Event]) -> list[bytes]:
+        """Return the first bytes of the proposals."""
+        return [e.body[:1] for e in events if isinstance(e, Propose)]
+
+    # Issue 55: answers of followers waited behind large entries of later batches.
+    def test_large_proposals_are_split_and_messages_are_not_held_up(self) -> None:
+        def note(_outcome: ProposeOutcome) -> None:
+            pass
+
+        for number in range(5):
+            self.log.propose("Test", b"%d" % number + self.BODY, note)
+        for reply in self.leader.replies():
+            self.log._inbox.put(reply)
+        self.log.propose("Test", b"5" + self.BODY, note)
+        first = self.batch()
+        self.assertEqual([b"0", b"1"], self.bodies(first))
+        self.assertEqual(2, sum(isinstance(e, Received) for e in first))
+        self.log.propose("Test", b"6", note)
+        self.assertEqual([b"2", b"3"], self.bodies(self.batch()))
+        self.assertEqual([b"4", b"5"], self.bodies(self.batch()))
+        self.assertEqual([b"6"], self.bodies(self.batch()))
+
+
 class LatestStateMachine(builders.CountingStateMachine):
     """Holds a state of ``size`` bytes, however many entries were applied."""
 
