--- a/packages/foxspring-control/foxspring_control/_replication.py
+++ b/packages/foxspring-control/foxspring_control/_replication.py
@@ -53,7 +53,10 @@
         """
 
     def write_snapshot(self, path: Path) -> int:
-        """Write and sync a snapshot to ``path``; return its applied index."""
+        """Write a snapshot to ``path`` and return its applied index.
+
+        The log applies no entry meanwhile, and syncs the file itself.
+        """
 
     def install_snapshot(self, path: Path) -> None:
         """Replace the state with the snapshot at ``path``.
--- a/packages/foxspring-jobs/foxspring_jobs/_state_machine.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state_machine.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import logging
-import os
 import threading
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -49,14 +48,14 @@
         return msgspec.json.encode(applied)
 
     def write_snapshot(self, path: Path) -> int:
-        """Write and sync the whole state to ``path`` and return its index."""
+        """Write the whole state to ``path`` and return its index.
+
+        The log syncs the file; it applies no entry until this returns.
+        """
         with self.lock:
             data = encode_state(self.state, self._applied_index)
             index = self._applied_index
-        with path.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        path.write_bytes(data)
         return index
 
     def install_snapshot(self, path: Path) -> None:
