--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -1,6 +1,7 @@
 """Carries out the effects of ``step`` with one group commit per batch."""
 
 import logging
+from collections import deque
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from typing import Any
@@ -95,7 +96,7 @@
         )
         self.appended_at_begin = 0
         self.appended_at_snapshot = 0
-        self.deletion: Future[None] | None = None
+        self.deletions: deque[Future[None]] = deque()
         self.last_batch_ms = 0
         self.reserve_due_ms = 0
         self.deferred: list[Effect] = []
@@ -394,7 +395,7 @@
 
     def _collect_snapshot(self, now_ms: int) -> list[Effect]:
         """Take over what was finished in the background; return the effects."""
-        self._collect_deletion()
+        self._collect_deletions()
         snapshot = self.snapshots.collect(now_ms)
         if self.deferred and not self.snapshots.is_writing():
             self._execute_deferred()
@@ -410,12 +411,11 @@
 
     def _compact(self, snapshot_index: int) -> None:
         delete = self.storage.compaction(self.state.log.base_index, snapshot_index)
-        self.deletion = self.run_in_background(delete)
+        self.deletions.append(self.run_in_background(delete))
 
-    def _collect_deletion(self) -> None:
-        if self.deletion is not None and self.deletion.done():
-            self.deletion.result()
-            self.deletion = None
+    def _collect_deletions(self) -> None:
+        while self.deletions and self.deletions[0].done():
+            self.deletions.popleft().result()
 
     def status(self) -> RaftStatus:
         """Return the current status of the member."""
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_log_thread.py
@@ -1,5 +1,6 @@
 """What may not hold up, or be lost on, the thread of the log."""
 
+import errno
 import os
 import shutil
 import tempfile
@@ -167,6 +168,17 @@
         self.leader.background.run_next()
         self.assertLess(len(list(self.folder.glob("*.seg"))), before)
 
+    def test_a_failed_deletion_ends_the_member_as_any_failed_write(self) -> None:
+        self.write_state()
+        self.leader.run()
+        self.leader.background.run_next()
+        self.leader.run()
+        _work, future = self.leader.background.waiting.pop(0)
+        self.leader.runtime._compact(0)
+        future.set_exception(OSError(errno.EIO, "Input/output error"))
+        with self.assertRaises(OSError):
+            self.leader.run()
+
     # Issue 55: what step answers when a snapshot is stored was lost.
     def test_effects_of_a_stored_snapshot_are_carried_out(self) -> None:
         leader = self.leader
@@ -191,7 +203,7 @@
         leader.propose(60)
         self.assertEqual("", leader.status_of(60))
         _work, future = leader.background.waiting.pop(0)
-        future.set_exception(OSError(28, "No space left on device"))
+        future.set_exception(OSError(errno.ENOSPC, "No space left on device"))
         leader.run()
         self.assertEqual("applied", leader.status_of(60))
 
