Raft: a leader with a full disk leaves the lead to a member with room

A leader whose disk becomes full steps down, and a member with a full disk waits one election timer longer, once for each leader that is lost, before it campaigns. So one with room is elected if there is any; a full one that is elected nevertheless leads on, and refuses. Leaders with a disk that fills again and again at the margin step down each time.

--- a/packages/foxspring-control/foxspring_control/raft/_full_disk.py
+++ b/packages/foxspring-control/foxspring_control/raft/_full_disk.py
@@ -1,15 +1,17 @@
-"""What a member with a full disk still accepts."""
+"""What a member with a full disk still accepts, and when it leads."""
 
 from foxspring_control._replication import LogEntry
+from foxspring_control.raft._election import become_follower
 from foxspring_control.raft._events import (
     AddMember,
+    Effect,
     Event,
     Propose,
     Received,
     RemoveMember,
 )
 from foxspring_control.raft._messages import AppendEntries, SnapshotChunk
-from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState
+from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
 
 DISK_FULL_REASON = "the disk of the control member is full; free space on it"
 NewEntry = Propose | AddMember | RemoveMember
@@ -52,3 +54,42 @@
         if not is_stored and not entry.kind.startswith(LOG_KIND_PREFIX):
             return entries[:position]
     return entries
+
+
+class FullDiskCandidacy:
+    """Leaves the leadership to members with room, as long as there is one.
+
+    A leader whose disk becomes full steps down. While it is full, a member waits
+    an election timeout longer before it campaigns, so that one that is elected
+    nevertheless knows of no better one, and leads on.
+    """
+
+    def __init__(self) -> None:
+        self.was_full = False
+        self.waited_after_ms = -1
+
+    def update(self, state: RaftState, is_full: bool, now_ms: int) -> list[Effect]:
+        """Take note of whether the disk is full; return the effects of stepping down.
+
+        Call it before each batch.
+        """
+        became_full = is_full and not self.was_full
+        self.was_full = is_full
+        if not is_full:
+            return []
+        if state.role is Role.LEADER:
+            return _step_down(state, now_ms) if became_full else []
+        # Once for each leader that is lost.
+        has_waited = self.waited_after_ms == state.last_leader_contact_ms
+        if now_ms >= state.election_due_ms and not has_waited:
+            self.waited_after_ms = state.last_leader_contact_ms
+            state.reset_election_timer(now_ms)
+        return []
+
+
+def _step_down(state: RaftState, now_ms: int) -> list[Effect]:
+    if len(state.voters()) == 1:
+        return []
+    state.effects = []
+    become_follower(state, state.term, "", now_ms)
+    return state.effects
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -36,6 +36,7 @@
 from foxspring_control.raft._frames import DamagedLogError
 from foxspring_control.raft._full_disk import (
     DISK_FULL_REASON,
+    FullDiskCandidacy,
     NewEntry,
     without_new_entries,
 )
@@ -99,6 +100,7 @@
         self.deletions: deque[Future[None]] = deque()
         self.last_batch_ms = 0
         self.reserve_due_ms = 0
+        self.candidacy = FullDiskCandidacy()
         self.deferred: list[Effect] = []
         self._recover()
 
@@ -125,7 +127,10 @@
         self.stage = "snapshot"
         effects = self._collect_snapshot(now_ms)
         self.stage = "step"
-        for event in self._accepted(events, now_ms):
+        accepted = self._accepted(events, now_ms)
+        is_full = self.storage.reserve.is_missing()
+        effects += self.candidacy.update(self.state, is_full, now_ms)
+        for event in accepted:
             self._check_event(event)
             effects += step(self.state, event, now_ms)[1]
         effects += step(self.state, Flush(), now_ms)[1]
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_full_disk_group.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_full_disk_group.py
@@ -61,7 +61,13 @@
     """A member on a small disk; its messages go to ``outbox``."""
 
     def __init__(
-        self, member_id: str, folder: Path, clock: ManualClock, outbox: deque[Any]
+        self,
+        member_id: str,
+        folder: Path,
+        clock: ManualClock,
+        outbox: deque[Any],
+        count: int,
+        seed: int,
     ) -> None:
         self.member_id = member_id
         folder.mkdir()
@@ -79,7 +85,9 @@
         )
         # A write that would wait for space for ever fails the test instead.
         self.storage.retrier.stop_retrying()
-        settings = builders.settings(member_id, folder, builders.members(3))
+        settings = builders.settings(
+            member_id, folder, builders.members(count), seed=seed
+        )
         self.state = RaftState(settings, self.storage.open(), clock.monotonic_ms())
         self.machine = builders.CountingStateMachine()
         self.outcomes: list[ProposeOutcome] = []
@@ -103,14 +111,19 @@
 
 class FullDiskGroupTest(unittest.TestCase):
     def setUp(self) -> None:
+        self.start()
+
+    def start(self, count: int = 3, seed: int = 0) -> None:
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
         self.clock = ManualClock()
         self.outbox: deque[tuple[str, str, Any]] = deque()
         self.stopped: set[str] = set()
         self.members = {
-            m: GroupMember(m, folder / m, self.clock, self.outbox)
-            for m in ("m1", "m2", "m3")
+            m.member_id: GroupMember(
+                m.member_id, folder / m.member_id, self.clock, self.outbox, count, seed
+            )
+            for m in builders.members(count)
         }
         for member in self.members.values():
             self.addCleanup(member.storage.close)
@@ -171,6 +184,8 @@
         self,
     ) -> None:
         self.fill_disks()
+        self.pass_time(100)
+        self.leader = self.await_leader()
         last_index = self.leader.state.log.last_index
         outcome = self.propose(b"refused")
         assert outcome is not None
@@ -199,6 +214,36 @@
             self.assertEqual(bodies, member.machine.bodies)
             self.assertTrue(member.storage.reserve.held)
 
+    def test_a_leader_with_the_only_full_disk_leaves_the_lead_to_another(self) -> None:
+        full = self.leader
+        full.disk.fill()
+        for _ in range(4):
+            self.propose()
+            self.pass_time(2 * STEP_MS)
+        self.assertTrue(full.storage.reserve.is_missing())
+        self.leader = self.await_leader()
+        self.assertIsNot(full, self.leader)
+        outcome = self.propose(b"after")
+        assert outcome is not None
+        self.assertEqual("applied", outcome.status)
+
+    def test_a_member_with_room_leads_before_one_without(self) -> None:
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.start(5, seed)
+                others = [m for m in self.members.values() if m is not self.leader]
+                for member in (self.leader, others[seed % 4]):
+                    member.disk.fill()
+                for _ in range(4):
+                    self.propose()
+                    self.pass_time(2 * STEP_MS)
+                self.pass_time(2_000)
+                self.leader = self.await_leader()
+                self.assertTrue(self.leader.storage.reserve.held)
+                outcome = self.propose(b"after")
+                assert outcome is not None
+                self.assertEqual("applied", outcome.status)
+
     # Issue 55, review/1: a member without space answered neither votes nor heartbeats.
     def test_a_follower_with_a_full_disk_keeps_following_and_catches_up(self) -> None:
         follower = next(m for m in self.members.values() if m is not self.leader)
