--- a/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
+++ b/packages/foxspring-control/foxspring_control/raft/_replicated_log.py
@@ -5,6 +5,7 @@
 import os
 import queue
 import threading
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
@@ -28,6 +29,7 @@
     Transfer,
 )
 from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._full_disk import body_bytes
 from foxspring_control.raft._messages import Membership
 from foxspring_control.raft._runtime import Runtime, SendMessage
 from foxspring_control.raft._segments import Sync
@@ -40,6 +42,8 @@
 _LOG = logging.getLogger(__name__)
 
 MAX_BATCH_EVENTS = 512
+# With one large entry more it must fit in the reserve of a full disk.
+MAX_BATCH_BYTES = 1024 * 1024
 MAX_WAIT_MS = 1_000
 MAX_BODY_BYTES = 16 * 1024 * 1024
 EXIT_STORAGE_FAILED = 74
@@ -85,8 +89,10 @@
             settings.segment_bytes,
             settings.log_cache_bytes,
             sync,
+            reserve_bytes=settings.reserve_bytes,
         )
         self._inbox: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
+        self._held_proposals: deque[Propose] = deque()
         self._tokens = itertools.count(1)
         self._pending_callbacks: dict[int, ProposeCallback] = {}
         self._lock = threading.Lock()
@@ -291,12 +297,24 @@
             self._batch_began_ms = None
 
     def _next_batch(self, runtime: Runtime) -> list[Event] | None:
+        """Wait for events and return them, ``None`` once the log is closed.
+
+        Proposals over ``MAX_BATCH_BYTES`` are held for the next batch, but no
+        message is: a leader has to read what its followers have answered.
+        """
+        events, batch_bytes = self._take_held()
         wait_ms = next_due_ms(runtime.state) - self.clock.monotonic_ms()
-        events: list[Event] = []
+        wait_s = min(max(wait_ms, 1), MAX_WAIT_MS) / 1_000
         try:
-            event = self._inbox.get(timeout=min(max(wait_ms, 1), MAX_WAIT_MS) / 1_000)
+            event = self._inbox.get(timeout=0 if events else wait_s)
             while event is not None:
-                events.append(event)
+                if isinstance(event, Propose) and (
+                    self._held_proposals or batch_bytes >= MAX_BATCH_BYTES
+                ):
+                    self._held_proposals.append(event)
+                else:
+                    events.append(event)
+                    batch_bytes += body_bytes(event)
                 if len(events) >= MAX_BATCH_EVENTS or self._inbox.empty():
                     break
                 event = self._inbox.get()
@@ -306,6 +324,20 @@
             pass
         return [*events, Tick()]
 
+    def _take_held(self) -> tuple[list[Event], int]:
+        """Return the proposals held by earlier batches, up to the limits of one."""
+        events: list[Event] = []
+        taken_bytes = 0
+        while (
+            self._held_proposals
+            and taken_bytes < MAX_BATCH_BYTES
+            and len(events) < MAX_BATCH_EVENTS
+        ):
+            event = self._held_proposals.popleft()
+            events.append(event)
+            taken_bytes += len(event.body)
+        return events, taken_bytes
+
     def _fail_pending_callbacks(self) -> None:
         with self._lock:
             self._closed = True
