--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -1,6 +1,7 @@
 """Carries out the effects of ``step`` with one group commit per batch."""
 
 import logging
+from collections import deque
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from typing import Any
@@ -31,9 +32,16 @@
     SendChunk,
     SendEntries,
     StoreChunk,
+    StoreIdentity,
     Synced,
 )
 from foxspring_control.raft._frames import DamagedLogError
+from foxspring_control.raft._full_disk import (
+    DISK_FULL_REASON,
+    FullDiskCandidacy,
+    NewEntry,
+    without_new_entries,
+)
 from foxspring_control.raft._messages import AppendEntries
 from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
 from foxspring_control.raft._status import (
@@ -50,6 +58,7 @@
 APPLY_BATCH_BYTES = 1024 * 1024
 # A leader whose thread has not run for that many heartbeats was stalled.
 MISSED_HEARTBEATS = 2
+RESERVE_RETRY_MS = 1_000
 
 SendMessage = Callable[[str, Any], object]
 AnswerCallback = Callable[[ProposeOutcome], None]
@@ -90,8 +99,10 @@
         )
         self.appended_at_begin = 0
         self.appended_at_snapshot = 0
-        self.deletion: Future[None] | None = None
+        self.deletions: deque[Future[None]] = deque()
         self.last_batch_ms = 0
+        self.reserve_due_ms = 0
+        self.candidacy = FullDiskCandidacy()
         self.deferred: list[Effect] = []
         self._recover()
 
@@ -118,7 +129,10 @@
         self.stage = "snapshot"
         effects = self._collect_snapshot(now_ms)
         self.stage = "step"
-        for event in events:
+        accepted = self._accepted(events, now_ms)
+        is_full = self.storage.reserve.is_missing()
+        effects += self.candidacy.update(self.state, is_full, now_ms)
+        for event in accepted:
             self._check_event(event)
             effects += step(self.state, event, now_ms)[1]
         effects += step(self.state, Flush(), now_ms)[1]
@@ -126,6 +140,33 @@
             effects = self._execute_effects(effects, now_ms)
         self.stage = ""
 
+    def _accepted(self, events: Iterable[Event], now_ms: int) -> Iterable[Event]:
+        """Return the events, while the disk is full without new entries."""
+        reserve = self.storage.reserve
+        if not reserve.is_missing():
+            return events
+        if now_ms >= self.reserve_due_ms:
+            self.reserve_due_ms = now_ms + RESERVE_RETRY_MS
+            reserve.make()
+        if not reserve.is_missing():
+            _LOG.warning("event=disk_reserve_made bytes=%d", reserve.size)
+            return events
+        return self._without_new_entries(events)
+
+    def _without_new_entries(self, events: Iterable[Event]) -> list[Event]:
+        accepted = []
+        for event in events:
+            if isinstance(event, NewEntry):
+                leader = self.state.leader_id
+                self._answer(
+                    Answer(event.token, "not_leader", leader, DISK_FULL_REASON)
+                )
+                continue
+            kept = without_new_entries(self.state, event)
+            if kept is not None:
+                accepted.append(kept)
+        return accepted
+
     def _allow_for_own_stall(self, now_ms: int) -> None:
         """Let the followers of a leader answer what it sends after its own stall.
 
@@ -177,6 +218,8 @@
             match effect:
                 case AppendLog():
                     pending += effect.entries
+                case StoreIdentity():
+                    self.storage.renew_identity(effect.member_id)
                 case StoreChunk():
                     self.storage.store_chunk(effect.chunk)
                 case InstallSnapshot():
@@ -344,9 +387,11 @@
         if index - last_index >= settings.snapshot_every_entries:
             return True
         last_bytes = snapshot.total if snapshot else 0
+        due_bytes = max(settings.snapshot_min_bytes, last_bytes)
+        if self.storage.reserve.is_missing():
+            due_bytes = settings.reserve_bytes
         appended = self.storage.log.appended_bytes - self.appended_at_snapshot
-        is_large = appended >= max(settings.snapshot_min_bytes, last_bytes)
-        return is_large and index > last_index
+        return appended >= due_bytes and index > last_index
 
     def _begin_snapshot_if_due(self) -> None:
         state = self.state
@@ -361,7 +406,7 @@
 
     def _collect_snapshot(self, now_ms: int) -> list[Effect]:
         """Take over what was finished in the background; return the effects."""
-        self._collect_deletion()
+        self._collect_deletions()
         snapshot = self.snapshots.collect(now_ms)
         if self.deferred and not self.snapshots.is_writing():
             self._execute_deferred()
@@ -377,12 +422,11 @@
 
     def _compact(self, snapshot_index: int) -> None:
         delete = self.storage.compaction(self.state.log.base_index, snapshot_index)
-        self.deletion = self.run_in_background(delete)
+        self.deletions.append(self.run_in_background(delete))
 
-    def _collect_deletion(self) -> None:
-        if self.deletion is not None and self.deletion.done():
-            self.deletion.result()
-            self.deletion = None
+    def _collect_deletions(self) -> None:
+        while self.deletions and self.deletions[0].done():
+            self.deletions.popleft().result()
 
     def status(self) -> RaftStatus:
         """Return the current status of the member."""
--- a/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
@@ -28,6 +28,7 @@
     Propose,
     Received,
     RemoveMember,
+    RenewIdentity,
     Tick,
     Transfer,
 )
@@ -138,7 +139,7 @@
         machine.disk.record_sizes()
         state = RaftState(raft, stored, self.clock.monotonic_ms())
         self.membership_duty = GroupMembership(
-            membership_settings(settings, member_id), self, self.send, self.clock
+            membership_settings(settings), self, self.send, self.clock
         )
         self.runtime = Runtime(
             state,
@@ -182,6 +183,11 @@
 
     # The log as the membership uses it.
 
+    @property
+    def member_id(self) -> str:
+        """The id of this member."""
+        return self.state.member_id
+
     def membership(self) -> Membership:
         """Return the latest membership."""
         return self.state.membership
@@ -204,6 +210,12 @@
         """Remove a member."""
         self._submit(on_done, lambda token: RemoveMember(token, member_id, 0))
 
+    def renew_identity(self, member_id: str) -> None:
+        """Take part under a new id."""
+        self.simulation.at(
+            0, self, lambda: self.simulation.feed(self, RenewIdentity(member_id))
+        )
+
     def transfer_leadership(self, on_done: ProposeCallback) -> None:
         """Transfer the leadership."""
         self._submit(on_done, Transfer)
@@ -343,23 +355,24 @@
         self.note(f"stop {process.state.member_id}")
         process.membership_duty.begin_stop()
         if process.state.role is not Role.LEADER:
-            self._leave(process)
+            self.leave(process)
             return
         ended: list[ProposeOutcome] = []
 
         def end(outcome: ProposeOutcome | None) -> None:
             if not ended and machine.process is process:
                 ended.append(outcome or ProposeOutcome("unknown"))
-                self.at(0, process, lambda: self._leave(process))
+                self.at(0, process, lambda: self.leave(process))
 
         process.transfer_leadership(end)
         self.at(HAND_OVER_TIMEOUT_MS, process, lambda: end(None))
 
-    def _leave(self, process: Process) -> None:
+    def leave(self, process: Process) -> None:
+        """Let a process that stops leave the group, as far as it may, and end."""
         if process.membership_duty.try_leave():
             self.kill(process.machine)
             return
-        self.at(LEAVE_INTERVAL_MS, process, lambda: self._leave(process))
+        self.at(LEAVE_INTERVAL_MS, process, lambda: self.leave(process))
 
     # The run.
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_caller.py
@@ -178,7 +178,7 @@
         with self.assertLogs("foxspring_jobs", "WARNING") as logs:
             for _ in range(60):
                 caller.call(SUBMIT, 1_000)
-        refused = [line for line in logs.output if "event=leader_refuses" in line]
+        refused = [line for line in logs.output if "event=call_unserved" in line]
         self.assertEqual(len(refused), 2)
         self.assertIn("leader=a reason='ValueError: `odd` state'", refused[0])
         self.assertIn("calls=SubmitCall:50", refused[1])
