Raft: a leader refuses proposals that no quorum has room for

With full disks at a majority and room at the leader, proposals were appended and never committed: each caller waited, up to max_pending, and was answered unknown at best.

A leader whose oldest entry has waited for four election timeouts (2.4 s) while its followers answer refuses further proposals with not_leader and the reason, before anything is appended. What it holds is committed once there is room, and it accepts again. Changes of the members are no longer refused by a full disk: they are small, and the removal of a lost member may be what restores a quorum.

--- a/packages/foxspring-control/foxspring_control/raft/_full_disk.py
+++ b/packages/foxspring-control/foxspring_control/raft/_full_disk.py
@@ -3,18 +3,18 @@
 from foxspring_control._replication import LogEntry
 from foxspring_control.raft._election import become_follower
 from foxspring_control.raft._events import (
-    AddMember,
     Effect,
     Event,
     Propose,
     Received,
-    RemoveMember,
 )
 from foxspring_control.raft._messages import AppendEntries, SnapshotChunk
 from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
 
 DISK_FULL_REASON = "the disk of the control member is full; free space on it"
-NewEntry = Propose | AddMember | RemoveMember
+QUORUM_FULL_REASON = (
+    "a quorum of the control members stores no entries; free space on their disks"
+)
 
 
 def body_bytes(event: Event) -> int:
@@ -32,8 +32,8 @@
     """Return an event without what the disk has no room for, ``None`` if nothing.
 
     A leader's message stays a heartbeat, with those first entries that are stored
-    already or that the log itself needs to elect a leader. Requests for new
-    entries are not for this function.
+    already or that the log itself needs for its leaders and members. Proposals are
+    not for this function.
     """
     match event:
         case Received(message=AppendEntries() as message):
@@ -93,3 +93,25 @@
     state.effects = []
     become_follower(state, state.term, "", now_ms)
     return state.effects
+
+
+class CommitWatch:
+    """Notices that a leader's entries are not committed, because no quorum has room.
+
+    ``stuck_after_ms`` is longer than a change of the leader or a slow disk takes.
+    """
+
+    def __init__(self, stuck_after_ms: int) -> None:
+        self.stuck_after_ms = stuck_after_ms
+        self.commit_index = 0
+        self.since_ms = 0
+
+    def is_stuck(self, state: RaftState, now_ms: int) -> bool:
+        """Return whether a leader's oldest entry has waited too long for a quorum."""
+        is_waiting = state.log.last_index > state.commit_index
+        has_moved = state.commit_index != self.commit_index
+        if state.role is not Role.LEADER or not is_waiting or has_moved:
+            self.commit_index = state.commit_index
+            self.since_ms = now_ms
+            return False
+        return now_ms >= self.since_ms + self.stuck_after_ms
--- a/packages/foxspring-control/foxspring_control/raft/tests/test_full_disk_group.py
+++ b/packages/foxspring-control/foxspring_control/raft/tests/test_full_disk_group.py
@@ -13,7 +13,7 @@
 
 from foxspring_control._replication import LogEntry, ProposeOutcome
 from foxspring_control.raft._events import Event, Propose, Received, Tick
-from foxspring_control.raft._full_disk import DISK_FULL_REASON
+from foxspring_control.raft._full_disk import DISK_FULL_REASON, QUORUM_FULL_REASON
 from foxspring_control.raft._runtime import Runtime
 from foxspring_control.raft._state import RaftState, Role
 from foxspring_control.raft._storage import Storage
@@ -244,6 +244,30 @@
                 assert outcome is not None
                 self.assertEqual("applied", outcome.status)
 
+    # Issue 55: proposals hung at a leader whose followers had no space.
+    def test_a_leader_without_a_quorum_with_room_refuses_and_serves_again(self) -> None:
+        followers = [m for m in self.members.values() if m is not self.leader]
+        for follower in followers:
+            follower.disk.fill()
+        hanging = 0
+        for _ in range(100):
+            hanging += self.propose() is None
+            self.pass_time(STEP_MS)
+        outcome = self.propose(b"refused")
+        assert outcome is not None
+        self.assertEqual(("not_leader", QUORUM_FULL_REASON.encode()), outcome[::2])
+        self.assertEqual(Role.LEADER, self.leader.state.role)
+        self.assertGreater(hanging, 0)
+        for follower in followers:
+            follower.disk.capacity = ROOMY_BYTES
+        self.pass_time(2_000)
+        outcome = self.propose(b"after")
+        assert outcome is not None
+        self.assertEqual("applied", outcome.status)
+        applied = sum(o.status == "applied" for o in self.leader.outcomes)
+        self.assertGreater(applied, hanging)
+        self.assertNotIn(b"refused", self.leader.machine.bodies)
+
     # Issue 55, review/1: a member without space answered neither votes nor heartbeats.
     def test_a_follower_with_a_full_disk_keeps_following_and_catches_up(self) -> None:
         follower = next(m for m in self.members.values() if m is not self.leader)
