--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -102,6 +102,8 @@
 
     def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
         """Process a batch of events: write and sync once, then send and answer."""
+        begun_ms = self.clock.monotonic_ms()
+        syncs = self.storage.log.sync_count
         self._collect_snapshot(now_ms)
         effects: list[Effect] = []
         for event in events:
@@ -110,6 +112,8 @@
         effects += step(self.state, Flush(), now_ms)[1]
         while effects:
             effects = self._execute_effects(effects, now_ms)
+        if self.storage.log.sync_count > syncs:
+            self.state.note_sync(self.clock.monotonic_ms() - begun_ms)
 
     def _execute_effects(self, effects: list[Effect], now_ms: int) -> list[Effect]:
         entries = [
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -16,6 +16,12 @@
 from foxspring_control.raft._settings import RaftSettings
 from foxspring_control.raft._terms import TermTable
 
+# A sync can be as slow as this before a machine is better replaced.
+MAX_SYNC_MS = 2_000
+SYNC_SHARE = 0.3
+# A vote takes the syncs of the candidate and the voter, and a batch before them.
+SYNCS_OF_A_VOTE = 3
+
 MEMBERS_KIND = "log.members"
 NOOP_KIND = "log.noop"
 LOG_KIND_PREFIX = "log."
@@ -143,6 +149,7 @@
         self.transfer_target = ""
         self.transfer_due_ms = 0
         self.incoming_snapshot: IncomingSnapshot | None = None
+        self.sync_ms = 0.0
         self.effects: list[Effect] = []
         self._cached_voters: tuple[Membership, tuple[str, ...]] = (Membership(), ())
         self.reset_election_timer(now_ms)
@@ -170,9 +177,23 @@
         """Return whether this member counts towards a quorum."""
         return self.member_id in self.voters()
 
+    def note_sync(self, duration_ms: int) -> None:
+        """Note how long a batch with a sync has taken."""
+        sample_ms = min(duration_ms, MAX_SYNC_MS)
+        self.sync_ms += (sample_ms - self.sync_ms) * SYNC_SHARE
+
+    def patience_ms(self) -> int:
+        """Return the time to wait for others: longer while syncs are slow here.
+
+        No member of a group can be elected, or get an answer as leader, in less time
+        than its and the others' syncs take.
+        """
+        syncs_ms = int(SYNCS_OF_A_VOTE * self.sync_ms)
+        return self.settings.election_timeout_ms + syncs_ms
+
     def reset_election_timer(self, now_ms: int) -> None:
         """Restart the election timer with a new random timeout."""
-        base = self.settings.election_timeout_ms
+        base = self.patience_ms()
         self.election_due_ms = now_ms + base + self.random.randrange(base)
 
     def address_of(self, member_id: str) -> str:
--- a/packages/foxspring-control/foxspring_control/raft/_step.py
+++ b/packages/foxspring-control/foxspring_control/raft/_step.py
@@ -125,7 +125,7 @@
 
 def _lost_quorum(state: RaftState, now_ms: int) -> bool:
     last_quorum_ms = max(state.quorum_acked_sent_ms(now_ms), state.leader_since_ms)
-    return now_ms >= last_quorum_ms + state.settings.election_timeout_ms
+    return now_ms >= last_quorum_ms + state.patience_ms()
 
 
 def _on_message(state: RaftState, event: Received, now_ms: int) -> None:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/group_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/group_faults.py
@@ -50,11 +50,16 @@
 
 
 class RunSettings(NamedTuple):
-    """What varies between runs; ``founding_again`` keeps the flag at each restart."""
+    """What varies between runs; ``founding_again`` keeps the flag at each restart.
+
+    A sync takes up to ``sync_ms``, a snapshot up to ``snapshot_ms``.
+    """
 
     faults: int = 12
     finals: int = 2
     founding_again: bool = False
+    sync_ms: int = 0
+    snapshot_ms: int = 99
 
 
 class FaultRun:
@@ -383,7 +388,8 @@
 
 def run_random(seed: int, settings: RunSettings) -> GroupSimulation:
     """Play the series of a seed; an error carries the trace of the run."""
-    with GroupSimulation(seed) as simulation:
+    simulation = GroupSimulation(seed, settings.sync_ms, settings.snapshot_ms)
+    with simulation:
         try:
             FaultRun(simulation, settings).play()
         except AssertionError as error:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/group_simulation.py
@@ -32,6 +32,7 @@
     Tick,
     Transfer,
 )
+from foxspring_control.raft._messages import AppendEntries
 from foxspring_control.raft._runtime import Runtime
 from foxspring_control.raft._state import RaftState, Role
 from foxspring_control.raft._step import next_due_ms
@@ -90,7 +91,8 @@
         self.address = address
         self.domain = domain
         self.disk = SimulatedDisk(folder)
-        self.clock = SimulatedClock(now_ms, 100)
+        self.sync_ms = 0
+        self.clock = SimulatedClock(lambda: now_ms() + self.sync_ms, 100)
         self.seeds: tuple[str, ...] = ()
         self.founding = False
         self.is_removed = False
@@ -120,6 +122,8 @@
         self.writing: SimulatedFuture | None = None
         self.paused: list[Callable[[], object]] | None = None
         self.next_tick_ms = 0
+        self.inbox: list[Event] = []
+        self.busy_until_ms = 0
         settings = machine.settings()
         member_id = choose_member_id(settings, self.clock.wall_ms())
         raft = raft_settings(settings, member_id)._replace(
@@ -133,9 +137,10 @@
             member_id,
             SEGMENT_BYTES,
             raft.log_cache_bytes,
-            machine.disk.sync,
+            self.sync,
         )
         stored = self.storage.open()
+        machine.sync_ms = 0
         machine.disk.record_sizes()
         state = RaftState(raft, stored, self.clock.monotonic_ms())
         self.membership_duty = GroupMembership(
@@ -161,13 +166,27 @@
         """The address of the leader that this process would name to a caller."""
         return self.membership_duty.leadership.leader_address
 
+    def sync(self, descriptor: int) -> None:
+        """Sync a file, which takes the time of the simulation's settings."""
+        self.machine.disk.sync(descriptor)
+        simulation = self.simulation
+        if self.busy_until_ms <= simulation.now_ms:
+            self.machine.sync_ms = simulation.sync_time_ms()
+            self.busy_until_ms = simulation.now_ms + self.machine.sync_ms
+
     def is_running(self) -> bool:
         """Return whether this run has not ended and is not frozen."""
         return self.machine.process is self and self.paused is None
 
     def send(self, address: str, message: Any) -> None:
-        """Send a message to another process."""
-        self.simulation.send(self.machine.address, address, message)
+        """Send a message to another process, after a sync that is under way.
+
+        A leader sends entries before it syncs them.
+        """
+        wait_ms = max(0, self.busy_until_ms - self.simulation.now_ms)
+        if type(message) not in _RAFT_TYPES or isinstance(message, AppendEntries):
+            wait_ms = 0
+        self.simulation.send(self.machine.address, address, message, wait_ms)
 
     def on_leadership(self, change: LeadershipChange) -> None:
         """Pass on a change of leader."""
@@ -177,7 +196,9 @@
 
     def run_in_background(self, work: Callable[[], int]) -> SimulatedFuture:
         """Run ``work`` now but report its completion later."""
-        due_ms = self.simulation.now_ms + self.simulation.rng.randint(0, 99)
+        simulation = self.simulation
+        wait_ms = simulation.rng.randint(0, simulation.snapshot_ms)
+        due_ms = simulation.now_ms + wait_ms
         self.writing = SimulatedFuture(due_ms, work())
         return self.writing
 
@@ -233,8 +254,16 @@
 class GroupSimulation:
     """Machines ``a`` to ``e`` that found a group; use it as a context manager."""
 
-    def __init__(self, seed: int = 0, network: NetworkFaults = NO_LOSS) -> None:
+    def __init__(
+        self,
+        seed: int = 0,
+        sync_ms: int = 0,
+        snapshot_ms: int = 99,
+        network: NetworkFaults = NO_LOSS,
+    ) -> None:
         self.seed = seed
+        self.sync_ms = sync_ms
+        self.snapshot_ms = snapshot_ms
         self.rng = random.Random(seed)
         self.network = SimulatedNetwork(self.rng, network)
         self.now_ms = 0
@@ -411,10 +440,14 @@
 
         self.at(due_ms - self.now_ms, process, tick)
 
-    def send(self, source: str, target: str, message: Any) -> None:
-        """Send a message from one address to another."""
+    def sync_time_ms(self) -> int:
+        """Return how long the next sync takes."""
+        return self.rng.randint(self.sync_ms // 2, self.sync_ms)
+
+    def send(self, source: str, target: str, message: Any, wait_ms: int) -> None:
+        """Send a message from one address to another after ``wait_ms``."""
         if target in self.machines:
-            self.network.send(self.now_ms, source, target, message)
+            self.network.send(self.now_ms + wait_ms, source, target, message)
 
     def run(self, duration_ms: int) -> None:
         """Advance simulated time by ``duration_ms``."""
@@ -460,6 +493,9 @@
         """Process a batch of events and check the invariants."""
         if process.machine.process is not process:
             return
+        if self.now_ms < process.busy_until_ms:
+            self._feed_later(process, events)
+            return
         self.steps += 1
         writing = process.writing
         if writing is not None and self.now_ms >= writing.done_at_ms:
@@ -472,9 +508,24 @@
             return
         except DamagedLogError as error:
             raise InvariantViolationError(f"at {self.now_ms} ms: {error}") from error
+        finally:
+            process.machine.sync_ms = 0
         self.check()
         self._schedule_tick(process)
 
+    def _feed_later(self, process: Process, events: tuple[Event, ...]) -> None:
+        """Keep events for the batch after the sync that is under way."""
+        is_first = not process.inbox
+        process.inbox += events
+        if not is_first:
+            return
+
+        def feed() -> None:
+            waiting, process.inbox = process.inbox, []
+            self.feed(process, *waiting, Tick())
+
+        self.at(process.busy_until_ms - self.now_ms, process, feed)
+
     def propose(self) -> bytes:
         """Propose an entry at the leader, if there is one."""
         body = b"%d" % next(self.numbers)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
@@ -6,6 +6,7 @@
 from foxspring_jobs.tests.group_simulation import GroupSimulation, Machine
 
 STOP_LIMIT_MS = 3_000
+SLOW_SYNC_MS = 1_000
 
 
 class GroupLossTest(unittest.TestCase):
@@ -133,6 +134,13 @@
         self.assertEqual(process.member_id, renewed)
         self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
 
+    # Issue 55: no vote arrived before the next election, so nobody led for 90 s.
+    def test_group_leads_again_although_a_sync_takes_a_second(self) -> None:
+        self.simulation.sync_ms = SLOW_SYNC_MS
+        for _ in range(3):
+            self.lose_all()
+            self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+
     def test_restart_of_a_member_does_not_shrink_the_group(self) -> None:
         for machine in self.machines():
             self.simulation.stop(machine)
