--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from foxspring_jobs._group import LOST_AFTER_MS
 from foxspring_jobs.tests.group_faults import CATCH_UP_MS, RECOVERY_MS, STOP_MS
 from foxspring_jobs.tests.group_simulation import GroupSimulation, Machine
 
@@ -29,9 +30,13 @@
         self.simulation.start(successor)
         return successor
 
-    def follower(self) -> Machine:
+    def leading(self) -> Machine:
         leader = self.simulation.leader()
-        return next(m for m in self.machines() if m.process is not leader)
+        assert leader is not None
+        return leader.machine
+
+    def follower(self) -> Machine:
+        return next(m for m in self.machines() if m is not self.leading())
 
     def lose_all(self, *emptied: Machine) -> None:
         """Empty disks while all other machines lose power, and start all again."""
@@ -162,6 +167,33 @@
         self.simulation.run(STOP_LIMIT_MS)
         self.assertIsNone(old.process)
 
+    def test_member_removed_while_it_was_frozen_joins_within_the_catch_up_time(
+        self,
+    ) -> None:
+        frozen, old = [m for m in self.machines() if m is not self.leading()][:2]
+        self.start_successor(old)
+        self.simulation.run(2_000)
+        self.simulation.freeze(frozen)
+        self.simulation.run(LOST_AFTER_MS + 2_000)
+        self.assertEqual(len(self.voters()), 5)
+        self.simulation.resume(frozen)
+        self.simulation.run(CATCH_UP_MS)
+        self.assertEqual(len(self.voters()), 6)
+
+    def test_replaced_member_that_returns_joins_and_leaves_again(self) -> None:
+        old = self.follower()
+        self.simulation.cut({old.address})
+        self.start_successor(old)
+        self.simulation.run(CATCH_UP_MS)
+        self.assertEqual(len(self.voters()), 5)
+        self.simulation.heal()
+        self.simulation.run(CATCH_UP_MS)
+        self.assertEqual(len(self.voters()), 6)
+        self.simulation.kill(old)
+        self.simulation.run(CATCH_UP_MS)
+        self.assertEqual(len(self.voters()), 5)
+        self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+
     def test_member_that_left_and_starts_again_joins_within_the_catch_up_time(
         self,
     ) -> None:
