--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -131,6 +131,8 @@
 
     def run_batch(self, events: Iterable[Event], now_ms: int) -> None:
         """Process a batch of events: write and sync once, then send and answer."""
+        begun_ms = self.clock.monotonic_ms()
+        syncs = self.storage.log.sync_count
         self._allow_for_own_stall(now_ms)
         self.stage = "snapshot"
         effects = self._collect_snapshot(now_ms)
@@ -145,6 +147,8 @@
         while effects:
             effects = self._execute_effects(effects, now_ms)
         self.stage = ""
+        if self.storage.log.sync_count > syncs:
+            self.state.note_sync(self.clock.monotonic_ms() - begun_ms)
 
     def _accepted(self, events: Iterable[Event], now_ms: int) -> Iterable[Event]:
         """Return the events, without new entries while there is no room for them.
