--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -314,6 +314,9 @@
         due = index - last_snapshot_index >= state.settings.snapshot_every_entries
         if not due or not self.snapshots.may_begin(self.clock.monotonic_ms()):
             return
+        if not state.leader_is_known():
+            # A change of leader waits for a snapshot that is being written.
+            return
         term = state.log.term_at(index) or 0
         path = self.storage.snapshot_path(index)
         self.snapshots.begin(path, index, term, state.membership_at(index))
--- a/packages/foxspring-control/foxspring_control/raft/_state.py
+++ b/packages/foxspring-control/foxspring_control/raft/_state.py
@@ -253,6 +253,12 @@
         """Add an effect to the result of the current step."""
         self.effects.append(effect)
 
+    def leader_is_known(self) -> bool:
+        """Return whether this member leads, as announced, or follows a leader."""
+        if self.role is Role.LEADER:
+            return self.leadership_announced
+        return bool(self.leader_id)
+
     def set_leader(self, leader_id: str) -> None:
         """Record the current leader and emit ``LeaderChanged`` if it changed.
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_group_losses.py
@@ -4,10 +4,15 @@
 
 from foxspring_jobs._group import LOST_AFTER_MS
 from foxspring_jobs.tests.group_faults import CATCH_UP_MS, RECOVERY_MS, STOP_MS
-from foxspring_jobs.tests.group_simulation import GroupSimulation, Machine
+from foxspring_jobs.tests.group_simulation import (
+    SNAPSHOT_EVERY,
+    GroupSimulation,
+    Machine,
+)
 
 STOP_LIMIT_MS = 3_000
 SLOW_SYNC_MS = 1_000
+SLOW_SNAPSHOT_MS = 600_000
 
 
 class GroupLossTest(unittest.TestCase):
@@ -146,6 +151,17 @@
             self.lose_all()
             self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
 
+    # Issue 55: a snapshot that was due at the start held back who leads.
+    def test_leader_is_announced_before_a_snapshot_that_is_due_at_the_start(
+        self,
+    ) -> None:
+        self.simulation.snapshot_ms = SLOW_SNAPSHOT_MS
+        for _ in range(SNAPSHOT_EVERY + 5):
+            self.simulation.propose()
+            self.simulation.run(20)
+        self.lose_all()
+        self.simulation.run_until(self.simulation.has_service, RECOVERY_MS)
+
     def test_restart_of_a_member_does_not_shrink_the_group(self) -> None:
         for machine in self.machines():
             self.simulation.stop(machine)
