--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_random_groups.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_random_groups.py
@@ -1,6 +1,7 @@
 """Random series of faults on a simulated control group, each with a final fault.
 
-Play more by hand: ``python3 -m foxspring_jobs.tests.test_random_groups FIRST LAST``.
+Play more by hand: ``python3 -m foxspring_jobs.tests.test_random_groups FIRST LAST``, to
+which the times of a sync and of a snapshot in ms can be added.
 """
 
 import sys
@@ -30,12 +31,13 @@
                 run_random(seed, RunSettings(founding_again=True))
 
 
-def play(first: int, last: int) -> list[int]:
+def play(first: int, last: int, sync_ms: int = 0, snapshot_ms: int = 99) -> list[int]:
     """Play the seeds from ``first`` to ``last`` and return those that failed."""
+    settings = RunSettings(sync_ms=sync_ms, snapshot_ms=snapshot_ms)
     failed = []
     for seed in range(first, last + 1):
         try:
-            run_random(seed, RunSettings())
+            run_random(seed, settings)
         except AssertionError as error:
             print(error)
             failed.append(seed)
@@ -43,4 +45,4 @@
 
 
 if __name__ == "__main__":
-    print("failed seeds:", play(int(sys.argv[1]), int(sys.argv[2])))
+    print("failed seeds:", play(*(int(argument) for argument in sys.argv[1:])))
