--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -420,6 +420,9 @@
         may_begin = self.snapshots.may_begin(self.clock.monotonic_ms())
         if not may_begin or not self._is_snapshot_due(index):
             return
+        if not state.leader_is_known():
+            # A change of leader waits for a snapshot that is being written.
+            return
         self.appended_at_begin = self.storage.log.appended_bytes
         term = state.log.term_at(index) or 0
         path = self.storage.snapshot_path(index)
