Split what a full disk admits and the takeover of targets from large files

Change: Intake in _full_disk.py decides which events of a batch are accepted; Takeover in _takeover.py opens the sessions of a new leader. Behaviour unchanged.

--- a/packages/foxspring-control/foxspring_control/raft/_full_disk.py
+++ b/packages/foxspring-control/foxspring_control/raft/_full_disk.py
@@ -1,8 +1,13 @@
 """What a member with a full disk still accepts, and when it leads."""
 
+import logging
+from collections.abc import Callable, Iterable
+
 from foxspring_control._replication import LogEntry
+from foxspring_control.raft._disk_space import DiskReserve
 from foxspring_control.raft._election import become_follower
 from foxspring_control.raft._events import (
+    Answer,
     Effect,
     Event,
     Propose,
@@ -11,6 +16,10 @@
 from foxspring_control.raft._messages import AppendEntries, SnapshotChunk
 from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
 
+_LOG = logging.getLogger(__name__)
+
+RESERVE_RETRY_MS = 1_000
+STUCK_ELECTION_TIMEOUTS = 4
 DISK_FULL_REASON = "the disk of the control member is full; free space on it"
 QUORUM_FULL_REASON = (
     "a quorum of the control members stores no entries; free space on their disks"
@@ -115,3 +124,66 @@
             self.since_ms = now_ms
             return False
         return now_ms >= self.since_ms + self.stuck_after_ms
+
+
+class Intake:
+    """Decides which events of a batch a member accepts while there is no room.
+
+    ``answer`` is called for each proposal that is refused.
+    """
+
+    def __init__(
+        self,
+        state: RaftState,
+        reserve: DiskReserve,
+        answer: Callable[[Answer], None],
+    ) -> None:
+        self.state = state
+        self.reserve = reserve
+        self.answer = answer
+        self.reserve_due_ms = 0
+        self.candidacy = FullDiskCandidacy()
+        self.commits = CommitWatch(
+            STUCK_ELECTION_TIMEOUTS * state.settings.election_timeout_ms
+        )
+
+    def accepted(self, events: Iterable[Event], now_ms: int) -> Iterable[Event]:
+        """Return the events, without new entries while there is no room for them.
+
+        Changes of the members are small, and may be what restores a quorum.
+        """
+        is_stuck = self.commits.is_stuck(self.state, now_ms)
+        if self._is_disk_full(now_ms):
+            kept = self._refuse_proposals(events, DISK_FULL_REASON)
+            stripped = [without_new_entries(self.state, event) for event in kept]
+            return [event for event in stripped if event is not None]
+        if is_stuck:
+            return self._refuse_proposals(events, QUORUM_FULL_REASON)
+        return events
+
+    def step_down_if_full(self, now_ms: int) -> list[Effect]:
+        """Leave the leadership to members with room; return the effects."""
+        return self.candidacy.update(self.state, self.reserve.is_missing(), now_ms)
+
+    def _is_disk_full(self, now_ms: int) -> bool:
+        """Return whether the reserve is missing, and try to make it if it is due."""
+        if not self.reserve.is_missing():
+            return False
+        if now_ms >= self.reserve_due_ms:
+            self.reserve_due_ms = now_ms + RESERVE_RETRY_MS
+            self.reserve.make()
+        if not self.reserve.is_missing():
+            _LOG.warning("event=disk_reserve_made bytes=%d", self.reserve.size)
+            return False
+        return True
+
+    def _refuse_proposals(self, events: Iterable[Event], reason: str) -> list[Event]:
+        """Answer the proposals and return the other events."""
+        others: list[Event] = []
+        for event in events:
+            if isinstance(event, Propose):
+                leader = self.state.leader_id
+                self.answer(Answer(event.token, "not_leader", leader, reason))
+            else:
+                others.append(event)
+        return others
--- a/packages/foxspring-control/foxspring_control/raft/_runtime.py
+++ b/packages/foxspring-control/foxspring_control/raft/_runtime.py
@@ -26,7 +26,6 @@
     Flush,
     InstallSnapshot,
     LeaderChanged,
-    Propose,
     ReadReady,
     Received,
     Send,
@@ -37,13 +36,7 @@
     Synced,
 )
 from foxspring_control.raft._frames import DamagedLogError
-from foxspring_control.raft._full_disk import (
-    DISK_FULL_REASON,
-    QUORUM_FULL_REASON,
-    CommitWatch,
-    FullDiskCandidacy,
-    without_new_entries,
-)
+from foxspring_control.raft._full_disk import Intake
 from foxspring_control.raft._messages import AppendEntries
 from foxspring_control.raft._state import LOG_KIND_PREFIX, RaftState, Role
 from foxspring_control.raft._status import (
@@ -60,8 +53,6 @@
 APPLY_BATCH_BYTES = 1024 * 1024
 # A leader whose thread has not run for that many heartbeats was stalled.
 MISSED_HEARTBEATS = 2
-RESERVE_RETRY_MS = 1_000
-STUCK_ELECTION_TIMEOUTS = 4
 
 SendMessage = Callable[[str, Any], object]
 AnswerCallback = Callable[[ProposeOutcome], None]
@@ -104,11 +95,7 @@
         self.appended_at_snapshot = 0
         self.deletions: deque[Future[None]] = deque()
         self.last_batch_ms = 0
-        self.reserve_due_ms = 0
-        self.candidacy = FullDiskCandidacy()
-        self.commits = CommitWatch(
-            STUCK_ELECTION_TIMEOUTS * state.settings.election_timeout_ms
-        )
+        self.intake = Intake(state, storage.reserve, self._answer)
         self.deferred: list[Effect] = []
         self._recover()
 
@@ -137,9 +124,8 @@
         self.stage = "snapshot"
         effects = self._collect_snapshot(now_ms)
         self.stage = "step"
-        accepted = self._accepted(events, now_ms)
-        is_full = self.storage.reserve.is_missing()
-        effects += self.candidacy.update(self.state, is_full, now_ms)
+        accepted = self.intake.accepted(events, now_ms)
+        effects += self.intake.step_down_if_full(now_ms)
         for event in accepted:
             self._check_event(event)
             effects += step(self.state, event, now_ms)[1]
@@ -150,44 +136,6 @@
         if self.storage.log.sync_count > syncs:
             self.state.note_sync(self.clock.monotonic_ms() - begun_ms)
 
-    def _accepted(self, events: Iterable[Event], now_ms: int) -> Iterable[Event]:
-        """Return the events, without new entries while there is no room for them.
-
-        Changes of the members are small, and may be what restores a quorum.
-        """
-        is_stuck = self.commits.is_stuck(self.state, now_ms)
-        if self._is_disk_full(now_ms):
-            kept = self._refuse_proposals(events, DISK_FULL_REASON)
-            stripped = [without_new_entries(self.state, event) for event in kept]
-            return [event for event in stripped if event is not None]
-        if is_stuck:
-            return self._refuse_proposals(events, QUORUM_FULL_REASON)
-        return events
-
-    def _is_disk_full(self, now_ms: int) -> bool:
-        """Return whether the reserve is missing, and try to make it if it is due."""
-        reserve = self.storage.reserve
-        if not reserve.is_missing():
-            return False
-        if now_ms >= self.reserve_due_ms:
-            self.reserve_due_ms = now_ms + RESERVE_RETRY_MS
-            reserve.make()
-        if not reserve.is_missing():
-            _LOG.warning("event=disk_reserve_made bytes=%d", reserve.size)
-            return False
-        return True
-
-    def _refuse_proposals(self, events: Iterable[Event], reason: str) -> list[Event]:
-        """Answer the proposals and return the other events."""
-        others: list[Event] = []
-        for event in events:
-            if isinstance(event, Propose):
-                leader = self.state.leader_id
-                self._answer(Answer(event.token, "not_leader", leader, reason))
-            else:
-                others.append(event)
-        return others
-
     def _allow_for_own_stall(self, now_ms: int) -> None:
         """Let the followers of a leader answer what it sends after its own stall.
 
--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from foxspring_model import Clock
@@ -19,7 +19,6 @@
     Advance,
     CancelJob,
     Command,
-    RegisterTarget,
     ReplaceTable,
     RunStart,
     SubmitJob,
@@ -44,7 +43,6 @@
     COMMIT_SECONDS,
     COMMITS,
     FIRST_START_SECONDS,
-    NOT_TAKEN_OVER,
     PLAN_SECONDS,
     STARTS,
     Metrics,
@@ -64,6 +62,7 @@
 from foxspring_jobs._specs import JobSpec, Queue
 from foxspring_jobs._stage_times import Stage
 from foxspring_jobs._state import JobState, State
+from foxspring_jobs._takeover import Takeover
 from foxspring_jobs._target_orders import TargetOrders
 from foxspring_jobs._target_poller import TargetPoller
 from foxspring_jobs._target_reports import TargetReports
@@ -76,7 +75,6 @@
 LOAD_LOG_INTERVAL_MS = 1_000
 REPLAN_INTERVAL_MS = 200
 RETENTION_PERCENT = 150
-TAKEOVER_RETRY_MS = 5_000
 SLOW_PLAN_MS = 100
 # Callers wait for at most a few seconds, and calls and results wait for the plan.
 MAX_PLAN_MS = 500
@@ -125,8 +123,7 @@
         self.opened: tuple[tuple[str, int], ...] = ()
         self.purged: tuple[str, ...] = ()
         self.forgetting = False
-        self.not_taken_over: list[TargetIncarnation] = []
-        self.takeover_due_ms = self.started_ms
+        self.takeover = Takeover(self.context, self.poller)
 
     def is_deposed(self) -> bool:
         """Return whether this leadership may make no more decisions."""
@@ -164,10 +161,7 @@
         Raises:
             Exception: none of several targets can be taken over.
         """
-        targets = [target.registered for target in self.context.draft.targets.values()]
-        errors = self._take_over(targets)
-        if len(errors) == len(targets) > 1:
-            raise errors[0]
+        self.takeover.begin()
         _LOG.info(
             "event=leader_began token=%d targets=%d jobs=%d queue_version=%d",
             self.context.token,
@@ -176,37 +170,6 @@
             self.context.draft.table.version,
         )
 
-    def _take_over(self, targets: Sequence[RegisterTarget]) -> list[Exception]:
-        """Begin sessions with targets; return the errors of those that failed.
-
-        Such a target and its runs stay as they are until a later attempt succeeds.
-        """
-        errors = []
-        self.not_taken_over = []
-        self.takeover_due_ms = self.context.clock.monotonic_ms() + TAKEOVER_RETRY_MS
-        for target in targets:
-            try:
-                self.poller.open_session(target, taking_over=True)
-            except Exception as error:
-                errors.append(error)
-                self.not_taken_over.append(target.incarnation)
-                self.poller.discard_session(target.incarnation)
-        if errors:
-            self.metrics.count(NOT_TAKEN_OVER, amount=len(errors))
-            _LOG.error(
-                "event=targets_not_taken_over count=%d of=%d first=%s",
-                len(errors),
-                len(targets),
-                self.not_taken_over[0].target_id,
-                exc_info=errors[0],
-            )
-        return errors
-
-    def _retry_takeover(self) -> None:
-        """Take over the registered targets for which that failed before."""
-        known = (self.context.draft.target(each) for each in self.not_taken_over)
-        self._take_over([target.registered for target in known if target is not None])
-
     def end(self) -> None:
         """Stop deciding, because another member leads or this process ends."""
         self.context.deposed = True
@@ -327,8 +290,7 @@
             log_capacity(self.context.draft, candidates)
         if now_ms >= self.swept_ms + SWEEP_INTERVAL_MS:
             self._sweep(now_ms)
-        if self.not_taken_over and now_ms >= self.takeover_due_ms:
-            self._retry_takeover()
+        self.takeover.retry_if_due(now_ms)
         if now_ms >= self.planned_ms + REPLAN_INTERVAL_MS:
             self.context.plan_due = True
         self.decide()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_partial_takeover.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_partial_takeover.py
@@ -4,9 +4,9 @@
 from unittest import mock
 
 from foxspring_jobs._commands import RegisterTarget
-from foxspring_jobs._leader import TAKEOVER_RETRY_MS
 from foxspring_jobs._operations import Outcome
 from foxspring_jobs._state import JobPhase
+from foxspring_jobs._takeover import TAKEOVER_RETRY_MS
 from foxspring_jobs._target_poller import TargetPoller
 from foxspring_jobs.tests.builders import OTHER_JOB, registered, run_key, spec, step
 from foxspring_jobs.tests.fake_cluster import FakeCluster
