--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -27,9 +27,9 @@
 GROUPS = (
     ("testing:0/2",),
     ("testing:1/2",),
-    ("control", "link", "config"),
+    ("control", "link", "config", "platform"),
     ("entry", "daemon", "model"),
-    ("jobs", "platform"),
+    ("jobs",),
 )
 COUNTS = "counts:"
 
