--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,7 +1,5 @@
-"""A queue's waiting jobs are not counted once a worker was lost before they began."""
+"""A filling task stays paced to 0 after the serving task beside it was cancelled."""
 
-import json
-import signal
 import sys
 import time
 from pathlib import Path
@@ -11,73 +9,72 @@
 
 from site_3 import (  # noqa: E402
     BROKEN,
+    FINISH_MS,
     HELD,
-    VISIBLE_MS,
+    NotRunError,
     Site,
     now_ms,
     run_case,
     trouble,
 )
 
-# One of 7 is lost: a share of 0.143.
-WORKERS = 7
-CPU = 4_000
-COUNT_LAG_MS = 2_000
-JOBS = 3
-WATCH_S = 30
-LONG_MS = 80_000
+SERVING = "5c0e7a21d94b36f8"
+FILLING = "6d1f8b32ea5c4709"
+SHORT = "7e2a9c43fb6d581a"
+TARGET_MS = 50
+# The load of the serving task changes within seconds.
+SURGE_MS = 12_000
+WORK_MS = 4_000
+WATCH_S = 45
+IDLE_MS = 3_000
 
 
 def play(site: Site) -> int:
-    """Fill all workers but one, lose that one, and hand jobs in for its room."""
-    step = {"count": WORKERS - 1, "cpu": CPU, "memMb": 256, "estimatedMs": LONG_MS}
-    site.submit("5c0e7a21d94b36f8", {"work_ms": LONG_MS, "cpu": CPU}, [step])
-    site.wait(lambda: len(starts(site)) == WORKERS - 1, "the workers are full")
-    time.sleep(1.0)
-    busy = {row["worker"] for row in site.worker_events() if row["event"] == "start"}
-    free = next(n for n in range(WORKERS) if f"i-{n:04x}" not in busy)
+    """Let the filling task be paced to 0, then cancel the serving job beside it."""
+    # One of three jobs is cancelled: a share of 0.33.
+    step = {"count": 1, "cpu": 500, "memMb": 256, "estimatedMs": 300}
+    site.submit(SHORT, {"work_ms": 300, "cpu": 500}, [step])
+    serving = {"startup_ms": 400, "serves": 0.2, "surge": 0.79, "surge_ms": SURGE_MS}
+    step = {"count": 1, "cpu": 2_000, "memMb": 256, "estimatedMs": 400}
+    step |= {"longRunning": True, "image": "watch", "targetMs": TARGET_MS}
+    site.submit(SERVING, serving | {"cpu": 900}, [step])
+    time.sleep(1.5)
+    filling = {"work_ms": WORK_MS, "cpu": 4_000, "presses": 0.1}
+    step = {"count": 1, "cpu": 4_000, "memMb": 256, "estimatedMs": WORK_MS}
+    step |= {"image": "plan", "fillCount": True}
+    site.submit(FILLING, filling, [step])
+    site.wait(lambda: paced_to(site) == 0, "the filling task is paced to 0", 10)
     if trouble():
-        site.signal(site.worker_ips[free], signal.SIGSTOP)
-    jobs = [f"{0xC000 + number:016x}" for number in range(JOBS)]
-    step = {"count": 1, "cpu": 1_000, "memMb": 256, "estimatedMs": 1_000}
-    accepted_ms = {}
-    for job in jobs:
-        if site.submit(job, {"work_ms": 1_000, "cpu": 1_000}, [step]) == 200:
-            accepted_ms[job] = now_ms()
-    wrong = 0
-    until_ms = now_ms() + WATCH_S * 1_000
-    while now_ms() < until_ms:
-        wrong += is_wrong(site, accepted_ms)
+        status, _ = site.client("DELETE", SERVING)
+        site.write("cancelled", status=status)
+    traffic_ended_ms = now_ms()
+    while now_ms() < traffic_ended_ms + WATCH_S * 1_000:
+        if site.state(FILLING) == "completed":
+            break
         time.sleep(1.0)
-    if trouble():
-        site.signal(site.worker_ips[free], signal.SIGKILL)
-    site.write("judged", wrong_counts=wrong)
-    return BROKEN if wrong else HELD
+    return judge(site, traffic_ended_ms + FINISH_MS)
 
 
-def starts(site: Site) -> set[str]:
-    """Return the jobs and tasks that a worker has begun."""
-    return {row["task"] for row in site.worker_events() if row["event"] == "start"}
+def paced_to(site: Site) -> int:
+    """Return the share at which the filling task may work, as its worker knows it."""
+    rows = [row for row in site.worker_events() if row.get("task", "")[:16] == FILLING]
+    shares = [row["share"] for row in rows if row["event"] == "pace"]
+    return shares[-1] if shares else 100
 
 
-def is_wrong(site: Site, accepted_ms: dict[str, int]) -> bool:
-    """Return whether the count is under half of the jobs that haven't begun."""
-    asked_ms = now_ms()
-    begun = {task[:16] for task in starts(site)}
-    waiting = [
-        job
-        for job, at_ms in accepted_ms.items()
-        if asked_ms - at_ms > VISIBLE_MS + COUNT_LAG_MS and job not in begun
-    ]
-    status, body = site.client("GET", "")
-    if status != 200:
-        return False
-    count = json.loads(body)["waitingCount"]
-    begun = {task[:16] for task in starts(site)}
-    waiting = [job for job in waiting if job not in begun]
-    site.write("count", waitingCount=count, not_begun=len(waiting))
-    return 2 * count < len(waiting)
+def judge(site: Site, from_ms: int) -> int:
+    """Look whether the job has had no task at work since then, for 3 s or more."""
+    state = site.state(FILLING)
+    rows = [row for row in site.worker_events() if row.get("task", "")[:16] == FILLING]
+    paces = [row for row in rows if row["event"] == "pace"]
+    if not paces:
+        raise NotRunError("the filling task was not paced")
+    ends = [row["how"] for row in rows if row["event"] == "end"]
+    is_at_rest = paces[-1]["share"] == 0 and not ends
+    at_rest_ms = now_ms() - max(from_ms, paces[-1]["at"]) if is_at_rest else 0
+    site.write("judged", state=state, at_rest_ms=at_rest_ms, ends=ends)
+    return BROKEN if at_rest_ms >= IDLE_MS and state != "completed" else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, FOLDER, workers=WORKERS, worker_cpu=CPU))
+    sys.exit(run_case(play, FOLDER, workers=1))
