--- a/review/site_3.py
+++ b/review/site_3.py
@@ -142,8 +142,15 @@
 class Site:
     """Three control members, one entry and workers; a context manager."""
 
-    def __init__(self, folder: Path, workers: int, worker_cpu: int = 4_000) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        workers: int,
+        worker_cpu: int = 4_000,
+        kinds: tuple[str, ...] = (),
+    ) -> None:
         self.folder = folder
+        self.kinds = kinds
         self.worker_count = workers
         self.worker_cpu = worker_cpu
         self.files = Path(tempfile.mkdtemp(prefix="review-3-"))
@@ -264,6 +271,8 @@
             "cpu": str(self.worker_cpu),
             **options,
         }
+        if self.kinds:
+            arguments["kind"] = self.kinds[number]
         command = [sys.executable, str(ROOT / "review" / "worker_3.py")]
         for name, value in arguments.items():
             command += [f"--{name}", value]
--- a/review/worker_3.py
+++ b/review/worker_3.py
@@ -5,6 +5,7 @@
 
 - ``work_ms``: the task ends ``done`` after so much work.
 - ``fail_ms``: the task ends ``failed`` after so much work instead.
+- ``crash_ms``: the task crashes its worker after so much work.
 - ``startup_ms``: a task that lasts is at work (100 percent) after that.
 - ``serves``: its own load, for a task that serves: 0 to 1, see ``TAIL_MS``. During
   ``surge_ms`` from its start the load is ``surge`` instead.
@@ -17,6 +18,7 @@
 import argparse
 import http.client
 import json
+import os
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -34,6 +36,7 @@
 TAIL_MS = 10.0
 MAX_LOAD = 0.98
 FULL_PERCENT = 100
+CRASHED = 3
 
 
 def now_ms() -> int:
@@ -116,12 +119,20 @@
                 self.end(run, "lapsed")
         for run in list(self.runs.values()):
             run.advance(at_ms)
+            if "crash_ms" in run.spec and run.worked_ms >= run.spec["crash_ms"]:
+                self.crash(run)
             how = run.end()
             if how:
                 self.end(run, how)
             elif run.stops_ms is not None and at_ms >= run.stops_ms:
                 self.end(run, "stopped")
 
+    def crash(self, run: Run) -> None:
+        """End this process at once, with all that it runs."""
+        worked_ms = int(run.worked_ms)
+        self.record("crash", task=run.task, run=run.number, worked=worked_ms)
+        os._exit(CRASHED)
+
     def end(self, run: Run, how: str) -> None:
         """List the end of a run."""
         del self.runs[run.task, run.number]
@@ -254,7 +265,7 @@
                 "memMb": self.arguments.memory,
                 "gpu": 0,
             },
-            "labels": ["a", self.arguments.rack],
+            "labels": [self.arguments.kind, self.arguments.rack],
             "clockMs": self.clock(),
             "sequence": sequence,
             "born": self.born,
@@ -318,6 +329,7 @@
     parser.add_argument("--record", required=True)
     parser.add_argument("--service", required=True)
     parser.add_argument("--zone", required=True)
+    parser.add_argument("--kind", default="a")
     parser.add_argument("--rack", default="r1-1")
     parser.add_argument("--cpu", type=int, default=4_000)
     parser.add_argument("--memory", type=int, default=16_000)
