--- a/review/site_3.py
+++ b/review/site_3.py
@@ -198,6 +198,10 @@
         for ip in self.members:
             self.start_member(ip)
         self.start_entry()
+        self.start_rest()
+
+    def start_rest(self) -> None:
+        """Send the first configuration and start the workers."""
         self.wait(lambda: self.configure() == 200, "the first configuration")
         for number in range(self.worker_count):
             self.start_worker(number)
@@ -419,8 +423,10 @@
         return result
 
 
-def run_case(play: Callable[[Site], int], folder: Path, **options: Any) -> int:
-    """Play a case; return its exit code."""
+def run_case(
+    play: Callable[[Site], int], folder: Path, starts: bool = True, **options: Any
+) -> int:
+    """Play a case, on a started site or one that it starts; return its exit code."""
 
     def on_stop(_number: int, _frame: FrameType | None) -> None:
         raise NotRunError("stopped")
@@ -428,7 +434,8 @@
     signal.signal(signal.SIGTERM, on_stop)
     try:
         with Site(folder, **options) as site:
-            site.start()
+            if starts:
+                site.start()
             code = play(site)
             verdict = {HELD: "held", BROKEN: "broken"}[code]
             site.write("verdict", rule=verdict, trouble=int(trouble()))
--- a/review/worker_3.py
+++ b/review/worker_3.py
@@ -19,6 +19,7 @@
 import http.client
 import json
 import os
+import signal
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -97,6 +98,8 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.finished: list[list[Any]] = []
         self.end_count = 0
+        self.state = "ready"
+        self.leaving = threading.Event()
         self.highest: dict[str, int] = {}
         self.record_file = Path(arguments.record).open(  # noqa: SIM115
             "a", buffering=1
@@ -248,7 +251,9 @@
                     address = hint or address
                     break
                 address = controls[(sequence + attempt) % len(controls)]
-            time.sleep(self.arguments.beat_ms / 1_000)
+            if self.leaving.wait(self.arguments.beat_ms / 1_000):
+                self.leaving.clear()
+                self.state = "draining"
 
     def send_heartbeat(self, address: str, sequence: int) -> str | None:
         """Send a heartbeat; return the next address, or None without a 2xx."""
@@ -258,7 +263,7 @@
             "zone": self.arguments.zone,
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            "state": self.state,
             "coldRemainingMs": 0,
             "capacity": {
                 "cpu": self.arguments.cpu,
@@ -279,6 +284,8 @@
             data = response.read()
             if response.status // 100 != 2:
                 return None
+            if body["state"] == "draining":
+                self.record("drain_acknowledged")
             return str(json.loads(data or b"{}").get("heartbeatAddress", ""))
         except (OSError, http.client.HTTPException, ValueError):
             return None
@@ -340,6 +347,8 @@
     ThreadingHTTPServer.request_queue_size = 64
     server = ThreadingHTTPServer((host, int(port)), make_handler(worker))
     server.daemon_threads = True
+    # The platform empties the worker.
+    signal.signal(signal.SIGUSR1, lambda _number, _frame: worker.leaving.set())
     threading.Thread(target=worker.work, daemon=True).start()
     threading.Thread(target=worker.beat, daemon=True).start()
     server.serve_forever()
