Delay restarts of long-running tasks that end early again and again

Cause: a long-running task has no limit of attempts, and nothing told one that lost its run from one whose runs always fail.

Change: _restart_backoff.py delays the restart of a task whose run ended by itself (failed or done) within 10 s of its start, for 0.5 to 4 s, doubling; the first restart is at once. A gang waits for the longest delay of its tasks. Kept by the leader, forgotten with the job or once a run has lasted; a new leader begins with an immediate restart.

A step that has both kinds goes with the overdue others; within it they go first. New line restart_delayed, metric job_tasks_restarting.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -56,7 +56,7 @@
 from foxspring_jobs._orders import Order, TargetResult
 from foxspring_jobs._placement import Planner
 from foxspring_jobs._plan_index import PlanIndex
-from foxspring_jobs._restarts import Restarts
+from foxspring_jobs._restarts import RestartLimits, Restarts
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._short_work import ShortWork
 from foxspring_jobs._specs import JobSpec, Queue
@@ -468,7 +468,8 @@
     def _plan_starts(self) -> tuple[RunStart, ...]:
         now_ms = self.context.clock.monotonic_ms()
         self.faults.update()
-        self.restarts.update(self.context.draft, now_ms)
+        repeated = self.faults.backoff.repeated()
+        self.restarts.update(self.context.draft, now_ms, repeated)
         waiting = self.waiting_order.steps(
             self.context.draft,
             self.context.clock.wall_ms(),
@@ -487,7 +488,11 @@
             candidates,
             self.context.interference,
             allowed,
-            self.restarts.holding(now_ms),
+            RestartLimits(
+                self.restarts.holding(now_ms),
+                self.faults.backoff.delayed(now_ms),
+                repeated,
+            ),
             self.short_work.is_expected(now_ms),
             self.plan_index,
             limits,
--- a/packages/foxspring-jobs/foxspring_jobs/_metrics.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_metrics.py
@@ -74,6 +74,12 @@
     (),
     "Targets in quarantine, or probed after it, because of what failed on them.",
 )
+REPEATED = Metric(
+    "job_tasks_restarting",
+    "tasks",
+    (),
+    "Long-running tasks that have ended early more than once in a row.",
+)
 GIVEN_UP = Metric(
     "jobs_given_up_total",
     "events",
@@ -197,6 +203,7 @@
     LOST,
     TARGETS,
     QUARANTINED,
+    REPEATED,
     GIVEN_UP,
     JOBS_REFUSED,
     JOB_MEMORY,
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -7,7 +7,7 @@
 targets with unused CPU time where they lengthen no serving task's tail latency.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Sequence, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from foxspring_model import Resources
@@ -27,6 +27,7 @@
 from foxspring_jobs._memory_budget import NO_START_LIMITS, StartLimits
 from foxspring_jobs._plan_index import PlanIndex
 from foxspring_jobs._ranking import Ranking, RankingOfTargets, Score, ScoreOf
+from foxspring_jobs._restarts import NO_RESTART_LIMITS, RestartLimits
 from foxspring_jobs._scores import TargetScores
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._startable import startable_tasks
@@ -73,10 +74,10 @@
     """Plans starts once over the candidate targets.
 
     ``allowed`` maps each step of a queue that needs advice to the ids of the targets on
-    which it may start. A target may be held for the steps in ``holding``. While
-    ``short_tasks_expected``, new long-running tasks leave a reserve for them. ``index``
-    is that of earlier plans with the same ``interference``. A plan starts at most
-    ``limits.starts`` runs, or one gang of at most ``limits.gang`` beyond that.
+    which it may start. While ``short_tasks_expected``, new long-running tasks leave a
+    reserve for them. ``index`` is that of earlier plans with the same ``interference``.
+    A plan starts at most ``limits.starts`` runs, or one gang of at most ``limits.gang``
+    beyond that.
     """
 
     def __init__(
@@ -85,7 +86,7 @@
         candidates: Iterable[Candidate],
         interference: Interference,
         allowed: Allowed | None = None,
-        holding: Set[StepKey] = frozenset(),
+        restart_limits: RestartLimits = NO_RESTART_LIMITS,
         short_tasks_expected: bool = True,
         index: PlanIndex | None = None,
         limits: StartLimits = NO_START_LIMITS,
@@ -104,7 +105,8 @@
             state.targets.values(), short_tasks_expected
         )
         self.blocked_best_effort: dict[tuple[str, str], list[Resources]] = {}
-        self.holding = holding
+        self.restart_limits = restart_limits
+        self.delayed_steps = {task[:3] for task in restart_limits.delayed}
         self.short_tasks_expected = short_tasks_expected
         self.held_count = 0
         self.isolated_count = sum(
@@ -142,7 +144,7 @@
                 continue
             if not planned.lacks_room:
                 continue
-            if waiting.step_key() in self.holding:
+            if waiting.step_key() in self.restart_limits.holding:
                 self._hold_target(job, waiting, candidates)
             if step.long_running and self.usage.is_half_free(job.queue.service):
                 # Another job with such a step may have no run.
@@ -267,8 +269,7 @@
             return _NO_ROOM
         tasks = startable_tasks(steps[waiting.step], step)
         if step.long_running:
-            # Only these have restarts beside other tasks.
-            tasks = [row for row in tasks if waiting.includes(row[1], step)]
+            tasks = self._due_tasks(tasks, waiting, step)
         if not tasks:
             return _NOTHING_TO_START
         room_to_use_reserve = self._room_to_use_reserve(waiting, step)
@@ -325,6 +326,27 @@
             at_any_cost = False
         return _StepPlan(starts, lacks_room=False)
 
+    def _due_tasks(
+        self, tasks: list[tuple[int, TaskState]], waiting: WaitingStep, step: StepSpec
+    ) -> list[tuple[int, TaskState]]:
+        """Return those long-running tasks that are meant and whose delay is over.
+
+        Tasks that have ended early again and again go last.
+        """
+        limits = self.restart_limits
+
+        def key_of(index: int) -> TaskKey:
+            return TaskKey(*waiting.step_key(), index)
+
+        due = [
+            (index, task)
+            for index, task in tasks
+            if waiting.includes(task, step) and key_of(index) not in limits.delayed
+        ]
+        if limits.repeated:
+            due.sort(key=lambda row: key_of(row[0]) in limits.repeated)
+        return due
+
     def _suspicion_of(self, task: TaskState) -> Suspicion:
         """Return how far to keep a task apart, as far as the limit allows."""
         suspicion = suspicion_of(task.crashes)
@@ -362,6 +384,8 @@
         tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
         if any(task.runs or is_held_back(task.crashes) for task in tasks):
             return _NOTHING_TO_START
+        if waiting.step_key() in self.delayed_steps:
+            return _NOTHING_TO_START
         if len(tasks) > self.max_gang:
             return _NOTHING_TO_START
         service = job.queue.service
@@ -498,7 +522,7 @@
         reserve of whole targets, which they would not give back, while short tasks are
         expected.
         """
-        if waiting.precedence is Precedence.OVERDUE_RESTART:
+        if waiting.precedence is not Precedence.NORMAL:
             return 1
         job = self.state.active[waiting.job_id]
         if waiting.rank is Rank.RESTART or not self._can_leave_reserve(job, step):
--- a/packages/foxspring-jobs/foxspring_jobs/_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_restarts.py
@@ -1,14 +1,38 @@
-"""Tracks for how long long-running tasks have been interrupted."""
+"""Tracks for how long long-running tasks have been interrupted.
 
-from collections.abc import Iterator
+Tasks that end early again and again are kept apart from the others: they have lost no
+work by their interruption, and their restarts are delayed, see
+:mod:`foxspring_jobs._restart_backoff`.
+"""
+
+from collections.abc import Iterator, Set
+from typing import NamedTuple
 
 from foxspring_jobs._candidates import StepKey
 from foxspring_jobs._commands import TaskKey
 from foxspring_jobs._state import JobState, State
-from foxspring_jobs._waiting import is_interrupted
+from foxspring_jobs._waiting import OverdueSteps, is_interrupted
 
 OVERDUE_MS = 4_000
+# Longer than a restart is delayed; callers accept 9 s without a run.
+OVERDUE_RETRY_MS = 6_000
 HOLD_AFTER_MS = 10_000
+NO_TASKS: frozenset[TaskKey] = frozenset()
+
+
+class RestartLimits(NamedTuple):
+    """What a plan regards when it starts long-running tasks again.
+
+    A target may be held for the steps in ``holding``. Tasks in ``delayed`` must not
+    start yet, and those in ``repeated`` start after the others of their step.
+    """
+
+    holding: Set[StepKey] = frozenset()
+    delayed: Set[TaskKey] = NO_TASKS
+    repeated: Set[TaskKey] = NO_TASKS
+
+
+NO_RESTART_LIMITS = RestartLimits()
 
 
 class Restarts:
@@ -19,9 +43,16 @@
 
     def __init__(self) -> None:
         self.since_ms: dict[StepKey, dict[TaskKey, int]] = {}
+        self.repeated: Set[TaskKey] = NO_TASKS
+
+    def update(
+        self, state: State, now_ms: int, repeated: Set[TaskKey] = NO_TASKS
+    ) -> None:
+        """Note which tasks are interrupted now.
 
-    def update(self, state: State, now_ms: int) -> None:
-        """Note which tasks are interrupted now."""
+        Those in ``repeated`` have ended early more than once in a row.
+        """
+        self.repeated = repeated
         found: dict[StepKey, dict[TaskKey, int]] = {}
         for job in state.active.values():
             if not job.spec.is_long_running():
@@ -43,9 +74,18 @@
             key for key in self.since_ms if self.longest_ms(key, now_ms) >= duration_ms
         )
 
-    def overdue(self, now_ms: int) -> frozenset[StepKey]:
+    def overdue(self, now_ms: int) -> OverdueSteps:
         """Return the steps whose restart goes before everything."""
-        return self.interrupted_for(OVERDUE_MS, now_ms)
+        restarts = set()
+        retries = set()
+        for step_key, tasks in self.since_ms.items():
+            for task, since_ms in tasks.items():
+                if task not in self.repeated:
+                    if now_ms - since_ms >= OVERDUE_MS:
+                        restarts.add(step_key)
+                elif now_ms - since_ms >= OVERDUE_RETRY_MS:
+                    retries.add(step_key)
+        return OverdueSteps(restarts, retries)
 
     def holding(self, now_ms: int) -> frozenset[StepKey]:
         """Return the steps for which a target may be held."""
--- a/packages/foxspring-jobs/foxspring_jobs/_target_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_faults.py
@@ -3,14 +3,16 @@
 import logging
 from collections.abc import Iterable, Sequence
 
-from foxspring_jobs._commands import RunKey, TaskKey
+from foxspring_jobs._commands import RunEnd, RunKey, TaskKey
 from foxspring_jobs._failure_evidence import FailureEvidence
 from foxspring_jobs._health import FAILURE_BLAME, STALL_BLAME, QuarantineEnd
 from foxspring_jobs._leader_context import LeaderContext
-from foxspring_jobs._metrics import QUARANTINED, TARGETS
+from foxspring_jobs._metrics import QUARANTINED, REPEATED, TARGETS
 from foxspring_jobs._orders import ReportedRun
+from foxspring_jobs._restart_backoff import RestartBackoff
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._stalls import FULL_PERCENT, RunProgress
+from foxspring_jobs._state import EndKind
 
 _LOG = logging.getLogger(__name__)
 
@@ -24,6 +26,7 @@
     def __init__(self, context: LeaderContext) -> None:
         self.context = context
         self.evidence = FailureEvidence()
+        self.backoff = RestartBackoff()
 
     def run_done(self, session: TargetSession, task: TaskKey) -> None:
         """Note that a run is done, which shows that its target is sound."""
@@ -60,6 +63,27 @@
         if not self.evidence.is_suspect(task):
             self._quarantine_if_to_blame(session, "failed")
 
+    def lasting_run_ended(self, session: TargetSession, end: RunEnd) -> None:
+        """Delay the restart of a long-running task that has ended by itself."""
+        if end.kind not in (EndKind.FAILED, EndKind.DONE):
+            return
+        task = end.run.task
+        now_ms = self.context.clock.monotonic_ms()
+        lasted_ms = session.lasted_ms(end.run) or 0
+        delay_ms = self.backoff.note_ended(task, lasted_ms, now_ms)
+        if not delay_ms:
+            return
+        _LOG.info(
+            "event=restart_delayed job=%s task=%d.%d.%d early_ends=%d lasted_ms=%d "
+            "delay_ms=%d failures=%d targets=%s",
+            *task,
+            self.backoff.early_ends(task),
+            lasted_ms,
+            delay_ms,
+            self.evidence.failures_of(task).runs,
+            _names(self.evidence.failures_of(task).targets),
+        )
+
     def runs_stalled(self, session: TargetSession, rows: Sequence[RunProgress]) -> None:
         """Note that runs make no progress and are about to be stopped."""
         for row in rows:
@@ -112,10 +136,12 @@
     def measure(self) -> None:
         """Set the metrics, and forget what is over."""
         self.evidence.forget_purged(self.context.draft)
+        self.backoff.forget_steady(self.context.draft, self.context.clock.wall_ms())
         sessions = self.context.sessions.values()
         count = sum(bool(session.health.quarantine_count) for session in sessions)
         self.context.metrics.set(QUARANTINED, count)
         self.context.metrics.set(TARGETS, len(sessions))
+        self.context.metrics.set(REPEATED, len(self.backoff.repeated()))
 
     def _quarantine_if_to_blame(self, session: TargetSession, reason: str) -> None:
         if session.health.is_to_blame(self.evidence.is_suspect):
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -384,6 +384,8 @@
             self._is_long_running(key) and session.was_at_work(end.run)
         ):
             self.faults.run_failed(session, key)
+        if self._is_long_running(key):
+            self.faults.lasting_run_ended(session, end)
         self.context.metrics.count(ENDS, end.kind)
         _LOG.info(
             "event=run_ended job=%s task=%d.%d.%d run=%d target=%s kind=%s",
--- a/packages/foxspring-jobs/foxspring_jobs/_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_waiting.py
@@ -17,7 +17,8 @@
 Load pattern: targets are lost while short jobs fill all capacity. Interrupted
 long-running tasks start again after the jobs that can be on time and before other
 long-running tasks. Under a steady load there is always a job that can be on time, so
-once their interruption is overdue they go before everything.
+once their interruption is overdue they go before everything. Tasks that have ended
+early again and again follow them, since they have lost no work.
 """
 
 import math
@@ -44,7 +45,8 @@
     """
 
     OVERDUE_RESTART = 0
-    NORMAL = 1
+    OVERDUE_RETRY = 1
+    NORMAL = 2
 
 
 class Rank(IntEnum):
@@ -62,6 +64,19 @@
     HOPELESS = 3
 
 
+class OverdueSteps(NamedTuple):
+    """The steps with interrupted tasks that are overdue.
+
+    Those in ``retries`` have such tasks that have ended early again and again.
+    """
+
+    restarts: Set[StepKey] = frozenset()
+    retries: Set[StepKey] = frozenset()
+
+
+NOTHING_OVERDUE = OverdueSteps()
+
+
 class WaitingStep(NamedTuple):
     """A step with tasks to start; instances sort in scheduling order.
 
@@ -161,16 +176,13 @@
         self._ordered: list[WaitingStep] = []
 
     def steps(
-        self, state: State, wall_ms: int, overdue_restarts: Set[StepKey] = frozenset()
+        self, state: State, wall_ms: int, overdue: OverdueSteps = NOTHING_OVERDUE
     ) -> list[WaitingStep]:
-        """Return the steps that may start tasks, in scheduling order.
-
-        ``overdue_restarts`` are the steps with tasks whose interruption is overdue.
-        """
+        """Return the steps that may start tasks, in scheduling order."""
         self._update(state, wall_ms)
-        if not overdue_restarts:
+        if not any(overdue):
             return list(self._ordered)
-        return sorted(_with_precedence(s, overdue_restarts) for s in self._ordered)
+        return sorted(_with_precedence(step, overdue) for step in self._ordered)
 
     def _update(self, state: State, wall_ms: int) -> None:
         kept, self._kept = self._kept, {}
@@ -191,15 +203,19 @@
 
 
 def waiting_steps(
-    state: State, wall_ms: int, overdue_restarts: Set[StepKey] = frozenset()
+    state: State, wall_ms: int, overdue: OverdueSteps = NOTHING_OVERDUE
 ) -> list[WaitingStep]:
     """Return what a new :class:`WaitingOrder` returns."""
-    return WaitingOrder().steps(state, wall_ms, overdue_restarts)
+    return WaitingOrder().steps(state, wall_ms, overdue)
 
 
-def _with_precedence(step: WaitingStep, overdue_restarts: Set[StepKey]) -> WaitingStep:
-    if step.rank is Rank.RESTART and step.step_key() in overdue_restarts:
+def _with_precedence(step: WaitingStep, overdue: OverdueSteps) -> WaitingStep:
+    if step.rank is not Rank.RESTART:
+        return step
+    if step.step_key() in overdue.restarts:
         return step._replace(precedence=Precedence.OVERDUE_RESTART)
+    if step.step_key() in overdue.retries:
+        return step._replace(precedence=Precedence.OVERDUE_RETRY)
     return step
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/load_replay.py
@@ -25,7 +25,7 @@
 from foxspring_jobs._interference import MILLICORES_PER_CORE, Interference
 from foxspring_jobs._placement import Planner
 from foxspring_jobs._plan_index import PlanIndex
-from foxspring_jobs._restarts import Restarts
+from foxspring_jobs._restarts import RestartLimits, Restarts
 from foxspring_jobs._specs import JobSpec, Queue, StepSpec
 from foxspring_jobs._state import EndKind, JobPhase, JobState
 from foxspring_jobs._waiting import LATE_FACTOR, WaitingOrder
@@ -103,7 +103,7 @@
             self.state,
             list(self._candidates()),
             self.interference,
-            holding=self.restarts.holding(self.now_ms),
+            restart_limits=RestartLimits(self.restarts.holding(self.now_ms)),
             index=self.plan_index,
         )
         overdue = self.restarts.overdue(self.now_ms)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/planning.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/planning.py
@@ -6,8 +6,9 @@
 from foxspring_jobs._commands import RunStart
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._placement import Planner
+from foxspring_jobs._restarts import RestartLimits
 from foxspring_jobs._state import State
-from foxspring_jobs._waiting import WaitingStep, waiting_steps
+from foxspring_jobs._waiting import OverdueSteps, WaitingStep, waiting_steps
 
 
 def plan(
@@ -28,9 +29,10 @@
     if candidates is None:
         candidates = [Candidate(target) for target in state.targets.values()]
     if steps is None:
-        steps = waiting_steps(state, wall_ms, overdue_restarts)
+        steps = waiting_steps(state, wall_ms, OverdueSteps(overdue_restarts))
+    limits = RestartLimits(holding)
     planner = Planner(
-        state, candidates, interference or Interference(), holding=holding
+        state, candidates, interference or Interference(), restart_limits=limits
     )
     return planner.plan(steps, is_over)
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_index.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_plan_index.py
@@ -11,6 +11,7 @@
 from foxspring_jobs._commands import RunStart, TaskKey
 from foxspring_jobs._placement import Planner
 from foxspring_jobs._plan_index import PlanIndex
+from foxspring_jobs._restarts import RestartLimits
 from foxspring_jobs._waiting import waiting_steps
 from foxspring_jobs.tests.builders import step
 from foxspring_jobs.tests.load_replay import (
@@ -74,8 +75,10 @@
             self.change_target()
         candidates = [Candidate(target) for target in self.state.targets.values()]
         self.restarts.update(self.state, self.now_ms)
-        holding = self.restarts.holding(self.now_ms)
-        planner = Planner(self.state, candidates, self.interference, holding=holding)
+        limits = RestartLimits(self.restarts.holding(self.now_ms))
+        planner = Planner(
+            self.state, candidates, self.interference, restart_limits=limits
+        )
         overdue = self.restarts.overdue(self.now_ms)
         expected = planner.plan(waiting_steps(self.state, self.now_ms, overdue))
         starts = super().plan_starts()
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_restarts.py
@@ -8,6 +8,7 @@
 from foxspring_jobs._restarts import OVERDUE_MS, Restarts
 from foxspring_jobs._specs import StepSpec
 from foxspring_jobs._state import EndKind, State
+from foxspring_jobs._waiting import NOTHING_OVERDUE
 from foxspring_jobs.tests.builders import (
     JOB,
     OTHER_JOB,
@@ -112,7 +113,7 @@
         running = [run.number for t in cluster.targets.values() for run in t.running]
         self.assertIn(2, running)
         now_ms = cluster.clock.monotonic_ms()
-        self.assertEqual(cluster.leader.restarts.overdue(now_ms), frozenset())
+        self.assertEqual(cluster.leader.restarts.overdue(now_ms), NOTHING_OVERDUE)
 
 
 class RestartsTest(unittest.TestCase):
@@ -135,7 +136,7 @@
         self.interrupt(state, run_key(1))
         restarts.update(state, 100 + OVERDUE_MS)
         self.assertEqual(restarts.longest_ms(STEP_KEY, 100 + OVERDUE_MS), OVERDUE_MS)
-        self.assertEqual(restarts.overdue(100 + OVERDUE_MS), {STEP_KEY})
+        self.assertEqual(restarts.overdue(100 + OVERDUE_MS), ({STEP_KEY}, set()))
         start(state, run_key(0, number=2))
         restarts.update(state, 200 + OVERDUE_MS)
         self.assertEqual(restarts.longest_ms(STEP_KEY, 200 + OVERDUE_MS), 100)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_waiting.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_waiting.py
@@ -5,7 +5,6 @@
 
 from foxspring_model import Resources
 
-from foxspring_jobs._candidates import StepKey
 from foxspring_jobs._commands import (
     Advance,
     CancelJob,
@@ -16,7 +15,13 @@
 )
 from foxspring_jobs._specs import JobSpec
 from foxspring_jobs._state import EndKind
-from foxspring_jobs._waiting import Rank, WaitingOrder, WaitingStep, waiting_steps
+from foxspring_jobs._waiting import (
+    OverdueSteps,
+    Rank,
+    WaitingOrder,
+    WaitingStep,
+    waiting_steps,
+)
 from foxspring_jobs.tests.builders import registered, spec, state_with, step, submit
 
 SMALL = Resources(cores_milli=200, memory_mb=10)
@@ -116,11 +121,13 @@
     def apply(self, advance: Advance) -> None:
         self.state.apply(advance, self.now_ms)
 
-    def some_restarts(self) -> frozenset[StepKey]:
-        """Return keys of some waiting steps, at times none."""
+    def some_restarts(self) -> OverdueSteps:
+        """Return some waiting steps as overdue, at times none."""
         keys = [s.step_key() for s in self.waiting() if s.rank is Rank.RESTART]
         count = self.rng.randrange(len(keys) + 1)
-        return frozenset(self.rng.sample(keys, count))
+        chosen = self.rng.sample(keys, count)
+        half = count // 2
+        return OverdueSteps(frozenset(chosen[:half]), frozenset(chosen[half:]))
 
 
 class WaitingOrderTest(unittest.TestCase):
