Let long tasks stand still for as long as a percent of them takes

Cause: targets report whole percent, so that a run of over 150 s shows no progress for longer than STALL_MS (1.5 s), and was taken for stalled.

Change: a run may stand still for as long as 3 percent of it take, by its estimate or by the pace that it has shown, 1.5 s at least; twice as long for each time in a row that its task was stopped for standing still, 64 times at most, for estimates that are much too low. Runs of the users' short tasks have the limit that they had (an estimate of under 50 s asks for no more).

--- a/packages/foxspring-jobs/foxspring_jobs/_failure_evidence.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_failure_evidence.py
@@ -28,16 +28,24 @@
 
 
 class Failures(NamedTuple):
-    """Failed runs in a row, and the last targets on which there were some."""
+    """Failed runs in a row, and the last targets on which there were some.
+
+    ``runs`` includes the ``stalled`` ones, of which the targets are not kept.
+    """
 
     runs: int = 0
     targets: tuple[str, ...] = ()
+    stalled: int = 0
 
-    def with_failure(self, target_id: str = "") -> "Failures":
-        """Return them with one more; without a target it is weaker evidence."""
+    def with_failure(self, target_id: str) -> "Failures":
+        """Return them with one more on a target."""
         others = tuple(name for name in self.targets if name != target_id)
-        targets = (*others, target_id) if target_id else others
-        return Failures(self.runs + 1, targets[-MAX_LOGGED_TARGETS:])
+        targets = (*others, target_id)[-MAX_LOGGED_TARGETS:]
+        return self._replace(runs=self.runs + 1, targets=targets)
+
+    def with_stall(self) -> "Failures":
+        """Return them with one more run that made no progress."""
+        return self._replace(runs=self.runs + 1, stalled=self.stalled + 1)
 
     def are_spread(self) -> bool:
         """Return whether one faulty target would not explain them."""
@@ -65,9 +73,16 @@
         self.is_suspect = False
 
     def note_failed(self, ordinal: int, target_id: str) -> None:
-        """Note that a run of a task has failed."""
+        """Note that a run of a task has failed on a target."""
         self.failures = self.failures.with_failure(target_id)
-        failures = self.failures_of(ordinal).with_failure(target_id)
+        self._set(ordinal, self.failures_of(ordinal).with_failure(target_id))
+
+    def note_stalled(self, ordinal: int) -> None:
+        """Note that a run of a task made no progress on some target."""
+        self.failures = self.failures.with_stall()
+        self._set(ordinal, self.failures_of(ordinal).with_stall())
+
+    def _set(self, ordinal: int, failures: Failures) -> None:
         self.by_ordinal[ordinal] = failures
         self.has_suspect = self.has_suspect or failures.are_repeated()
 
@@ -99,12 +114,14 @@
 
     def note_failed(self, task: TaskKey, target_id: str) -> None:
         """Note that a run has failed on a target."""
-        step = self.steps.setdefault(task[:3], StepFailures())
-        step.note_failed(task.ordinal, target_id)
+        self._step(task).note_failed(task.ordinal, target_id)
 
     def note_stalled(self, task: TaskKey) -> None:
         """Note that a run made no progress on some target."""
-        self.note_failed(task, "")
+        self._step(task).note_stalled(task.ordinal)
+
+    def _step(self, task: TaskKey) -> StepFailures:
+        return self.steps.setdefault(task[:3], StepFailures())
 
     def note_success(self, task: TaskKey) -> None:
         """Note that a run is done, or at work if it is long-running."""
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -304,7 +304,12 @@
                 self.orders.order(session, PaceOrder(run, FULL_PERCENT))
 
     def _replace_stalled(self, session: TargetSession, target: TargetState) -> None:
-        stalled = [row for row in session.progress_of(target) if is_stalled(row)]
+        evidence = self.faults.evidence
+        stalled = [
+            row
+            for row in session.progress_of(target)
+            if is_stalled(row, evidence.failures_of(row.run.task).stalled)
+        ]
         self.faults.runs_stalled(session, stalled)
         for row in stalled:
             _LOG.warning(
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_stalls.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_stalls.py
@@ -2,6 +2,7 @@
 from typing import Any
 
 from foxspring_jobs._stalls import (
+    MAX_STALL_DOUBLINGS,
     STALL_MS,
     RunProgress,
     is_stalled,
@@ -41,6 +42,27 @@
             with self.subTest(row=row):
                 self.assertEqual(is_stalled(row), stalled)
 
+    def test_run_with_a_long_estimate_may_stand_still_for_longer(self) -> None:
+        kind = step(estimated_ms=600_000)
+        for still_ms, stalled in ((17_999, False), (18_000, True)):
+            with self.subTest(still_ms=still_ms):
+                row = progress(still_ms)._replace(step=kind)
+                self.assertIs(is_stalled(row), stalled)
+
+    def test_run_may_stand_still_for_as_long_as_some_percent_have_taken(self) -> None:
+        slow = progress(0)._replace(started_ms=-40_000)
+        for still_ms, stalled in ((2_999, False), (3_000, True)):
+            with self.subTest(still_ms=still_ms):
+                self.assertIs(is_stalled(slow._replace(polled_ms=still_ms)), stalled)
+
+    def test_run_may_stand_still_for_longer_after_each_stall_up_to_a_limit(
+        self,
+    ) -> None:
+        self.assertTrue(is_stalled(progress(2 * STALL_MS), 1))
+        self.assertFalse(is_stalled(progress(2 * STALL_MS - 1), 1))
+        longest_ms = STALL_MS << MAX_STALL_DOUBLINGS
+        self.assertTrue(is_stalled(progress(longest_ms), 1_000))
+
     def test_speculative_run_only_where_allowed_and_overdue(self) -> None:
         allowed = progress(0, speculative=True)
         self.assertFalse(needs_speculative_run(allowed, 1_000))
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
@@ -5,11 +5,12 @@
 
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import StepSpec
-from foxspring_jobs.tests.builders import spec, step
+from foxspring_jobs.tests.builders import JOB, spec, step
 from foxspring_jobs.tests.failing_site import SHORT_MS, FailingSite, lasting_step
 
 BEGIN = "event=target_quarantined"
 END = "event=target_quarantine_ended"
+MINUTE_MS = 60_000
 LOGGER = "foxspring_jobs._target_faults"
 
 
@@ -52,6 +53,29 @@
         self.assertEqual(self.quarantined(self.site_with_stalled(step())), ["t000"])
 
 
+class LongTaskTest(SiteTest):
+    """Tasks that take minutes, of which a percent takes longer than a stall."""
+
+    def starts_of_a_long_task(self, work_ms: int, estimated_ms: int) -> int:
+        """Return how often a task was started that is then done."""
+        site = FailingSite(targets=2)
+        site.bounded.add(JOB)
+        for target in site.targets():
+            target.work_ms_by_job[JOB] = work_ms
+        site.cluster.submit(spec(step(1, estimated_ms=estimated_ms)), JOB)
+        site.cluster.run(work_ms + MINUTE_MS)
+        self.assertEqual(site.not_done([JOB]), [])
+        return len(site.starts(JOB))
+
+    # Guards against LOST: a task of ten minutes was stopped every 3 s (review/4).
+    def test_task_of_many_minutes_is_not_stopped_as_stalled(self) -> None:
+        self.assertEqual(self.starts_of_a_long_task(10 * MINUTE_MS, 10 * MINUTE_MS), 1)
+
+    # Guards against the same where the estimate is much too low.
+    def test_task_of_many_minutes_with_a_low_estimate_is_done(self) -> None:
+        self.assertLessEqual(self.starts_of_a_long_task(10 * MINUTE_MS, 1_000), 4)
+
+
 class QuarantineTest(SiteTest):
     # Guards against a quarantine that goes on after its cause has turned out to be the
     # work.
