--- a/packages/foxspring-jobs/foxspring_jobs/tests/failing_site.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/failing_site.py
@@ -43,6 +43,7 @@
         self.short_jobs: list[str] = []
         for target in self.targets():
             target.work_ms = SHORT_MS
+            target.fails_after_ms = FAIL_MS
             target.failing = self.failing
             target.standing_still = self.standing_still
             target.bounded = self.bounded
@@ -57,16 +58,13 @@
         faulty = self.targets()[:count]
         for target in faulty:
             target.fails = True
-            target.work_ms = FAIL_MS
-            target.work_ms_by_job = {}
         return faulty
 
     def submit_lasting(self, count: int = 6, resources: Resources = SMALL) -> str:
         """Submit a job whose tasks last, and return its id."""
         job_id = self._submit_numbered(spec(lasting_step(count, resources)))
         for target in self.targets():
-            if not target.fails:
-                target.work_ms_by_job[job_id] = LONG_MS
+            target.work_ms_by_job[job_id] = LONG_MS
         return job_id
 
     def submit_failing(self, job: JobSpec, fail_ms: int = FAIL_MS) -> str:
@@ -76,8 +74,10 @@
         return job_id
 
     def mend(self, job_id: str) -> None:
-        """Let the next runs of a failing job last."""
-        del self.failing[job_id]
+        """Let the next runs of a job that fails, or of which a task does, last."""
+        for key in list(self.failing):
+            if job_id in (key, getattr(key, "job_id", "")):
+                del self.failing[key]
         for target in self.targets():
             target.work_ms_by_job[job_id] = LONG_MS
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/fake_target.py
@@ -43,7 +43,8 @@
     """One incarnation of a target; its clock starts at ``clock_start``.
 
     It is to crash at ``crash_ms``, which the start of a task in ``crashing`` sets.
-    With ``refuses`` it works on, but connections to it are refused. ``failing`` maps
+    With ``refuses`` it works on, but connections to it are refused. With ``fails`` each
+    run fails, at its end or after ``fails_after_ms`` if that is set. ``failing`` maps
     jobs and tasks to the milliseconds after which their runs fail on any target, and
     ``standing_still`` are jobs whose runs make no progress on any. Runs that take
     ``LONG_RUNNING_MS`` are always at work, but for those of jobs in ``bounded``.
@@ -65,6 +66,7 @@
         self.work_ms = 500
         self.work_ms_by_job: dict[str, int] = {}
         self.fails = False
+        self.fails_after_ms: int | None = None
         self.crashing: set[TaskKey] = set()
         self.crash_ms: int | None = None
         self.alive = True
@@ -144,7 +146,9 @@
         return self.work_ms_by_job.get(run.task.job_id, self.work_ms)
 
     def _fail_ms(self, run: RunKey) -> int | None:
-        """Return after how long a run fails on any target, None if it does not."""
+        """Return after how long a run fails, None if at its end or not at all."""
+        if self.fails and self.fails_after_ms is not None:
+            return self.fails_after_ms
         return self.failing.get(run.task.job_id, self.failing.get(run.task))
 
     def _stands_still(self, run: RunKey) -> bool:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
@@ -107,7 +107,6 @@
         with self.assertLogs(LOGGER, logging.INFO) as logs:
             site.run_with_short_jobs(3_000, interval_ms=100)
             faulty.fails = False
-            faulty.work_ms = SHORT_MS
             site.run_with_short_jobs(9_000, interval_ms=100)
         begins = [line for line in logs.output if BEGIN in line]
         ends = [line for line in logs.output if END in line]
