Tell whether a gang fits before any of its tasks is placed

All leases lapsed, lasting tasks had no run for over 20 s, callers got 503.

Change: what each target has room for tells whether the gang fits, with one look at each target of a group; only then are its tasks placed, on one ranking, as those of other steps are. Whether a gang has runs or waits for lost targets is read from the counts of its step, not from 20,000 tasks. A task that needs nothing of a target fits as often as a step may have tasks.

--- a/packages/foxspring-jobs/foxspring_jobs/_candidates.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_candidates.py
@@ -12,7 +12,7 @@
     MILLICORES_PER_CORE,
     Interference,
 )
-from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._specs import MAX_TASKS_PER_OCCURRENCE, StepSpec
 from foxspring_jobs._state import TargetState
 
 PERCENT = 100
@@ -160,7 +160,7 @@
             for have, need in zip(self.free, reserved, strict=True)
             if need > 0
         ]
-        fitting = max(0, min(sizes, default=0))
+        fitting = max(0, min(sizes, default=MAX_TASKS_PER_OCCURRENCE))
         bound = step.max_per_target
         if bound:
             fitting = min(fitting, max(0, bound - self.run_count(step_key)))
--- a/packages/foxspring-jobs/foxspring_jobs/_gangs.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_gangs.py
@@ -1,8 +1,13 @@
-"""Chooses the targets that the tasks of a gang may start on together."""
+"""Chooses the targets that the tasks of a gang may start on together.
 
-from collections.abc import Iterator
+Load pattern: gangs of thousands of tasks wait that fit nowhere, each plan looks at all
+of them, and the leader does nothing else meanwhile. Whether a gang fits is told by what
+each target has room for, before any of its tasks is placed.
+"""
 
-from foxspring_jobs._candidates import Candidate
+from collections.abc import Iterable, Iterator
+
+from foxspring_jobs._candidates import Candidate, StepKey
 from foxspring_jobs._specs import StepSpec
 
 
@@ -21,6 +26,32 @@
     yield candidates
 
 
+def gang_fits(
+    step_key: StepKey,
+    step: StepSpec,
+    service: str,
+    count: int,
+    candidates: Iterable[Candidate],
+) -> bool:
+    """Return whether so many tasks of a step fit on candidates together."""
+    reserved = step.reserved()
+    left = count
+    for candidate in candidates:
+        if candidate.accepts(step_key, step, reserved, service):
+            left -= _places(candidate, step_key, step)
+            if left <= 0:
+                return True
+    return False
+
+
+def _places(candidate: Candidate, step_key: StepKey, step: StepSpec) -> int:
+    """Return how many tasks of a step a candidate that accepts one would accept."""
+    places = candidate.fitting_tasks(step_key, step, step.reserved())
+    if not candidate.max_starts:
+        return places
+    return min(places, candidate.max_starts - candidate.started)
+
+
 def _free_cores(candidates: list[Candidate]) -> int:
     return sum(free_cores_of(candidate) for candidate in candidates)
 
--- a/packages/foxspring-jobs/foxspring_jobs/_placement.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_placement.py
@@ -16,7 +16,7 @@
 from foxspring_jobs._candidates import PERCENT, Candidate, StepKey, step_key_of
 from foxspring_jobs._commands import RunKey, RunStart, TargetIncarnation, TaskKey
 from foxspring_jobs._crash_counts import Suspicion, is_held_back, suspicion_of
-from foxspring_jobs._gangs import free_cores_of, gang_groups
+from foxspring_jobs._gangs import free_cores_of, gang_fits, gang_groups
 from foxspring_jobs._headroom import LongRunningRoom, room_of
 from foxspring_jobs._interference import Interference
 from foxspring_jobs._isolation import (
@@ -381,38 +381,54 @@
         step: StepSpec,
         candidates: list[Candidate],
     ) -> _StepPlan:
-        tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
-        if any(task.runs or is_held_back(task.crashes) for task in tasks):
-            return _NOTHING_TO_START
-        if waiting.step_key() in self.delayed_steps:
+        state = job.occurrences[waiting.occurrence][waiting.step]
+        count = len(state.tasks)
+        may_not_start = state.running or waiting.step_key() in self.delayed_steps
+        if may_not_start or count > self.max_gang:
             return _NOTHING_TO_START
-        if len(tasks) > self.max_gang:
+        if state.has_crashes and any(is_held_back(t.crashes) for t in state.tasks):
             return _NOTHING_TO_START
         service = job.queue.service
-        asked = room_of(step.reserved(), len(tasks))
+        asked = room_of(step.reserved(), count)
         must_be_admitted = self._must_be_admitted(waiting, step)
         has_room = self.long_running_room.has_room(service, asked)
         if must_be_admitted and not (has_room or self.usage.is_half_free(service)):
             return _NO_ROOM
-        number = max(task.last_run for task in tasks) + 1
         for group in gang_groups(step, candidates):
-            placed: list[tuple[TaskKey, Candidate]] = []
-            for index in range(len(tasks)):
-                key = TaskKey(waiting.job_id, waiting.occurrence, waiting.step, index)
-                candidate = self._choose(key, step, job, group, can_wait=False)
-                if candidate is None:
-                    break
-                self._reserve(candidate, key, step)
-                placed.append((key, candidate))
-            if len(placed) == len(tasks):
-                starts = [
-                    RunStart(RunKey(k, number), r.target.incarnation) for k, r in placed
-                ]
-                return _StepPlan(starts, lacks_room=False)
-            for key, candidate in placed:
-                self._reserve(candidate, key, step, sign=-1)
+            if gang_fits(waiting.step_key(), step, service, count, group):
+                starts = self._start_gang(job, waiting, step, group)
+                if starts:
+                    return _StepPlan(starts, lacks_room=False)
         return _NO_ROOM
 
+    def _start_gang(
+        self,
+        job: JobState,
+        waiting: WaitingStep,
+        step: StepSpec,
+        group: list[Candidate],
+    ) -> list[RunStart]:
+        """Place all tasks of a gang on candidates, or none of them."""
+        tasks = job.occurrences[waiting.occurrence][waiting.step].tasks
+        number = max(task.last_run for task in tasks) + 1
+        ranking = self._rank(waiting.step_key(), step, job, group, can_wait=False)
+        placed: list[tuple[TaskKey, Candidate]] = []
+        for index in range(len(tasks)):
+            best = ranking.best()
+            if best is None:
+                for key, candidate in placed:
+                    self._reserve(candidate, key, step, sign=-1)
+                return []
+            candidate, _ = best
+            key = TaskKey(*waiting.step_key(), index)
+            self._reserve(candidate, key, step)
+            ranking.rescore_best()
+            placed.append((key, candidate))
+        return [
+            RunStart(RunKey(key, number), candidate.target.incarnation)
+            for key, candidate in placed
+        ]
+
     def _hold_target(
         self, job: JobState, waiting: WaitingStep, candidates: list[Candidate]
     ) -> None:
