Name faulty work apart from suspects, and ignore steps that aren't there

"Suspect" is a task under which targets crash (docs/GLOSSARY.md); work that fails on any target is called faulty now. One method takes the end of a run (TargetFaults.note_end), so that the poller no longer decides what it means.

A target may list any number of a step. A failed run of a step that its job doesn't have would have raised an error in each view of that target that shows it at work; ends and runs of such steps count for nothing (test added).

foxspring explain tells that a job's runs fail wherever they start, or end early again and again, and shows the quarantines of the targets that it ran on.

--- a/packages/foxspring-daemon/foxspring_daemon/_cli/_explanation.py
+++ b/packages/foxspring-daemon/foxspring_daemon/_cli/_explanation.py
@@ -5,6 +5,15 @@
 
 from foxspring_daemon._cli._log_lines import LogEvent
 
+TARGET_EVENTS = frozenset(
+    {
+        "target_lost",
+        "target_silent",
+        "target_fenced",
+        "target_quarantined",
+        "target_quarantine_ended",
+    }
+)
 CauseFinder = Callable[[Sequence[LogEvent]], str]
 
 
@@ -37,7 +46,7 @@
 def _affects_target(
     event: LogEvent, targets: set[str], mentioning: Sequence[LogEvent]
 ) -> bool:
-    if event.name not in ("target_lost", "target_silent", "target_fenced"):
+    if event.name not in TARGET_EVENTS:
         return False
     if event.fields.get("target") not in targets:
         return False
@@ -101,6 +110,21 @@
     return f"{len(failures)} runs failed on {where}"
 
 
+def _find_failing_work(events: Sequence[LogEvent]) -> str:
+    steps = [e for e in events if e.name == "step_fails_everywhere"]
+    delays = [e for e in events if e.name == "restart_delayed"]
+    if not steps and not delays:
+        return ""
+    found = "its runs fail wherever they start" if steps else "its runs end early"
+    if not delays:
+        return found
+    fields = delays[-1].fields
+    return (
+        f"{found}: task {fields.get('task')} ended early {fields.get('early_ends')} "
+        f"times in a row, then waited {fields.get('delay_ms')} ms"
+    )
+
+
 def _find_lost_targets(events: Sequence[LogEvent]) -> str:
     lost = [e for e in events if e.name == "target_lost"]
     if not lost:
@@ -132,6 +156,7 @@
     _find_rejection,
     _find_cancellation,
     _find_giving_up,
+    _find_failing_work,
     _find_failures,
     _find_lost_targets,
     _find_stalls,
--- a/packages/foxspring-daemon/foxspring_daemon/tests/test_explain.py
+++ b/packages/foxspring-daemon/foxspring_daemon/tests/test_explain.py
@@ -32,6 +32,17 @@
     5,
     f"job_given_up job={JOB} task=0.0.1 crashes=3 early_crashes=3 reason=crashes",
 )
+FAILS_EVERYWHERE = line(
+    5, f"step_fails_everywhere job={JOB} step=0.0 failures=4 targets=t1,t2"
+)
+DELAYED = line(
+    6,
+    f"restart_delayed job={JOB} task=0.0.1 early_ends=5 lasted_ms=200 delay_ms=4000 "
+    "failures=5 targets=t1,t2",
+)
+QUARANTINED = line(
+    4, f"target_quarantined target=t1 why=failed jobs={JOB} times=1 pause_ms=2000"
+)
 REFUSED = line(1, f"call_refused kind=SubmitCall path=/q/{JOB} silent_ms=2500")
 GIVEN_UP = line(
     1, f"call_given_up kind=SubmitCall path=/q/{JOB} attempts=7 may_have_run=True"
@@ -58,6 +69,12 @@
                 ACCEPTED + STARTED + GIVEN_UP_JOB,
                 "given up: 3 targets crashed under its task 0.0.1",
             ),
+            (ACCEPTED + FAILED + FAILS_EVERYWHERE, "fail wherever they start; 1 runs"),
+            (
+                ACCEPTED + FAILED + FAILS_EVERYWHERE + DELAYED,
+                "start: task 0.0.1 ended early 5 times in a row, then waited 4000 ms",
+            ),
+            (ACCEPTED + DELAYED, "its runs end early: task 0.0.1"),
             (MALFORMED, "could not be read"),
             (REFUSED, "had lost contact with control"),
             (GIVEN_UP, "no leader answered in time"),
@@ -77,6 +94,10 @@
         names = [row.split()[2] for row in output.splitlines()[:-1]]
         self.assertEqual(names, ["job_submitted", "start_answered", "run_ended"])
 
+    def test_quarantine_of_a_target_that_it_ran_on_is_shown(self) -> None:
+        _, output = self.run_command("explain", JOB, log=STARTED + QUARANTINED)
+        self.assertIn("target_quarantined", output)
+
     def test_check_reports_lines_that_do_not_match_the_list(self) -> None:
         code, output = self.run_command("logs", "check", log=ACCEPTED)
         self.assertEqual((code, "0 do not match" in output), (0, True))
--- a/packages/foxspring-jobs/foxspring_jobs/_failure_evidence.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_failure_evidence.py
@@ -21,9 +21,9 @@
 from foxspring_jobs._state import State
 
 # Two targets that fail what they start, hit in a row, are rarer than failing work.
-TARGETS_TO_SUSPECT = 2
+TARGETS_OF_FAULTY_WORK = 2
 # For work that only one target may run, and for runs without progress.
-FAILURES_TO_SUSPECT = 3
+FAILURES_OF_FAULTY_WORK = 3
 MAX_LOGGED_TARGETS = 3
 
 
@@ -49,11 +49,11 @@
 
     def are_spread(self) -> bool:
         """Return whether one faulty target would not explain them."""
-        return len(self.targets) >= TARGETS_TO_SUSPECT
+        return len(self.targets) >= TARGETS_OF_FAULTY_WORK
 
     def are_repeated(self) -> bool:
         """Return whether they are too many for one task, wherever they were."""
-        return self.are_spread() or self.runs >= FAILURES_TO_SUSPECT
+        return self.are_spread() or self.runs >= FAILURES_OF_FAULTY_WORK
 
 
 NO_FAILURES = Failures()
@@ -62,15 +62,15 @@
 class StepFailures:
     """The failures of a step since a run of it succeeded, and those of its tasks.
 
-    ``has_suspect`` tells that a task of it has become suspect since then, and
-    ``is_suspect`` that the step as a whole is at fault.
+    ``has_faulty_task`` tells that a task of it has become faulty since then, and
+    ``is_faulty`` that the step as a whole is at fault.
     """
 
     def __init__(self) -> None:
         self.failures = NO_FAILURES
         self.by_ordinal: dict[int, Failures] = {}
-        self.has_suspect = False
-        self.is_suspect = False
+        self.has_faulty_task = False
+        self.is_faulty = False
 
     def note_failed(self, ordinal: int, target_id: str) -> None:
         """Note that a run of a task has failed on a target."""
@@ -84,13 +84,13 @@
 
     def _set(self, ordinal: int, failures: Failures) -> None:
         self.by_ordinal[ordinal] = failures
-        self.has_suspect = self.has_suspect or failures.are_repeated()
+        self.has_faulty_task = self.has_faulty_task or failures.are_repeated()
 
     def note_success(self, ordinal: int) -> None:
         """Note that a run of a task succeeded, which speaks for the others too."""
         self.failures = NO_FAILURES
-        self.has_suspect = False
-        self.is_suspect = False
+        self.has_faulty_task = False
+        self.is_faulty = False
         self.by_ordinal.pop(ordinal, None)
 
     def failures_of(self, ordinal: int) -> Failures:
@@ -99,7 +99,7 @@
 
     def is_at_fault(self, running: int) -> bool:
         """Return whether the failures point to the step; so many runs still run."""
-        is_repeated = self.failures.are_spread() or self.has_suspect
+        is_repeated = self.failures.are_spread() or self.has_faulty_task
         return is_repeated and self.failures.runs > running
 
 
@@ -137,19 +137,19 @@
         step = self.steps.get(task[:3])
         return NO_FAILURES if step is None else step.failures_of(task.ordinal)
 
-    def is_suspect(self, task: TaskKey) -> bool:
+    def is_faulty(self, task: TaskKey) -> bool:
         """Return whether failures of a task say nothing of its targets."""
         step = self.steps.get(task[:3])
         if step is None:
             return False
-        return step.is_suspect or step.failures_of(task.ordinal).are_repeated()
+        return step.is_faulty or step.failures_of(task.ordinal).are_repeated()
 
     def judge_steps(self, state: State) -> list[tuple[StepKey, Failures]]:
-        """Judge the steps by what still runs; return those that become suspect."""
+        """Judge the steps by what still runs; return those that become faulty."""
         found = []
         for key, step in self.steps.items():
-            if not step.is_suspect and step.is_at_fault(_running(state, key)):
-                step.is_suspect = True
+            if not step.is_faulty and step.is_at_fault(_running(state, key)):
+                step.is_faulty = True
                 found.append((key, step.failures))
         return found
 
--- a/packages/foxspring-jobs/foxspring_jobs/_health.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_health.py
@@ -15,7 +15,7 @@
 from foxspring_jobs._candidates import StepKey
 from foxspring_jobs._commands import TaskKey
 
-IsSuspect = Callable[[TaskKey], bool]
+IsFaulty = Callable[[TaskKey], bool]
 
 BLAME_TO_QUARANTINE = 2
 FAILURE_BLAME = 1
@@ -79,17 +79,17 @@
         for task in [task for task in self.failed if task[:3] == step]:
             del self.failed[task]
 
-    def blamed_for(self, is_suspect: IsSuspect) -> dict[str, int]:
-        """Return the blame by job, without that for suspects."""
+    def blamed_for(self, is_faulty: IsFaulty) -> dict[str, int]:
+        """Return the blame by job, without that for faulty work."""
         jobs: dict[str, int] = {}
         for task, blame in self.failed.items():
-            if not is_suspect(task):
+            if not is_faulty(task):
                 jobs[task.job_id] = max(blame, jobs.get(task.job_id, 0))
         return jobs
 
-    def is_to_blame(self, is_suspect: IsSuspect) -> bool:
+    def is_to_blame(self, is_faulty: IsFaulty) -> bool:
         """Return whether the failures that count point to the target."""
-        return sum(self.blamed_for(is_suspect).values()) >= BLAME_TO_QUARANTINE
+        return sum(self.blamed_for(is_faulty).values()) >= BLAME_TO_QUARANTINE
 
     def note_start(self, now_ms: int) -> None:
         """Record that a run is given to the target."""
--- a/packages/foxspring-jobs/foxspring_jobs/_state.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_state.py
@@ -302,6 +302,13 @@
         tasks = steps[key.step].tasks
         return tasks[key.ordinal] if 0 <= key.ordinal < len(tasks) else None
 
+    def step_spec(self, key: TaskKey) -> StepSpec | None:
+        """Return the step that a task would belong to, or None if there is none."""
+        job = self.jobs.get(key.job_id)
+        if job is None or not 0 <= key.step < len(job.spec.steps):
+            return None
+        return job.spec.steps[key.step]
+
     def target(self, incarnation: TargetIncarnation) -> TargetState | None:
         """Return the target if this is its registered incarnation, else None."""
         target = self.targets.get(incarnation.target_id)
--- a/packages/foxspring-jobs/foxspring_jobs/_target_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_faults.py
@@ -28,21 +28,36 @@
         self.evidence = FailureEvidence()
         self.backoff = RestartBackoff()
 
-    def run_done(self, session: TargetSession, task: TaskKey) -> None:
+    def note_end(self, session: TargetSession, end: RunEnd) -> None:
+        """Note how a run has ended, as its target says."""
+        task = end.run.task
+        # A target may list any number of a step.
+        step = self.context.draft.step_spec(task)
+        if step is None:
+            return
+        if end.kind == EndKind.DONE:
+            self._run_done(session, task)
+        elif end.kind == EndKind.FAILED:
+            # A long-running task may fail at any time.
+            if not (step.long_running and session.was_at_work(end.run)):
+                self._run_failed(session, task)
+        else:
+            return
+        if step.long_running:
+            self._delay_restart(session, end)
+
+    def _run_done(self, session: TargetSession, task: TaskKey) -> None:
         """Note that a run is done, which shows that its target is sound."""
-        self.work_succeeded(task)
+        self._work_succeeded(task)
         self._end_quarantine(session, QuarantineEnd.DONE)
         session.health.clear()
 
-    def work_succeeded(self, task: TaskKey) -> None:
-        """Note that a run succeeded.
-
-        Failures of work that was suspect until now are not held against targets later.
-        """
-        if self.evidence.is_suspect(task):
-            for session in self.context.sessions.values():
-                session.health.forget_failures(task[:3])
-        self.evidence.note_success(task)
+    def _run_failed(self, session: TargetSession, task: TaskKey) -> None:
+        """Note that a run failed without having been at work."""
+        self.evidence.note_failed(task, session.incarnation.target_id)
+        session.health.note_failed(task, FAILURE_BLAME)
+        if not self.evidence.is_faulty(task):
+            self._quarantine_if_to_blame(session, "failed")
 
     def note_at_work(self, rows: Iterable[ReportedRun]) -> None:
         """Note which long-running tasks of failed steps are at work now."""
@@ -52,27 +67,29 @@
             task = row.run.task
             if row.percent < FULL_PERCENT or task[:3] not in self.evidence.steps:
                 continue
-            job = self.context.draft.jobs.get(task.job_id)
-            if job is not None and job.spec.steps[task.step].long_running:
-                self.work_succeeded(task)
+            step = self.context.draft.step_spec(task)
+            if step is not None and step.long_running:
+                self._work_succeeded(task)
 
-    def run_failed(self, session: TargetSession, task: TaskKey) -> None:
-        """Note that a run failed without having been at work."""
-        self.evidence.note_failed(task, session.incarnation.target_id)
-        session.health.note_failed(task, FAILURE_BLAME)
-        if not self.evidence.is_suspect(task):
-            self._quarantine_if_to_blame(session, "failed")
+    def _work_succeeded(self, task: TaskKey) -> None:
+        """Note that a run succeeded.
 
-    def lasting_run_ended(self, session: TargetSession, end: RunEnd) -> None:
+        Failures of work that was faulty until now are not held against targets later.
+        """
+        if self.evidence.is_faulty(task):
+            for session in self.context.sessions.values():
+                session.health.forget_failures(task[:3])
+        self.evidence.note_success(task)
+
+    def _delay_restart(self, session: TargetSession, end: RunEnd) -> None:
         """Delay the restart of a long-running task that has ended by itself."""
-        if end.kind not in (EndKind.FAILED, EndKind.DONE):
-            return
         task = end.run.task
         now_ms = self.context.clock.monotonic_ms()
         lasted_ms = session.lasted_ms(end.run) or 0
         delay_ms = self.backoff.note_ended(task, lasted_ms, now_ms)
         if not delay_ms:
             return
+        failures = self.evidence.failures_of(task)
         _LOG.info(
             "event=restart_delayed job=%s task=%d.%d.%d early_ends=%d lasted_ms=%d "
             "delay_ms=%d failures=%d targets=%s",
@@ -80,8 +97,8 @@
             self.backoff.early_ends(task),
             lasted_ms,
             delay_ms,
-            self.evidence.failures_of(task).runs,
-            _names(self.evidence.failures_of(task).targets),
+            failures.runs,
+            _names(failures.targets),
         )
 
     def runs_stalled(self, session: TargetSession, rows: Sequence[RunProgress]) -> None:
@@ -91,7 +108,7 @@
             blame = FAILURE_BLAME if row.step.best_effort else STALL_BLAME
             session.health.note_failed(row.run.task, blame)
         now_ms = self.context.clock.monotonic_ms()
-        counted = any(not self.evidence.is_suspect(row.run.task) for row in rows)
+        counted = any(not self.evidence.is_faulty(row.run.task) for row in rows)
         if counted and not session.health.is_quarantined(now_ms):
             self._quarantine_if_to_blame(session, "stalled")
 
@@ -103,9 +120,9 @@
     def note_start(self, session: TargetSession, run: RunKey) -> None:
         """Record that a run is given to a target.
 
-        One of suspect work is no probe of it.
+        One of faulty work is no probe of it.
         """
-        if not self.evidence.is_suspect(run.task):
+        if not self.evidence.is_faulty(run.task):
             session.health.note_start(self.context.clock.monotonic_ms())
 
     def update(self) -> None:
@@ -129,7 +146,7 @@
         if health.is_quiet(now_ms):
             self._end_quarantine(session, QuarantineEnd.QUIET)
             health.clear()
-        elif not (health.declined or health.is_to_blame(self.evidence.is_suspect)):
+        elif not (health.declined or health.is_to_blame(self.evidence.is_faulty)):
             self._end_quarantine(session, QuarantineEnd.WITHDRAWN)
             health.end_quarantine()
 
@@ -144,8 +161,8 @@
         self.context.metrics.set(REPEATED, len(self.backoff.repeated()))
 
     def _quarantine_if_to_blame(self, session: TargetSession, reason: str) -> None:
-        if session.health.is_to_blame(self.evidence.is_suspect):
-            jobs = session.health.blamed_for(self.evidence.is_suspect)
+        if session.health.is_to_blame(self.evidence.is_faulty):
+            jobs = session.health.blamed_for(self.evidence.is_faulty)
             self._quarantine(session, reason, tuple(jobs))
 
     def _quarantine(
@@ -174,7 +191,7 @@
             session.incarnation.target_id,
             why.value,
             session.health.quarantine_count,
-            _names(session.health.blamed_for(self.evidence.is_suspect)),
+            _names(session.health.blamed_for(self.evidence.is_faulty)),
         )
 
 
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -11,7 +11,6 @@
     RunStart,
     TargetIncarnation,
     TargetLoss,
-    TaskKey,
 )
 from foxspring_jobs._crash_counts import Suspicion, suspicion_of
 from foxspring_jobs._decision_size import is_too_large
@@ -33,7 +32,7 @@
     is_stalled,
     needs_speculative_run,
 )
-from foxspring_jobs._state import EndKind, TargetState
+from foxspring_jobs._state import TargetState
 from foxspring_jobs._target_faults import TargetFaults
 from foxspring_jobs._target_mitigation import TargetMitigation
 from foxspring_jobs._target_orders import TargetOrders
@@ -383,14 +382,7 @@
 
     def _record_end(self, session: TargetSession, end: RunEnd) -> None:
         key = end.run.task
-        if end.kind == EndKind.DONE:
-            self.faults.run_done(session, key)
-        elif end.kind == EndKind.FAILED and not (
-            self._is_long_running(key) and session.was_at_work(end.run)
-        ):
-            self.faults.run_failed(session, key)
-        if self._is_long_running(key):
-            self.faults.lasting_run_ended(session, end)
+        self.faults.note_end(session, end)
         self.context.metrics.count(ENDS, end.kind)
         _LOG.info(
             "event=run_ended job=%s task=%d.%d.%d run=%d target=%s kind=%s",
@@ -400,14 +392,6 @@
             end.kind,
         )
 
-    def _is_long_running(self, key: TaskKey) -> bool:
-        """Return whether a task is known and long-running."""
-        job = self.context.draft.jobs.get(key.job_id)
-        # A target may list any number of a step.
-        if job is None or not 0 <= key.step < len(job.spec.steps):
-            return False
-        return job.spec.steps[key.step].long_running
-
     def acknowledge_ends(self, ends: Iterable[PendingEnd]) -> None:
         """Acknowledge committed ends, so that their targets can discard them."""
         for session, number, end in ends:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_failure_evidence.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_failure_evidence.py
@@ -3,7 +3,7 @@
 import unittest
 
 from foxspring_jobs._commands import TaskKey
-from foxspring_jobs._failure_evidence import FAILURES_TO_SUSPECT, FailureEvidence
+from foxspring_jobs._failure_evidence import FAILURES_OF_FAULTY_WORK, FailureEvidence
 from foxspring_jobs._health import (
     MAX_FAILED_TASKS,
     MAX_QUARANTINE_MS,
@@ -32,7 +32,7 @@
 OTHER_TASK = run_key(job_id=OTHER_JOB).task
 
 
-def is_never_suspect(_task: TaskKey) -> bool:
+def is_never_faulty(_task: TaskKey) -> bool:
     return False
 
 
@@ -40,36 +40,36 @@
     def setUp(self) -> None:
         self.evidence = FailureEvidence()
 
-    def test_task_that_fails_on_a_second_target_is_suspect(self) -> None:
+    def test_task_that_fails_on_a_second_target_is_faulty(self) -> None:
         self.evidence.note_failed(TASK, "t1")
         self.evidence.note_failed(TASK, "t1")
-        self.assertFalse(self.evidence.is_suspect(TASK))
+        self.assertFalse(self.evidence.is_faulty(TASK))
         self.evidence.note_failed(TASK, "t2")
-        self.assertTrue(self.evidence.is_suspect(TASK))
-        self.assertFalse(self.evidence.is_suspect(SECOND_TASK))
+        self.assertTrue(self.evidence.is_faulty(TASK))
+        self.assertFalse(self.evidence.is_faulty(SECOND_TASK))
 
     # Guards against a task that only one target may run, and that keeps it in
     # quarantine for good.
-    def test_task_that_fails_often_on_its_only_target_is_suspect(self) -> None:
-        for _ in range(FAILURES_TO_SUSPECT):
-            self.assertFalse(self.evidence.is_suspect(TASK))
+    def test_task_that_fails_often_on_its_only_target_is_faulty(self) -> None:
+        for _ in range(FAILURES_OF_FAULTY_WORK):
+            self.assertFalse(self.evidence.is_faulty(TASK))
             self.evidence.note_failed(TASK, "t1")
-        self.assertTrue(self.evidence.is_suspect(TASK))
+        self.assertTrue(self.evidence.is_faulty(TASK))
 
     # Guards against innocent tasks that stand still on two slow targets in a row.
     def test_run_without_progress_is_weaker_evidence(self) -> None:
-        for _ in range(FAILURES_TO_SUSPECT):
-            self.assertFalse(self.evidence.is_suspect(TASK))
+        for _ in range(FAILURES_OF_FAULTY_WORK):
+            self.assertFalse(self.evidence.is_faulty(TASK))
             self.evidence.note_stalled(TASK)
-        self.assertTrue(self.evidence.is_suspect(TASK))
+        self.assertTrue(self.evidence.is_faulty(TASK))
 
     def test_success_clears_the_task_and_its_step_but_no_other_task(self) -> None:
         for target in ("t1", "t2"):
             self.evidence.note_failed(TASK, target)
             self.evidence.note_failed(SECOND_TASK, target)
         self.evidence.note_success(TASK)
-        self.assertFalse(self.evidence.is_suspect(TASK))
-        self.assertTrue(self.evidence.is_suspect(SECOND_TASK))
+        self.assertFalse(self.evidence.is_faulty(TASK))
+        self.assertTrue(self.evidence.is_faulty(SECOND_TASK))
         self.evidence.note_success(SECOND_TASK)
         self.assertEqual(self.evidence.steps, {})
 
@@ -100,20 +100,20 @@
         self.evidence.note_failed(run_key(index).task, target)
         self.evidence.judge_steps(state)
 
-    def test_step_is_suspect_once_more_of_its_runs_have_failed_than_run(self) -> None:
+    def test_step_is_faulty_once_more_of_its_runs_have_failed_than_run(self) -> None:
         state = self.state()
         self.fail_run(state, 0, "t1")
         self.fail_run(state, 1, "t2")
-        self.assertFalse(self.evidence.is_suspect(TASK))
+        self.assertFalse(self.evidence.is_faulty(TASK))
         self.fail_run(state, 2, "t1")
-        self.assertTrue(self.evidence.is_suspect(TASK))
+        self.assertTrue(self.evidence.is_faulty(TASK))
 
     # Guards against a faulty target that passes as sound since all of a job was on it.
-    def test_step_whose_runs_all_fail_on_one_target_is_not_suspect(self) -> None:
+    def test_step_whose_runs_all_fail_on_one_target_is_not_faulty(self) -> None:
         state = self.state()
         for index in range(4):
             self.fail_run(state, index, "t1")
-        self.assertFalse(self.evidence.is_suspect(TASK))
+        self.assertFalse(self.evidence.is_faulty(TASK))
 
     def test_unknown_steps_do_not_count_as_running(self) -> None:
         state = self.state()
@@ -129,7 +129,7 @@
         self.health = TargetHealth()
 
     def is_to_blame(self) -> bool:
-        return self.health.is_to_blame(is_never_suspect)
+        return self.health.is_to_blame(is_never_faulty)
 
     def test_failures_of_one_job_do_not_blame_the_target(self) -> None:
         for _ in range(5):
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
@@ -3,8 +3,11 @@
 import logging
 import unittest
 
+from foxspring_jobs._commands import RunEnd, RunKey, TaskKey
+from foxspring_jobs._orders import ReportedRun
 from foxspring_jobs._session import TargetSession
 from foxspring_jobs._specs import StepSpec
+from foxspring_jobs._state import EndKind
 from foxspring_jobs.tests.builders import JOB, spec, step
 from foxspring_jobs.tests.failing_site import SHORT_MS, FailingSite, lasting_step
 
@@ -124,7 +127,7 @@
         self.assertIn("foxspring_job_targets_quarantined 1", text)
 
     # Guards against sound targets that go into quarantine when failing work is mended.
-    def test_failures_of_suspect_work_do_not_count_after_it_is_mended(self) -> None:
+    def test_failures_of_faulty_work_do_not_count_after_it_is_mended(self) -> None:
         site = FailingSite()
         jobs = [site.submit_failing(spec(lasting_step())) for _ in range(2)]
         site.cluster.run(5_000)
@@ -136,6 +139,21 @@
         for job_id in jobs:
             self.assertEqual(site.running(job_id), 6)
 
+    # Guards against a target whose views can't be processed any more, because it lists
+    # a failed run of a step that its job doesn't have.
+    def test_failed_run_of_a_step_that_is_not_there_counts_for_nothing(self) -> None:
+        site = FailingSite(targets=1)
+        job_id = site.submit_lasting(1)
+        site.cluster.run(500)
+        faults = site.cluster.leader.faults
+        for task in (TaskKey(job_id, 0, 9, 0), TaskKey("0" * 16, 0, 0, 0)):
+            run = RunKey(task, 1)
+            end = RunEnd(run, self.session(site).incarnation, EndKind.FAILED)
+            faults.note_end(self.session(site), end)
+            faults.note_at_work([ReportedRun(run, "", 100)])
+        self.assertEqual(faults.evidence.steps, {})
+        self.assertFalse(self.session(site).health.on_probation())
+
     def test_evidence_is_forgotten_with_the_jobs(self) -> None:
         site = FailingSite()
         job_id = site.submit_failing(spec(step(6)))
