Bound the images with an interference estimate of their own

Cause, as the claim says: Estimate has a row and a column for each image ever seen beside a serving image, and an update costs their number for each image in use, up to its square, on the thread that renews the leases.

Change: 64 images have an estimate of their own for each serving image; the others share one, as if they were one image. An image that was beside none of the last 2,000 measurements makes room. Up to 64 images nothing changes: the tests that compare the estimates with a plain filter are unchanged and pass.

--- a/packages/foxspring-jobs/foxspring_jobs/_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_interference.py
@@ -6,6 +6,10 @@
 1, the tail latency is its minimum divided by (1 - pressure). Each best-effort image
 adds to the pressure in proportion to the cores that it uses. A Kalman filter estimates
 the effect of each pair of images.
+
+Load pattern: callers choose the images, and may bring thousands. What an update costs
+grows with the square of those that are known, so only a number of them has an estimate
+of its own. The others share one, as if they were one image.
 """
 
 import math
@@ -24,13 +28,20 @@
 MIN_TAIL_FLOOR_MS = 1.0
 MIN_TAIL_GROWTH = 0.001
 MILLICORES_PER_CORE = 1_000
+# An update with as many images takes some milliseconds.
+MAX_IMAGES = 64
+# An image that was beside none of so many measurements makes room for another one.
+UNUSED_AFTER_UPDATES = 2_000
+# Stands for all images without an estimate of their own.
+OTHER_IMAGES = "\0others"
 
 
 class Estimate:
     """The effects of best-effort images on one serving image, per core.
 
-    ``mean`` has an entry for each image, and ``covariance`` has a row and a column for
-    each, at the image's position. Load pattern: every poll of a target updates one
+    ``mean`` has an entry for each known image, and ``covariance`` has a row and a
+    column for each, at the image's position. ``updated`` tells by which of the
+    ``updates`` an image was seen last. Load pattern: every poll of a target updates one
     estimate for each of its serving tasks.
     """
 
@@ -38,6 +49,50 @@
         self.mean: dict[str, float] = {}
         self.positions: dict[str, int] = {}
         self.covariance: list[list[float]] = []
+        self.updates = 0
+        self.updated: dict[str, int] = {}
+
+    def image_of(self, best_effort: str) -> str:
+        """Return the name under which a best-effort image is estimated."""
+        if best_effort in self.mean or OTHER_IMAGES not in self.mean:
+            return best_effort
+        return OTHER_IMAGES
+
+    def _known_cores(self, cores: Mapping[str, float]) -> dict[str, float]:
+        """Return the cores by estimated image, which are made known as far as allowed.
+
+        The images in use are noted as such.
+        """
+        self.updates += 1
+        if len(self.mean) >= MAX_IMAGES and not cores.keys() <= self.mean.keys():
+            self._forget_unused()
+        known: dict[str, float] = {}
+        for best_effort, used in cores.items():
+            name = self._known_image(best_effort)
+            known[name] = known.get(name, 0.0) + used
+            self.updated[name] = self.updates
+        return known
+
+    def _known_image(self, best_effort: str) -> str:
+        """Return the name under which an image is estimated from now on."""
+        if best_effort in self.mean:
+            return best_effort
+        name = best_effort if len(self.mean) < MAX_IMAGES else OTHER_IMAGES
+        self._add_image(name)
+        return name
+
+    def _forget_unused(self) -> None:
+        """Forget the image that was not seen for the longest, if for long enough."""
+        own = [name for name in self.updated if name != OTHER_IMAGES]
+        oldest = min(own, key=self.updated.__getitem__)
+        if self.updates - self.updated[oldest] < UNUSED_AFTER_UPDATES:
+            return
+        position = self.positions.pop(oldest)
+        del self.mean[oldest], self.updated[oldest], self.covariance[position]
+        for row in self.covariance:
+            del row[position]
+        for name, other in self.positions.items():
+            self.positions[name] = other - (other > position)
 
     def _add_image(self, best_effort: str) -> None:
         if best_effort in self.mean:
@@ -54,12 +109,13 @@
         total = 0.0
         for best_effort, used in cores.items():
             # Means are never negative.
-            total += self.mean.get(best_effort, INITIAL_EFFECT) * used
+            name = self.image_of(best_effort)
+            total += self.mean.get(name, INITIAL_EFFECT) * used
         return total
 
     def deviation(self, best_effort: str) -> float:
         """Return the standard deviation of a best-effort image's estimated effect."""
-        position = self.positions.get(best_effort)
+        position = self.positions.get(self.image_of(best_effort))
         if position is None:
             return INITIAL_DEVIATION
         return math.sqrt(self.covariance[position][position])
@@ -71,8 +127,7 @@
 
         ``pressure`` is the mean of ``count`` independent measurements.
         """
-        for best_effort in cores:
-            self._add_image(best_effort)
+        cores = self._known_cores(cores)
         used = [(self.positions[f], c) for f, c in cores.items()]
         for position, _ in used:
             self.covariance[position][position] += DRIFT_VARIANCE * count
@@ -205,11 +260,11 @@
     def effect(self, serving: str, best_effort: str) -> float:
         """Return a cautious estimate of the pressure that one core of an image adds."""
         estimate = self.estimates.get(serving)
-        if estimate is None or best_effort not in estimate.mean:
+        name = best_effort if estimate is None else estimate.image_of(best_effort)
+        if estimate is None or name not in estimate.mean:
             return INITIAL_EFFECT
-        cautious = estimate.mean[best_effort] + CAUTION_DEVIATIONS * estimate.deviation(
-            best_effort
-        )
+        deviation = estimate.deviation(name)
+        cautious = estimate.mean[name] + CAUTION_DEVIATIONS * deviation
         return cautious if cautious > NEGLIGIBLE_EFFECT else 0.0
 
     def added(self, serving: str, best_effort_cores: Mapping[str, int]) -> float:
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_interference.py
@@ -7,7 +7,10 @@
     INITIAL_BASELINE,
     INITIAL_DEVIATION,
     INITIAL_EFFECT,
+    MAX_IMAGES,
     NOISE_VARIANCE,
+    OTHER_IMAGES,
+    UNUSED_AFTER_UPDATES,
     Estimate,
     Interference,
 )
@@ -197,5 +200,62 @@
         )
 
 
+class ManyImagesTest(unittest.TestCase):
+    """Callers bring thousands of best-effort images."""
+
+    def observe(self, interference: Interference, images: range) -> None:
+        """Learn from a serving task beside one core of each image."""
+        cores = {f"image-{number}": 1_000 for number in images}
+        interference.observe("web", 20, TARGET_MS, cores)
+
+    # Guards against LOST: images that were never forgotten kept the leader's thread
+    # busy until all leases had lapsed (review/12).
+    def test_images_with_an_estimate_of_their_own_are_bounded(self) -> None:
+        interference = Interference()
+        for first in range(0, 20 * MAX_IMAGES, 40):
+            self.observe(interference, range(first, first + 40))
+        estimate = interference.estimates["web"]
+        self.assertLessEqual(len(estimate.covariance), MAX_IMAGES + 1)
+        self.assertLessEqual(len(interference.best_effort_images()), MAX_IMAGES + 1)
+        self.assertEqual(set(estimate.mean), set(estimate.positions))
+
+    def test_other_images_are_learned_as_one(self) -> None:
+        interference = Interference()
+        self.observe(interference, range(MAX_IMAGES))
+        beyond = {f"other-{number}": 8_000 for number in range(2)}
+        for number in range(400):
+            interference.observe("web", 60 if number % 2 else 40, TARGET_MS, beyond)
+        effects = {interference.effect("web", name) for name in (*beyond, "new")}
+        self.assertEqual(len(effects), 1)
+        self.assertGreater(effects.pop(), INITIAL_EFFECT)
+
+    def test_image_that_is_not_used_any_more_makes_room(self) -> None:
+        interference = Interference()
+        self.observe(interference, range(MAX_IMAGES))
+        for _ in range(UNUSED_AFTER_UPDATES):
+            self.observe(interference, range(1, 3))
+        self.observe(interference, range(MAX_IMAGES, MAX_IMAGES + 1))
+        mean = interference.estimates["web"].mean
+        self.assertIn(f"image-{MAX_IMAGES}", mean)
+        self.assertNotIn("image-0", mean)
+        self.assertNotIn(OTHER_IMAGES, mean)
+
+    def test_forgotten_image_changes_no_estimate_of_another_one(self) -> None:
+        rng = random.Random(12)
+        estimate = Estimate()
+        for _ in range(50):
+            cores = {f"image-{rng.randrange(6)}": rng.uniform(0.1, 8) for _ in range(3)}
+            estimate.update(rng.uniform(0, 0.3), cores)
+        before = {name: estimate.deviation(name) for name in estimate.mean}
+        means = dict(estimate.mean)
+        oldest = min(estimate.updated, key=estimate.updated.__getitem__)
+        estimate.updates += UNUSED_AFTER_UPDATES
+        estimate._forget_unused()
+        self.assertNotIn(oldest, estimate.mean)
+        for name, mean in estimate.mean.items():
+            self.assertEqual(mean, means[name])
+            self.assertEqual(estimate.deviation(name), before[name])
+
+
 if __name__ == "__main__":
     unittest.main()
