Move what gives up lost targets into a module of its own

What declares incarnations lost, with the runs on them, is _target_losses.py now; nothing else is changed.

--- a/packages/foxspring-jobs/foxspring_jobs/_leader.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_leader.py
@@ -64,6 +64,7 @@
 from foxspring_jobs._state import JobState, State
 from foxspring_jobs._takeover import Takeover
 from foxspring_jobs._target_faults import TargetFaults
+from foxspring_jobs._target_losses import close_session
 from foxspring_jobs._target_orders import TargetOrders
 from foxspring_jobs._target_poller import TargetPoller
 from foxspring_jobs._target_reports import TargetReports
@@ -102,7 +103,7 @@
         self.orders = TargetOrders(self.context, self.faults)
         self.poller = TargetPoller(self.context, self.orders, self.faults)
         self.context.decide = self.decide
-        self.context.declare_lost = self.poller.declare_lost
+        self.context.declare_lost = self.poller.losses.declare_lost
         self.reports = TargetReports(
             self.context, self.poller, self.orders, self._propose
         )
@@ -176,7 +177,7 @@
         """Stop deciding, because another member leads or this process ends."""
         self.context.deposed = True
         for session in self.context.sessions.values():
-            self.poller.close_session(session)
+            close_session(self.context, session)
         self.context.sessions.clear()
 
     def _propose(self, command: Command, done: Callable[[bool], None]) -> bool:
--- a/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_poller.py
@@ -10,12 +10,11 @@
     RunKey,
     RunStart,
     TargetIncarnation,
-    TargetLoss,
 )
 from foxspring_jobs._crash_counts import Suspicion, suspicion_of
 from foxspring_jobs._decision_size import is_too_large
 from foxspring_jobs._leader_context import LeaderContext, PendingEnd
-from foxspring_jobs._metrics import ENDS, LOST, POLLS
+from foxspring_jobs._metrics import ENDS, POLLS
 from foxspring_jobs._operations import Answer
 from foxspring_jobs._orders import (
     PaceOrder,
@@ -34,6 +33,7 @@
 )
 from foxspring_jobs._state import TargetState
 from foxspring_jobs._target_faults import TargetFaults
+from foxspring_jobs._target_losses import TargetLosses, close_session
 from foxspring_jobs._target_mitigation import TargetMitigation
 from foxspring_jobs._target_orders import TargetOrders
 
@@ -48,10 +48,6 @@
 # before the retry, the retry, and delays of a busy leader.
 LOST_POLL_MS = 1_600
 SPECULATION_INTERVAL_MS = 100
-# In a log line.
-UNKNOWN_MS = -1
-# Another incarnation runs where the lost one did.
-CRASH_REASONS = frozenset({"address_reused", "other_life"})
 LATE_ORDER_MS = 12_000
 # A late order may carry a lease of 10 s; the rest allows for differences between wall
 # clocks.
@@ -80,6 +76,7 @@
         self.context = context
         self.orders = orders
         self.faults = faults
+        self.losses = TargetLosses(context)
         self.longest_wait_ms = longest_wait_ms(context.settings.lease_ms)
         # A planner of its own reserves capacity for moves on its candidates.
         move_candidates = CandidatePool(context).candidates
@@ -101,7 +98,7 @@
                 current.draining = current.draining or registered.draining
                 self.orders.evacuate(current)
                 return
-            self.close_session(current)
+            close_session(self.context, current)
         self._begin_session(registered, taking_over)
 
     def _earlier_lease_ms(
@@ -142,17 +139,12 @@
         self.poll(session, wait_ms=0)
         return session
 
-    def close_session(self, session: TargetSession) -> None:
-        """Close a session; results that arrive later are ignored."""
-        session.closed = True
-        self.context.ports.release(session)
-
     def discard_session(self, incarnation: TargetIncarnation) -> None:
         """Close and drop the session with a target, if there is one."""
         session = self.context.sessions.get(incarnation.target_id)
         if session is not None and session.incarnation == incarnation:
             del self.context.sessions[incarnation.target_id]
-            self.close_session(session)
+            close_session(self.context, session)
 
     def adopt(self, registration: RegisterTarget) -> None:
         """Fence orders to the earlier incarnation before its runs are given up.
@@ -165,8 +157,8 @@
             return
         replaced = None
         if current is not None:
-            replaced = self._loss_of(current, crashed=True)
-            self.close_session(current)
+            replaced = self.losses.crash_of(current)
+            close_session(self.context, current)
         session = self._begin_session(registration, late_order_ms=LATE_ORDER_MS)
         session.adopting = registration
         session.replaced = replaced
@@ -182,7 +174,7 @@
             if other.incarnation.target_id == session.incarnation.target_id:
                 continue
             if other.address == session.endpoint.address:
-                self.declare_lost(other.incarnation, "address_reused")
+                self.losses.declare_lost(other.incarnation, "address_reused")
 
     def poll(self, session: TargetSession, wait_ms: int) -> None:
         """Request a target's view and renew its lease."""
@@ -246,7 +238,7 @@
                 result.value,
             )
         if result is ResultKind.OTHER_TARGET:
-            self.declare_lost(session.incarnation, "other_life")
+            self.losses.declare_lost(session.incarnation, "other_life")
         elif result is ResultKind.FENCED:
             session.fenced = True
             _LOG.warning("event=target_fenced target=%s", session.incarnation.target_id)
@@ -405,86 +397,7 @@
         now_ms = self.context.clock.monotonic_ms()
         if session.failed_polls and session.clock.all_leases_expired(now_ms):
             reason = "left" if session.leaving else "lease_lapsed"
-            self.declare_lost(session.incarnation, reason)
-
-    def declare_lost(self, incarnation: TargetIncarnation, reason: str) -> None:
-        """Give up an incarnation of a target and every run on it.
-
-        If it is not registered yet, the earlier incarnation that it follows is given
-        up, whose runs it was to take over.
-        """
-        session = self.context.sessions.get(incarnation.target_id)
-        target = self._registered_up_to(incarnation)
-        runs = len(target.runs) if target else 0
-        self.context.metrics.count(LOST, reason)
-        _LOG.warning(
-            "event=target_lost target=%s born=%d why=%s runs=%d silent_ms=%d",
-            *incarnation,
-            reason,
-            runs,
-            self._silent_ms(session),
-        )
-        if target is not None:
-            self._log_lost_runs(target, session, reason)
-        if session is not None and session.incarnation == incarnation:
-            self.close_session(session)
-            del self.context.sessions[incarnation.target_id]
-        if target is not None and not self._is_lost(target.incarnation):
-            self._lose(target, session, reason in CRASH_REASONS)
-
-    def _is_lost(self, incarnation: TargetIncarnation) -> bool:
-        lost = incarnation in self.context.lost_targets
-        return lost or any(
-            loss.incarnation == incarnation for loss in self.context.losses
-        )
-
-    def _lose(
-        self, target: TargetState, session: TargetSession | None, crashed: bool
-    ) -> None:
-        planned = target.registered.draining or (
-            session is not None and session.draining
-        )
-        if planned:
-            self.context.lost_targets.append(target.incarnation)
-        elif session is not None and session.incarnation == target.incarnation:
-            self.context.losses.append(session.loss(target, crashed))
-        else:
-            self.context.losses.append(TargetLoss(target.incarnation, crashed))
-
-    def _loss_of(self, session: TargetSession, crashed: bool) -> TargetLoss | None:
-        target = self.context.draft.target(session.incarnation)
-        if target is None or target.registered.draining or session.draining:
-            return None
-        return session.loss(target, crashed)
-
-    def _silent_ms(self, session: TargetSession | None) -> int:
-        """Return for how long a target has shown nothing of itself."""
-        if session is None or not session.failed_polls:
-            return 0
-        return self.context.clock.monotonic_ms() - session.polled_ms
-
-    def _log_lost_runs(
-        self, target: TargetState, session: TargetSession | None, reason: str
-    ) -> None:
-        for run in target.runs:
-            lasted_ms = session.lasted_ms(run) if session is not None else None
-            _LOG.info(
-                "event=run_lost job=%s task=%d.%d.%d run=%d target=%s why=%s "
-                "lasted_ms=%d",
-                *run.task,
-                run.number,
-                target.incarnation.target_id,
-                reason,
-                UNKNOWN_MS if lasted_ms is None else lasted_ms,
-            )
-
-    def _registered_up_to(self, incarnation: TargetIncarnation) -> TargetState | None:
-        """Return the target's registered incarnation, unless it is a later one."""
-        target = self.context.draft.targets.get(incarnation.target_id)
-        if target is None:
-            return None
-        later = target.incarnation.incarnation_ms > incarnation.incarnation_ms
-        return None if later else target
+            self.losses.declare_lost(session.incarnation, reason)
 
     def note_start(self, start: RunStart) -> None:
         """Record a start that is about to be committed."""
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_candidate_pool.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_candidate_pool.py
@@ -89,7 +89,7 @@
         pool = CandidatePool(cluster.leader.context)
         self.assertEqual(len(pool.candidates()), 2)
         incarnation = cluster.targets["t1.example:80"].registered.incarnation
-        cluster.leader.poller.declare_lost(incarnation, "test")
+        cluster.leader.context.declare_lost(incarnation, "test")
         self.assertEqual(len(pool.candidates()), 1)
 
 
