Take a run's pace from its third percent on

A run that stands still from its start on may be polled first after 2 s, at 1 percent; its pace then seemed to be 2 s a percent, and it was stopped after 6 s instead of 1.5. The first percent of a run tell more of when it was polled.

test_run_that_stands_still_from_its_start_on_has_shown_no_pace fails without the change; LongTaskTest passes as before.

--- a/packages/foxspring-jobs/foxspring_jobs/_stalls.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_stalls.py
@@ -48,10 +48,11 @@
 def stall_ms(progress: RunProgress, earlier_stalls: int) -> int:
     """Return for how long a run may make no progress.
 
-    Its task was stopped so many times in a row for standing still.
+    Its task was stopped so many times in a row for standing still. The first percent
+    of a run tell more of when its target was polled than of its pace.
     """
     percent_ms = progress.step.estimated_ms // FULL_PERCENT
-    if progress.percent > 0:
+    if progress.percent >= STALL_PERCENT:
         shown_ms = progress.progressed_ms - progress.started_ms
         percent_ms = max(percent_ms, shown_ms // progress.percent)
     limit_ms = max(STALL_MS, STALL_PERCENT * percent_ms)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_stalls.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_stalls.py
@@ -55,6 +55,10 @@
             with self.subTest(still_ms=still_ms):
                 self.assertIs(is_stalled(slow._replace(polled_ms=still_ms)), stalled)
 
+    def test_run_that_stands_still_from_its_start_on_has_shown_no_pace(self) -> None:
+        seen_late = progress(STALL_MS, percent=1)._replace(started_ms=-2_000)
+        self.assertTrue(is_stalled(seen_late))
+
     def test_run_may_stand_still_for_longer_after_each_stall_up_to_a_limit(
         self,
     ) -> None:
