Forget failures on targets with the jobs that they are of

Targets now forget failures of purged jobs, too, which also bounds what they keep. test_evidence_and_failures_are_forgotten_with_the_jobs fails without that and passes.

--- a/packages/foxspring-jobs/foxspring_jobs/_health.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_health.py
@@ -9,7 +9,7 @@
 count.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from enum import StrEnum
 
 from foxspring_jobs._candidates import StepKey
@@ -79,6 +79,11 @@
         for task in [task for task in self.failed if task[:3] == step]:
             del self.failed[task]
 
+    def forget_purged(self, job_ids: Container[str]) -> None:
+        """Forget the failures of other jobs than these."""
+        for task in [task for task in self.failed if task.job_id not in job_ids]:
+            del self.failed[task]
+
     def blamed_for(self, is_faulty: IsFaulty) -> dict[str, int]:
         """Return the blame by job, without that for faulty work."""
         jobs: dict[str, int] = {}
--- a/packages/foxspring-jobs/foxspring_jobs/_target_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/_target_faults.py
@@ -153,6 +153,8 @@
     def measure(self) -> None:
         """Set the metrics, and forget what is over."""
         self.evidence.forget_purged(self.context.draft)
+        for session in self.context.sessions.values():
+            session.health.forget_purged(self.context.draft.jobs)
         self.backoff.forget_steady(self.context.draft, self.context.clock.wall_ms())
         sessions = self.context.sessions.values()
         count = sum(bool(session.health.quarantine_count) for session in sessions)
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_target_faults.py
@@ -154,15 +154,20 @@
         self.assertEqual(faults.evidence.steps, {})
         self.assertFalse(self.session(site).health.on_probation())
 
-    def test_evidence_is_forgotten_with_the_jobs(self) -> None:
+    # Guards against failures of faulty work that count against targets once it is
+    # forgotten that the work was at fault.
+    def test_evidence_and_failures_are_forgotten_with_the_jobs(self) -> None:
         site = FailingSite()
         job_id = site.submit_failing(spec(step(6)))
         site.cluster.run(2_000)
         faults = site.cluster.leader.faults
+        health = self.session(site).health
         self.assertEqual({key[0] for key in faults.evidence.steps}, {job_id})
+        self.assertEqual({task.job_id for task in health.failed}, {job_id})
         keep_ms = site.cluster.leader.context.settings.keep_ended_ms
         site.cluster.run(2 * keep_ms)
         self.assertEqual(faults.evidence.steps, {})
+        self.assertEqual(health.failed, {})
 
 
 if __name__ == "__main__":
