--- a/packages/foxspring-jobs/foxspring_jobs/tests/failing_site.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/failing_site.py
@@ -18,7 +18,7 @@
 # while there is room, and a task that lasts not from 6 s after its last run on.
 IDLE_LIMIT_MS = 3_000
 RESTART_LIMIT_MS = 9_000
-FIRST_FAILING_JOB = 0xA000
+FIRST_NUMBERED_JOB = 0xA000
 FIRST_SHORT_JOB = 0xB000
 
 
@@ -39,7 +39,7 @@
         self.failing: dict[str | TaskKey, int] = {}
         self.standing_still: set[str] = set()
         self.bounded: set[str] = set()
-        self.failing_jobs: list[str] = []
+        self.numbered_jobs: list[str] = []
         self.short_jobs: list[str] = []
         for target in self.targets():
             target.work_ms = SHORT_MS
@@ -88,8 +88,8 @@
         return job_id
 
     def _submit_numbered(self, job: JobSpec) -> str:
-        job_id = f"{FIRST_FAILING_JOB + len(self.failing_jobs):016x}"
-        self.failing_jobs.append(job_id)
+        job_id = f"{FIRST_NUMBERED_JOB + len(self.numbered_jobs):016x}"
+        self.numbered_jobs.append(job_id)
         self.cluster.submit(job, job_id)
         return job_id
 
--- a/packages/foxspring-jobs/foxspring_jobs/tests/test_random_failures.py
+++ b/packages/foxspring-jobs/foxspring_jobs/tests/test_random_failures.py
@@ -81,8 +81,8 @@
             return
         job_id = self.site.submit_failing(self.failing_spec(lasting))
         if lasting:
-            count = self.site.cluster.leader.context.draft.jobs[job_id]
-            tasks = count.spec.steps[0].task_count
+            job = self.site.cluster.leader.context.draft.jobs[job_id]
+            tasks = job.spec.steps[0].task_count
             self.failing_tasks |= {TaskKey(job_id, 0, 0, n) for n in range(tasks)}
 
     def lasting_failing(self) -> int:
